--- /dev/null
+++ b/internal/record/recpb/doc.go
@@ -0,0 +1,2 @@
+// Package recpb is the generated code of the records on the log; make generate renews it.
+package recpb
