relay: carry a request through one node

The inner protocol, the connections between nodes with settling of broken calls, the client of the own backend server, the HTTP front and the path that ties them to the decision packages.

--- /dev/null
+++ b/internal/front/answer.go
@@ -0,0 +1,89 @@
+package front
+
+import (
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"briarworks.example/briarworks/internal/server"
+	"briarworks.example/briarworks/pkg/call"
+	"briarworks.example/briarworks/pkg/reason"
+)
+
+// HeaderRetryAfterMs gives the wait in milliseconds; Retry-After has whole seconds only.
+const HeaderRetryAfterMs = "Briar-Retry-After-Ms"
+
+// Refusal is the body of an answer that the system makes itself.
+type Refusal struct {
+	Outcome      string `json:"outcome"`
+	Reason       string `json:"reason"`
+	RetryAfterMs int64  `json:"retryAfterMs,omitempty"`
+}
+
+// statuses maps reasons to HTTP status codes; the rest is 503.
+var statuses = map[reason.Refusal]int{
+	reason.BadRequest:     http.StatusBadRequest,
+	reason.KeyMissing:     http.StatusBadRequest,
+	reason.BodyShort:      http.StatusBadRequest,
+	reason.BodyTooLarge:   http.StatusRequestEntityTooLarge,
+	reason.UnknownKind:    http.StatusNotFound,
+	reason.KeyRunning:     http.StatusConflict,
+	reason.KeyUnknown:     http.StatusConflict,
+	reason.DepthExceeded:  http.StatusLoopDetected,
+	reason.AnswerTooLarge: http.StatusBadGateway,
+	reason.ServerFailed:   http.StatusBadGateway,
+	reason.Internal:       http.StatusInternalServerError,
+}
+
+// status returns the HTTP status of an answer that the system makes itself.
+func status(res *call.Result) int {
+	if code, ok := statuses[res.Reason]; ok {
+		return code
+	}
+	if res.Outcome == reason.Unknown {
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusServiceUnavailable
+}
+
+// write sends a result: the backend server's whole answer, or the refusal.
+func write(c *gin.Context, res *call.Result) {
+	if res.Outcome == reason.Ran {
+		writeAnswer(c, res)
+		return
+	}
+	h := c.Writer.Header()
+	h.Set(server.HeaderOutcome, res.Outcome.String())
+	h.Set(server.HeaderReason, res.Reason.String())
+	body := Refusal{Outcome: res.Outcome.String(), Reason: res.Reason.String()}
+	if res.RetryAfter > 0 {
+		body.RetryAfterMs = res.RetryAfter.Milliseconds()
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(res.RetryAfter.Seconds()))))
+		h.Set(HeaderRetryAfterMs, strconv.FormatInt(body.RetryAfterMs, 10))
+	}
+	c.JSON(status(res), body)
+}
+
+func writeAnswer(c *gin.Context, res *call.Result) {
+	h := c.Writer.Header()
+	for _, x := range res.Header {
+		h.Add(x.Name, x.Value)
+	}
+	h.Set("Content-Length", strconv.Itoa(len(res.Body)))
+	c.Writer.WriteHeader(res.Status)
+	_, _ = c.Writer.Write(res.Body)
+}
+
+// retryAfter spreads the return of refused callers over one to two seconds by the request's cohort, so
+// that they do not come back in one wave.
+func retryAfter(why reason.Refusal, spread float64) time.Duration {
+	switch why {
+	case reason.Overload, reason.QueueFull, reason.QueueTimeout, reason.DeadlineTooShort, reason.NoServer,
+		reason.Starting, reason.Draining, reason.ServerShed, reason.ServerDown, reason.LogUnavailable, reason.KeyRunning:
+		return time.Second + time.Duration(spread*float64(time.Second))
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/peer/book.go
@@ -0,0 +1,285 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/samber/oops"
+
+	"briarworks.example/briarworks/internal/wire"
+	"briarworks.example/briarworks/internal/wire/wirepb"
+	"briarworks.example/briarworks/pkg/call"
+	"briarworks.example/briarworks/pkg/ident"
+)
+
+// Event is something that happened to a connection; it is counted by the owner.
+type Event uint8
+
+// Events of connections.
+const (
+	EventDialed   Event = iota // a connection was made
+	EventAccepted              // a peer connected
+	EventSilent                // a connection was closed because it carried nothing
+	EventLost                  // a connection broke with calls outstanding
+	EventVersion               // a peer spoke another protocol version
+	EventGarbled               // a message did not decode or was out of place
+	EventSettled               // a call was settled over a new connection
+)
+
+// maxSessions bounds the sessions that peers opened to this node; more are closed at once.
+const maxSessions = 4096
+
+// ErrClosed reports a book that was closed.
+var ErrClosed = errors.New("peer: closed")
+
+// Book owns all connections between this node and others. The function fields are set before Serve or
+// Call and not changed afterwards.
+type Book struct {
+	Server      ident.Server
+	Incarnation ident.Incarnation
+	Dial        func(ctx context.Context, addr string) (net.Conn, error)
+	Now         func() time.Time
+	Event       func(Event)                                                   // must not block
+	OnCall      func(ctx context.Context, req *call.Request) call.Result      // runs a call that a peer made
+	OnLeave     func(server ident.Server, inc ident.Incarnation)              // a peer is leaving
+	OnSync      func(from ident.Server, m *wirepb.Sync) *wirepb.SyncReply     // a peer compares state
+	OnLost      func(server ident.Server, inc ident.Incarnation, silent bool) // a session to a peer ended
+
+	ids      atomic.Uint64
+	links    sync.Map // ident.Address -> *Link
+	calls    calls
+	mu       sync.Mutex // guards sessions and closed
+	sessions map[*session]struct{}
+	closed   bool
+	wg       sync.WaitGroup
+}
+
+func (b *Book) hello() *wirepb.Hello {
+	return &wirepb.Hello{Protocol: wire.Protocol, Server: string(b.Server), Incarnation: uint64(b.Incarnation)}
+}
+
+// Link returns the link to an address; it is made when it is first asked for.
+func (b *Book) Link(addr ident.Address) *Link {
+	if l, ok := b.links.Load(addr); ok {
+		return l.(*Link)
+	}
+	l, _ := b.links.LoadOrStore(addr, &Link{addr: addr})
+	return l.(*Link)
+}
+
+// Drop forgets the link to an address and closes its connection once its calls have ended.
+func (b *Book) Drop(addr ident.Address) {
+	l, ok := b.links.LoadAndDelete(addr)
+	if !ok {
+		return
+	}
+	if s := l.(*Link).live(); s != nil && s.outstanding.Load() == 0 {
+		_ = s.Close()
+	}
+}
+
+// adopt takes a session into the book and serves the streams that the peer opens on it.
+func (b *Book) adopt(s *session) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.closed {
+		return ErrClosed
+	}
+	if len(b.sessions) >= maxSessions {
+		return oops.Errorf("peer: more than %d sessions", maxSessions)
+	}
+	if b.sessions == nil {
+		b.sessions = make(map[*session]struct{})
+	}
+	b.sessions[s] = struct{}{}
+	b.wg.Add(1)
+	b.Event(EventDialed)
+	go b.accept(s)
+	return nil
+}
+
+func (b *Book) forget(s *session) {
+	b.mu.Lock()
+	delete(b.sessions, s)
+	closed := b.closed
+	b.mu.Unlock()
+	_ = s.Close()
+	if closed {
+		return
+	}
+	if s.outstanding.Load() > 0 {
+		b.Event(EventLost)
+	}
+	if b.OnLost != nil {
+		server, inc := b.name(s)
+		b.OnLost(server, inc, s.silent.Load())
+	}
+}
+
+// Serve accepts connections of peers until the listener is closed.
+func (b *Book) Serve(ln net.Listener) (err error) {
+	defer func() { err = oops.Wrapf(err, "peer: serve") }()
+	for {
+		conn, err := ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		s, err := newSession(conn, false, b.Now)
+		if err != nil {
+			_ = conn.Close()
+			continue
+		}
+		b.Event(EventAccepted)
+		if b.adopt(s) != nil {
+			_ = s.Close()
+		}
+	}
+}
+
+// Watch looks at all sessions until ctx ends: it pings quiet ones and closes silent ones.
+func (b *Book) Watch(ctx context.Context) {
+	t := time.NewTicker(scanPeriod)
+	defer t.Stop()
+	prev := b.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		now := b.Now()
+		paused := now.Sub(prev) > pausedLimit
+		prev = now
+		for _, s := range b.list() {
+			b.look(s, now, paused)
+		}
+		b.calls.expire(now)
+	}
+}
+
+// look judges one session. After a pause of this process nothing was read for a while through no
+// fault of the peer, so the session gets a new ping instead of a verdict.
+func (b *Book) look(s *session, now time.Time, paused bool) {
+	if paused {
+		s.ping(now)
+		return
+	}
+	switch s.judge(now) {
+	case pingDue:
+		s.ping(now)
+	case isSilent:
+		s.silent.Store(true)
+		b.Event(EventSilent)
+		_ = s.Close()
+	}
+}
+
+func (b *Book) list() (all []*session) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for s := range b.sessions {
+		all = append(all, s)
+	}
+	return all
+}
+
+// Connected returns the number of open sessions.
+func (b *Book) Connected() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.sessions)
+}
+
+// Tell sends a message to every connected peer and waits until each has taken it or timeout is over.
+func (b *Book) Tell(ctx context.Context, env *wirepb.Envelope, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, s := range b.list() {
+		wg.Go(func() { _, _ = b.ask(ctx, s, env) })
+	}
+	wg.Wait()
+}
+
+// TellLeave tells every connected peer that this server takes no new work.
+func (b *Book) TellLeave(ctx context.Context, timeout time.Duration) {
+	leave := &wirepb.Leave{Server: string(b.Server), Incarnation: uint64(b.Incarnation)}
+	b.Tell(ctx, &wirepb.Envelope{Body: &wirepb.Envelope_Leave{Leave: leave}}, timeout)
+}
+
+// Sync sends m to one connected peer, chosen by rnd, and returns its reply; nil when there is none.
+func (b *Book) Sync(ctx context.Context, m *wirepb.Sync) (from ident.Server, reply *wirepb.SyncReply) {
+	all := b.list()
+	if len(all) == 0 {
+		return "", nil
+	}
+	return b.syncWith(ctx, all[rand.IntN(len(all))], m)
+}
+
+// SyncAll sends m to every connected peer and hands each reply to take.
+func (b *Book) SyncAll(ctx context.Context, m *wirepb.Sync, take func(ident.Server, *wirepb.SyncReply)) {
+	var wg sync.WaitGroup
+	for _, s := range b.list() {
+		wg.Go(func() {
+			if from, r := b.syncWith(ctx, s, m); r != nil {
+				take(from, r)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// SyncTo connects to an address, sends m and returns the reply.
+func (b *Book) SyncTo(ctx context.Context, addr ident.Address, m *wirepb.Sync) (from ident.Server, reply *wirepb.SyncReply, err error) {
+	s, err := b.Link(addr).session(ctx, b)
+	if err != nil {
+		return "", nil, err
+	}
+	from, reply = b.syncWith(ctx, s, m)
+	if reply == nil {
+		return "", nil, oops.Errorf("peer: no reply to sync from %s", addr)
+	}
+	return from, reply, nil
+}
+
+func (b *Book) syncWith(ctx context.Context, s *session, m *wirepb.Sync) (ident.Server, *wirepb.SyncReply) {
+	reply, err := b.ask(ctx, s, &wirepb.Envelope{Body: &wirepb.Envelope_Sync{Sync: m}})
+	if err != nil {
+		return "", nil
+	}
+	server, _ := b.name(s)
+	return server, reply.GetSyncReply()
+}
+
+// ask makes one short exchange on a stream of its own.
+func (b *Book) ask(ctx context.Context, s *session, env *wirepb.Envelope) (reply *wirepb.Envelope, err error) {
+	st, err := s.OpenStream()
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = st.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = st.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	s.begin(b.Now())
+	defer s.end()
+	return wire.Exchange(st, env)
+}
+
+// Close closes all sessions and waits for the goroutines of the book.
+func (b *Book) Close() {
+	b.mu.Lock()
+	b.closed = true
+	b.mu.Unlock()
+	for _, s := range b.list() {
+		_ = s.Close()
+	}
+	b.wg.Wait()
+}
--- /dev/null
+++ b/internal/peer/in.go
@@ -0,0 +1,159 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"briarworks.example/briarworks/internal/wire"
+	"briarworks.example/briarworks/internal/wire/wirepb"
+	"briarworks.example/briarworks/pkg/call"
+	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/reason"
+)
+
+// errGarbled reports a message that is out of place.
+var errGarbled = errors.New("peer: message out of place")
+
+// requestLimit bounds how long a peer may take to send a whole message on a stream it opened.
+const requestLimit = 10 * time.Second
+
+// accept serves the streams that the peer opens on a session until the session ends.
+func (b *Book) accept(s *session) {
+	defer b.wg.Done()
+	var wg sync.WaitGroup
+	for {
+		st, err := s.AcceptStream()
+		if err != nil {
+			break
+		}
+		wg.Go(func() { b.serve(s, st) })
+	}
+	b.forget(s)
+	wg.Wait()
+}
+
+// serve handles one stream: one request of the peer and its reply.
+func (b *Book) serve(s *session, st *yamux.Stream) {
+	defer func() { _ = st.Close() }()
+	_ = st.SetReadDeadline(b.Now().Add(requestLimit))
+	r := bufio.NewReader(st)
+	env := &wirepb.Envelope{}
+	if err := wire.Read(r, env); err != nil {
+		if !errors.Is(err, io.EOF) && !s.IsClosed() {
+			b.Event(EventGarbled)
+		}
+		return
+	}
+	_ = st.SetReadDeadline(time.Time{})
+	switch m := env.Body.(type) {
+	case *wirepb.Envelope_Hello:
+		b.onHello(s, st, m.Hello)
+	case *wirepb.Envelope_Call:
+		b.onCall(s, st, r, m.Call)
+	case *wirepb.Envelope_Settle:
+		b.onSettle(s, st, r, m.Settle)
+	case *wirepb.Envelope_Leave:
+		b.OnLeave(ident.Server(m.Leave.GetServer()), ident.Incarnation(m.Leave.GetIncarnation()))
+		b.reply(st, &wirepb.Envelope{Body: &wirepb.Envelope_Ack{Ack: &wirepb.Ack{}}})
+	case *wirepb.Envelope_Sync:
+		if r := b.OnSync(ident.Server(m.Sync.GetFrom()), m.Sync); r != nil {
+			b.reply(st, &wirepb.Envelope{Body: &wirepb.Envelope_SyncReply{SyncReply: r}})
+		}
+	case *wirepb.Envelope_Ping:
+		b.reply(st, &wirepb.Envelope{Body: &wirepb.Envelope_Pong{Pong: &wirepb.Pong{}}})
+	default:
+		b.Event(EventGarbled)
+	}
+}
+
+func (b *Book) reply(st *yamux.Stream, env *wirepb.Envelope) {
+	_ = st.SetWriteDeadline(b.Now().Add(writeTimeout))
+	_ = wire.Write(st, env)
+}
+
+// onHello learns who the peer is; a peer with another protocol version is told ours and disconnected.
+func (b *Book) onHello(s *session, st *yamux.Stream, h *wirepb.Hello) {
+	b.reply(st, &wirepb.Envelope{Body: &wirepb.Envelope_Hello{Hello: b.hello()}})
+	if h.GetProtocol() != wire.Protocol {
+		b.Event(EventVersion)
+		_ = st.Close()
+		_ = s.GoAway()
+		return
+	}
+	b.mu.Lock()
+	s.peer, s.incarnation = ident.Server(h.GetServer()), ident.Incarnation(h.GetIncarnation())
+	b.mu.Unlock()
+}
+
+// name returns who the peer said it is.
+func (b *Book) name(s *session) (ident.Server, ident.Incarnation) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return s.peer, s.incarnation
+}
+
+// onCall runs a call once and answers on its stream. The answer is kept for Settle until the caller
+// has closed the stream, which it does when it holds the answer.
+func (b *Book) onCall(s *session, st *yamux.Stream, r *bufio.Reader, m *wirepb.Call) {
+	now := b.Now()
+	server, inc := b.name(s)
+	id := callID{server, inc, ident.CallID(m.GetCallId())}
+	if server == "" || !b.calls.start(id, now) {
+		b.Event(EventGarbled) // no Hello, a repeated call, or one that was barred by a Settle
+		return
+	}
+	req := wire.ToRequest(m, now)
+	ctx, cancel := context.WithDeadline(context.Background(), req.Deadline)
+	defer cancel()
+	closed := make(chan error, 1)
+	go func() {
+		_, err := r.ReadByte()
+		closed <- err
+		// The end of the stream cancels the call; a broken session does not, since the caller will
+		// settle the call and may still want its answer.
+		if errors.Is(err, io.EOF) && !s.IsClosed() {
+			cancel()
+		}
+	}()
+	res := b.OnCall(ctx, req)
+	ans := wire.FromResult(id.call, &res)
+	b.calls.finish(id, ans, b.Now())
+	b.reply(st, &wirepb.Envelope{Body: &wirepb.Envelope_Answer{Answer: ans}})
+	_ = st.SetReadDeadline(b.Now().Add(keepAnswer))
+	if err := <-closed; errors.Is(err, io.EOF) && !s.IsClosed() {
+		b.calls.drop(id)
+	}
+}
+
+// onSettle reports the state of calls, after waiting for those that still run. A call that is not
+// known is barred by the reply.
+func (b *Book) onSettle(s *session, st *yamux.Stream, r *bufio.Reader, m *wirepb.Settle) {
+	server, inc := b.name(s)
+	if inc != ident.Incarnation(m.GetIncarnation()) || len(m.GetCallIds()) > maxSettle {
+		b.Event(EventGarbled)
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		_, _ = r.ReadByte()
+		cancel()
+	}()
+	out := &wirepb.Settled{}
+	for _, n := range m.GetCallIds() {
+		id := callID{server, inc, ident.CallID(n)}
+		state, ans := b.calls.settle(ctx, id, b.Now())
+		out.States = append(out.States, &wirepb.CallState{CallId: n, State: state, Answer: ans})
+	}
+	b.reply(st, &wirepb.Envelope{Body: &wirepb.Envelope_Settled{Settled: out}})
+}
+
+// maxSettle bounds the calls of one Settle.
+const maxSettle = 1024
+
--- /dev/null
+++ b/internal/peer/link.go
@@ -0,0 +1,213 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/samber/oops"
+
+	"briarworks.example/briarworks/internal/wire"
+	"briarworks.example/briarworks/internal/wire/wirepb"
+	"briarworks.example/briarworks/pkg/ident"
+)
+
+// Time limits of a connection.
+const (
+	dialTimeout  = time.Second            // a connection costs about 1 ms
+	quietLimit   = 500 * time.Millisecond // a call outstanding, nothing received: ping
+	idleLimit    = 5 * time.Second        // nothing outstanding, nothing received: ping
+	pingLimit    = time.Second            // a ping unanswered for longer: the connection is silent
+	scanPeriod   = 100 * time.Millisecond // how often connections are looked at
+	pausedLimit  = 500 * time.Millisecond // a longer gap between scans means that this process was paused
+	writeTimeout = 5 * time.Second        // a frame that cannot be written for longer breaks the connection
+)
+
+// errVersion reports a peer that speaks another protocol version.
+var errVersion = errors.New("peer: protocol version differs")
+
+// watched stamps the time of the last read, which is what silence is judged by.
+type watched struct {
+	net.Conn
+	now  func() time.Time
+	last *atomic.Int64
+}
+
+// Read reads from the connection and stamps the time when something arrived.
+func (c *watched) Read(p []byte) (n int, err error) {
+	n, err = c.Conn.Read(p)
+	if n > 0 {
+		c.last.Store(c.now().UnixNano())
+	}
+	return n, err
+}
+
+// session is one yamux session with what is needed to judge it.
+type session struct {
+	*yamux.Session
+	peer        ident.Server
+	incarnation ident.Incarnation
+	last        atomic.Int64 // time of the last read, ns
+	pinged      atomic.Int64 // time of the ping that is not answered yet, ns; 0 when none
+	outstanding atomic.Int64 // calls that wait for their answer
+	since       atomic.Int64 // time when outstanding last became non-zero, ns
+	silent      atomic.Bool  // closed because it was silent
+}
+
+func newSession(conn net.Conn, client bool, now func() time.Time) (s *session, err error) {
+	s = &session{}
+	s.last.Store(now().UnixNano())
+	cfg := yamux.DefaultConfig()
+	cfg.EnableKeepAlive = false // silence is judged here, with limits that follow the calls
+	cfg.ConnectionWriteTimeout = writeTimeout
+	cfg.StreamOpenTimeout = 0
+	cfg.StreamCloseTimeout = writeTimeout
+	cfg.MaxStreamWindowSize = 1 << 20
+	cfg.LogOutput = discard{}
+	w := &watched{Conn: conn, now: now, last: &s.last}
+	if client {
+		s.Session, err = yamux.Client(w, cfg)
+	} else {
+		s.Session, err = yamux.Server(w, cfg)
+	}
+	return s, err
+}
+
+type discard struct{}
+
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
+
+// begin counts a call that waits for its answer.
+func (s *session) begin(now time.Time) {
+	if s.outstanding.Add(1) == 1 {
+		s.since.Store(now.UnixNano())
+	}
+}
+
+func (s *session) end() { s.outstanding.Add(-1) }
+
+// verdict of looking at a session.
+type verdict uint8
+
+const (
+	fine verdict = iota
+	pingDue
+	isSilent
+)
+
+// judge decides what to do with the session at now.
+func (s *session) judge(now time.Time) verdict {
+	last := s.last.Load()
+	if pinged := s.pinged.Load(); pinged != 0 {
+		if last >= pinged {
+			s.pinged.Store(0)
+			return fine
+		}
+		if now.UnixNano()-pinged > int64(pingLimit) {
+			return isSilent
+		}
+		return fine
+	}
+	limit := idleLimit
+	if s.outstanding.Load() > 0 {
+		limit = quietLimit
+		last = max(last, s.since.Load())
+	}
+	if now.UnixNano()-last > int64(limit) {
+		return pingDue
+	}
+	return fine
+}
+
+// ping sends a ping in the background; the answer is seen as a read.
+func (s *session) ping(now time.Time) {
+	s.pinged.Store(now.UnixNano())
+	go func() { _, _ = s.Ping() }() // ends by the answer, the write timeout or the close
+}
+
+// Link is the outgoing connection to one peer; it is dialled when it is first needed.
+type Link struct {
+	addr ident.Address
+	mu   sync.Mutex // held while dialling, so that one dial serves all who wait
+	cur  atomic.Pointer[session]
+}
+
+// session returns the live session, dialling one if needed.
+func (l *Link) session(ctx context.Context, b *Book) (s *session, err error) {
+	if s = l.live(); s != nil {
+		return s, nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s = l.live(); s != nil {
+		return s, nil
+	}
+	if s, err = b.dial(ctx, l.addr); err != nil {
+		return nil, err
+	}
+	l.cur.Store(s)
+	return s, nil
+}
+
+func (l *Link) live() *session {
+	if s := l.cur.Load(); s != nil && !s.IsClosed() {
+		return s
+	}
+	return nil
+}
+
+// dial connects, says Hello, and serves what the peer opens on the session.
+func (b *Book) dial(ctx context.Context, addr ident.Address) (s *session, err error) {
+	defer func() { err = oops.With("address", string(addr)).Wrapf(err, "peer: dial") }()
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := b.Dial(ctx, string(addr))
+	if err != nil {
+		return nil, err
+	}
+	if s, err = newSession(conn, true, b.Now); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	if err = b.greet(ctx, s); err != nil {
+		_ = s.Close()
+		return nil, err
+	}
+	if err = b.adopt(s); err != nil {
+		_ = s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+// greet exchanges Hello and learns who answers.
+func (b *Book) greet(ctx context.Context, s *session) (err error) {
+	st, err := s.OpenStream()
+	if err != nil {
+		return err
+	}
+	defer func() { _ = st.Close() }()
+	if d, ok := ctx.Deadline(); ok {
+		_ = st.SetDeadline(d)
+	}
+	reply, err := wire.Exchange(st, &wirepb.Envelope{Body: &wirepb.Envelope_Hello{Hello: b.hello()}})
+	if err != nil {
+		return err
+	}
+	h := reply.GetHello()
+	if h.GetProtocol() != wire.Protocol {
+		b.Event(EventVersion)
+		return errVersion
+	}
+	s.peer = ident.Server(h.GetServer())
+	s.incarnation = ident.Incarnation(h.GetIncarnation())
+	return nil
+}
+
+// refused tells whether nobody listens at the address, which means that the process is gone.
+func refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
--- /dev/null
+++ b/internal/peer/out.go
@@ -0,0 +1,141 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"briarworks.example/briarworks/internal/wire"
+	"briarworks.example/briarworks/internal/wire/wirepb"
+	"briarworks.example/briarworks/pkg/call"
+	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/reason"
+)
+
+// settleLimit bounds the search for the outcome of a call whose connection broke, so that a retry
+// elsewhere still has time.
+const settleLimit = time.Second
+
+// Call runs a request on a peer and returns its result; the request's deadline bounds it. The result is
+// NotRun only if nothing was sent or the peer proved that the call never ran.
+func (b *Book) Call(ctx context.Context, addr ident.Address, req *call.Request) call.Result {
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+	l := b.Link(addr)
+	s, err := l.session(ctx, b)
+	if err != nil {
+		return call.Refuse(reason.NoServer)
+	}
+	st, err := s.OpenStream()
+	if err != nil {
+		return call.Refuse(reason.NoServer)
+	}
+	id := ident.CallID(b.ids.Add(1))
+	ans, err := b.converse(ctx, s, st, id, req)
+	if err == nil {
+		return wire.ToResult(ans)
+	}
+	if ctx.Err() != nil {
+		return gone(ctx)
+	}
+	_ = s.Close() // what broke one call breaks the others too; they settle on one new connection
+	why := reason.ConnectionLost
+	if s.silent.Load() {
+		why = reason.ConnectionSilent
+	}
+	return b.settle(ctx, l, s, id, why)
+}
+
+// gone is the result for a call that its caller stopped waiting for.
+func gone(ctx context.Context) call.Result {
+	if ctx.Err() == context.DeadlineExceeded {
+		return call.Doubt(reason.DeadlinePassed)
+	}
+	return call.Doubt(reason.Cancelled)
+}
+
+// converse sends the call and waits for its answer. Closing the stream tells the peer that the answer
+// arrived, or, before the answer, that the call is cancelled.
+func (b *Book) converse(ctx context.Context, s *session, st *yamux.Stream, id ident.CallID, req *call.Request) (ans *wirepb.Answer, err error) {
+	defer func() { _ = st.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = st.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	now := b.Now()
+	s.begin(now)
+	defer s.end()
+	m := wire.FromRequest(id, req, now)
+	if err = wire.Write(st, &wirepb.Envelope{Body: &wirepb.Envelope_Call{Call: m}}); err != nil {
+		return nil, err
+	}
+	reply := &wirepb.Envelope{}
+	if err = wire.Read(bufio.NewReader(st), reply); err != nil {
+		return nil, err
+	}
+	ans = reply.GetAnswer()
+	if ans == nil || ans.CallId != uint64(id) {
+		b.Event(EventGarbled)
+		return nil, errGarbled
+	}
+	return ans, nil
+}
+
+// settle asks the same incarnation of the peer, over another connection, what became of a call.
+func (b *Book) settle(ctx context.Context, l *Link, broken *session, id ident.CallID, why reason.Refusal) call.Result {
+	short, cancel := context.WithTimeout(ctx, settleLimit)
+	defer cancel()
+	for {
+		s, err := l.session(short, b)
+		switch {
+		case err != nil && refused(err):
+			return call.Doubt(why) // the process is gone; what it ran cannot be known
+		case err == nil && s.incarnation != broken.incarnation:
+			return call.Doubt(why) // a later incarnation knows nothing of the call
+		case err == nil:
+			if res, ok := b.askState(ctx, s, id, why); ok {
+				b.Event(EventSettled)
+				return res
+			}
+		}
+		if !pause(short, settlePause) {
+			return call.Doubt(why)
+		}
+	}
+}
+
+// settlePause is the time between two attempts to reach a peer for settling.
+const settlePause = 50 * time.Millisecond
+
+// pause waits for d and reports whether ctx is still alive.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// askState asks for the state of one call; the peer replies when a running call has ended.
+func (b *Book) askState(ctx context.Context, s *session, id ident.CallID, why reason.Refusal) (res call.Result, ok bool) {
+	m := &wirepb.Settle{Incarnation: uint64(b.Incarnation), CallIds: []uint64{uint64(id)}}
+	reply, err := b.ask(ctx, s, &wirepb.Envelope{Body: &wirepb.Envelope_Settle{Settle: m}})
+	if err != nil {
+		return res, false
+	}
+	states := reply.GetSettled().GetStates()
+	if len(states) != 1 || states[0].GetCallId() != uint64(id) {
+		b.Event(EventGarbled)
+		return res, false
+	}
+	switch states[0].GetState() {
+	case wirepb.CallState_NEVER_RAN:
+		return call.Refuse(why), true
+	case wirepb.CallState_ANSWERED:
+		return wire.ToResult(states[0].GetAnswer()), true
+	}
+	return call.Doubt(why), true
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,188 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"briarworks.example/briarworks/internal/flight"
+	"briarworks.example/briarworks/pkg/admit"
+	"briarworks.example/briarworks/pkg/call"
+	"briarworks.example/briarworks/pkg/fleet"
+	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/reason"
+	"briarworks.example/briarworks/pkg/retry"
+	"briarworks.example/briarworks/pkg/route"
+	"briarworks.example/briarworks/pkg/rules"
+	"briarworks.example/briarworks/pkg/share"
+)
+
+// Relay is the path of requests through one node. The function fields are set before the first request.
+type Relay struct {
+	Self    fleet.Member
+	Now     func() time.Time
+	Rand    func() uint64
+	Token   func() flight.Token
+	Rules   func() *rules.Snapshot                                                                               // nil before the first configuration
+	Routes  func(ident.Service) *route.Set                                                                       // nil when no server of the service is known
+	Run     func(ctx context.Context, req *call.Request, token flight.Token, now time.Time) call.Result          // own backend server
+	Send    func(ctx context.Context, addr ident.Address, req *call.Request) call.Result                         // another node
+	Once    func(ctx context.Context, req *call.Request, run func(context.Context) call.Result) call.Result      // at-most-once keeper
+	Home    func(service ident.Service, key ident.Key) (addr ident.Address, self, ok bool)                       // home node of a key
+	Seq     func() ident.Seq                                                                                     // last refusal number of this node
+	Retried func(reason.Retry)                                                                                   // counts a retry
+	Gate    *admit.Gate
+	Paths   *share.Paths
+	Flights *flight.Table
+
+	draining atomic.Bool
+	active   atomic.Int64
+	ratios   sync.Map // ident.Service -> *retry.Ratio
+}
+
+// Drain makes the node refuse new work from now on; calls of requests in flight go on.
+func (r *Relay) Drain() { r.draining.Store(true) }
+
+// Draining reports whether Drain was called.
+func (r *Relay) Draining() bool { return r.draining.Load() }
+
+// Active returns the number of requests that this node is carrying.
+func (r *Relay) Active() int64 { return r.active.Load() }
+
+// Enter takes a request that a caller brought to this node.
+func (r *Relay) Enter(ctx context.Context, req *call.Request) call.Result {
+	if r.draining.Load() {
+		return call.Refuse(reason.Draining)
+	}
+	r.active.Add(1)
+	defer r.active.Add(-1)
+	if req.Once {
+		return r.enterOnce(ctx, req)
+	}
+	return r.place(ctx, req)
+}
+
+// Serve takes a call that another node made to this one. It is not handed on to a third node.
+func (r *Relay) Serve(ctx context.Context, req *call.Request) call.Result {
+	if r.draining.Load() {
+		return r.annotate(req, call.Refuse(reason.Draining), req.Budget)
+	}
+	if req.Service != r.Self.Service {
+		return r.annotate(req, call.Refuse(reason.NoServer), req.Budget)
+	}
+	r.active.Add(1)
+	defer r.active.Add(-1)
+	if req.Once && req.Hop == 0 {
+		return r.keep(ctx, req)
+	}
+	return r.local(ctx, req)
+}
+
+// enterOnce brings at-most-once work to the home node of its key.
+func (r *Relay) enterOnce(ctx context.Context, req *call.Request) call.Result {
+	addr, self, ok := r.Home(req.Service, req.Key)
+	switch {
+	case !ok:
+		return call.Refuse(reason.NoServer)
+	case self:
+		return r.keep(ctx, req)
+	}
+	return r.Send(ctx, addr, req)
+}
+
+func (r *Relay) keep(ctx context.Context, req *call.Request) call.Result {
+	return r.Once(ctx, req, func(ctx context.Context) call.Result { return r.local(ctx, req) })
+}
+
+// local admits the request to the own backend server and runs it there.
+func (r *Relay) local(ctx context.Context, req *call.Request) call.Result {
+	if refusal := r.admit(ctx, req); refusal.why != reason.None {
+		return r.annotate(req, call.Refuse(refusal.why), req.Budget)
+	} else {
+		return r.run(ctx, req, refusal.ticket)
+	}
+}
+
+// admitted is a ticket, or the reason why there is none.
+type admitted struct {
+	ticket *ticket
+	why    reason.Refusal
+}
+
+// ticket is a place at the gate and the way to wake who waits for it.
+type ticket struct {
+	admit.Ticket
+	woken chan admit.Verdict
+}
+
+// admit passes the gate, waiting in its queue if need be.
+func (r *Relay) admit(ctx context.Context, req *call.Request) admitted {
+	t := &ticket{}
+	t.Wake = func(v admit.Verdict, _ time.Time) { t.woken <- v }
+	t.woken = make(chan admit.Verdict, 1)
+	v := r.Gate.Enter(req, &t.Ticket, r.Now())
+	if v == admit.Wait {
+		v = r.await(ctx, t)
+	}
+	if v == admit.Refuse {
+		return admitted{why: t.Reason}
+	}
+	return admitted{ticket: t}
+}
+
+// await blocks until the ticket is woken; a cancelled request leaves the queue.
+func (r *Relay) await(ctx context.Context, t *ticket) admit.Verdict {
+	select {
+	case v := <-t.woken:
+		return v
+	case <-ctx.Done():
+	}
+	if r.Gate.Cancel(&t.Ticket, r.Now()) {
+		t.Reason = reason.Cancelled
+		if ctx.Err() == context.DeadlineExceeded {
+			t.Reason = reason.DeadlinePassed
+		}
+		return admit.Refuse
+	}
+	return <-t.woken // it was woken at the same moment
+}
+
+// run runs an admitted request on the own backend server.
+func (r *Relay) run(ctx context.Context, req *call.Request, t *ticket) call.Result {
+	start := r.Now()
+	pool := retry.NewPool(req.Budget)
+	f := &flight.Flight{Token: r.Token(), Request: req, Pool: pool, Ctx: ctx}
+	r.Flights.Add(f)
+	res := r.Run(ctx, req, f.Token, start)
+	r.Flights.Remove(f)
+	now := r.Now()
+	total := now.Sub(start)
+	r.Gate.Leave(&t.Ticket, admit.Usage{
+		Own: total - f.Waited(now), Total: total,
+		Shed:   res.Reason == reason.ServerShed,
+		Failed: res.Outcome != reason.Ran && res.Reason != reason.ServerShed,
+	}, now)
+	return r.annotate(req, res, pool.Left())
+}
+
+// annotate adds to a result what the caller's node learns from it.
+func (r *Relay) annotate(req *call.Request, res call.Result, left ident.Tokens) call.Result {
+	now := r.Now()
+	res.TokensLeft = left
+	res.Free = r.Gate.Free()
+	if r.draining.Load() {
+		res.Free = 0
+	}
+	res.Fraction = min(r.Gate.Fraction(req.Kind), r.Paths.Below(req.Kind, now))
+	res.RefusalSeq = r.Seq()
+	return res
+}
+
+func (r *Relay) ratio(service ident.Service) *retry.Ratio {
+	if x, ok := r.ratios.Load(service); ok {
+		return x.(*retry.Ratio)
+	}
+	x, _ := r.ratios.LoadOrStore(service, &retry.Ratio{})
+	return x.(*retry.Ratio)
+}
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,187 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/samber/oops"
+
+	"briarworks.example/briarworks/internal/flight"
+	"briarworks.example/briarworks/pkg/call"
+	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/reason"
+)
+
+// Headers between a node and its backend server.
+const (
+	HeaderToken    = "Briar-Token"       // to the server, which copies it to the calls that it makes
+	HeaderDeadline = "Briar-Deadline-Ms" // to the server: milliseconds that are left
+	HeaderNotRun   = "Briar-Not-Run"     // from the server: "true" when it did not run the request
+	HeaderOutcome  = "Briar-Outcome"     // from the server: "unknown" when it cannot tell
+	HeaderReason   = "Briar-Reason"      // reason of a refusal
+	HeaderKey      = "Idempotency-Key"   // names a request over its attempts
+	HeaderCaller   = "Briar-Caller"      // name that a caller gives itself
+)
+
+// Time limits of connections to the backend server.
+const (
+	dialTimeout = time.Second
+	// idleTimeout is short, so that the node closes an idle connection before the server does: a
+	// request on a connection that the server is closing has an unknown outcome.
+	idleTimeout = 2 * time.Second
+)
+
+// Client runs requests on one backend server.
+type Client struct {
+	Addr ident.Address
+	http *http.Client
+}
+
+// New returns a client that opens at most conns connections to the server.
+func New(addr ident.Address, conns ident.Conns) *Client {
+	d := &net.Dialer{Timeout: dialTimeout}
+	t := &http.Transport{
+		DialContext:            d.DialContext,
+		MaxConnsPerHost:        int(conns),
+		MaxIdleConnsPerHost:    int(conns),
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: int64(call.MaxHeader),
+	}
+	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &Client{Addr: addr, http: &http.Client{Transport: t, CheckRedirect: noRedirect}}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Run runs a request once and returns its result.
+func (c *Client) Run(ctx context.Context, req *call.Request, token flight.Token, now time.Time) call.Result {
+	if req.Left(now) <= 0 {
+		return call.Refuse(reason.DeadlinePassed)
+	}
+	var wrote atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		WroteHeaderField: func(string, []string) { wrote.Store(true) },
+	})
+	hr, err := c.request(ctx, req, token, now)
+	if err != nil {
+		return call.Refuse(reason.BadRequest)
+	}
+	resp, err := c.http.Do(hr)
+	if err != nil {
+		return failed(ctx, err, wrote.Load())
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(call.MaxAnswer)+1))
+	if err != nil {
+		return failed(ctx, err, true)
+	}
+	if ident.Bytes(len(body)) > call.MaxAnswer {
+		return call.Doubt(reason.AnswerTooLarge)
+	}
+	return answered(resp, body)
+}
+
+// request builds the HTTP request. The body is wrapped so that the transport cannot rewind it: it
+// would otherwise repeat a GET, or any request with an Idempotency-Key, on its own.
+func (c *Client) request(ctx context.Context, req *call.Request, token flight.Token, now time.Time) (hr *http.Request, err error) {
+	defer func() { err = oops.Wrapf(err, "server: build request") }()
+	hr, err = http.NewRequestWithContext(ctx, req.Method, "http://"+string(c.Addr)+req.Path, nil)
+	if err != nil {
+		return nil, err
+	}
+	hr.Body = io.NopCloser(struct{ io.Reader }{bytes.NewReader(req.Body)})
+	hr.ContentLength = int64(len(req.Body))
+	for _, h := range req.Header {
+		hr.Header.Add(h.Name, h.Value)
+	}
+	hr.Header.Set(HeaderToken, string(token))
+	hr.Header.Set(HeaderDeadline, strconv.FormatInt(req.Left(now).Milliseconds(), 10))
+	hr.Header.Set(HeaderKey, string(req.Key))
+	hr.Header.Set(HeaderCaller, string(req.Caller))
+	return hr, nil
+}
+
+// failed sorts an error of the transport by what it proves.
+func failed(ctx context.Context, err error, wrote bool) call.Result {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return call.Refuse(reason.ServerDown)
+	case !wrote && ctx.Err() == context.DeadlineExceeded:
+		return call.Refuse(reason.DeadlinePassed)
+	case !wrote && ctx.Err() != nil:
+		return call.Refuse(reason.Cancelled)
+	case !wrote:
+		return call.Refuse(reason.ServerDown)
+	case ctx.Err() == context.DeadlineExceeded:
+		return call.Doubt(reason.DeadlinePassed)
+	case ctx.Err() != nil:
+		return call.Doubt(reason.Cancelled)
+	}
+	return call.Doubt(reason.ServerFailed)
+}
+
+// answered sorts an answer of the server: its own answer, or its word that it did not run the request
+// or cannot tell.
+func answered(resp *http.Response, body []byte) call.Result {
+	res := call.Result{Outcome: reason.Ran, Status: resp.StatusCode, Fraction: 1}
+	why, known := reason.ParseRefusal(resp.Header.Get(HeaderReason))
+	switch {
+	case resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderNotRun) == "true":
+		res = call.Refuse(reason.ServerShed)
+	case resp.StatusCode >= 500 && resp.Header.Get(HeaderOutcome) == reason.Unknown.String():
+		res = call.Doubt(reason.ServerFailed)
+	default:
+		res.Header = Keep(resp.Header)
+		res.Body = body
+		return res
+	}
+	if known && why != reason.None {
+		res.Reason = why // the server passes on the reason of a call that it made
+	}
+	return res
+}
+
+// dropped names the headers that belong to one connection or to briarworks and are not passed on.
+var dropped = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
+	"Proxy-Connection": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+	"Content-Length": true, "Expect": true,
+}
+
+// Keep returns the headers that are passed on from one hop to the next.
+func Keep(h http.Header) (kept []call.Header) {
+	named := connectionNames(h)
+	for name, values := range h {
+		if dropped[name] || named[name] || strings.HasPrefix(name, "Briar-") || name == HeaderKey {
+			continue
+		}
+		for _, v := range values {
+			kept = append(kept, call.Header{Name: name, Value: v})
+		}
+	}
+	return kept
+}
+
+// connectionNames returns the headers that the Connection header declares to be of one connection.
+func connectionNames(h http.Header) map[string]bool {
+	named := make(map[string]bool)
+	for _, line := range h["Connection"] {
+		for _, name := range strings.Split(line, ",") {
+			named[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	return named
+}
--- /dev/null
+++ b/internal/wire/convert.go
@@ -0,0 +1,118 @@
+package wire
+
+import (
+	"time"
+
+	"briarworks.example/briarworks/internal/wire/wirepb"
+	"briarworks.example/briarworks/pkg/call"
+	"briarworks.example/briarworks/pkg/fleet"
+	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/reason"
+)
+
+// MaxAge bounds the age and the time left that a call may claim; anything above is cut to it.
+const MaxAge = time.Hour
+
+// FromRequest makes the message for a call that leaves at now.
+func FromRequest(id ident.CallID, r *call.Request, now time.Time) *wirepb.Call {
+	return &wirepb.Call{
+		CallId: uint64(id), Key: string(r.Key), Kind: string(r.Kind), Caller: string(r.Caller),
+		Rank: uint32(r.Rank), Protected: r.Protected, Idempotent: r.Idempotent, Once: r.Once,
+		Service: string(r.Service), AgeNs: int64(now.Sub(r.Born)), LeftNs: int64(r.Left(now)),
+		BornUnixNs: r.Born.UnixNano(), Budget: int32(r.Budget), Passed: float64(r.Passed),
+		Hop: uint32(r.Hop), Method: r.Method, Path: r.Path, Header: fromHeader(r.Header), Body: r.Body,
+	}
+}
+
+// ToRequest makes the request for a call that arrived at now. Values out of range are cut to it.
+func ToRequest(m *wirepb.Call, now time.Time) *call.Request {
+	return &call.Request{
+		Key: ident.Key(m.Key), Kind: ident.Kind(m.Kind), Caller: ident.Caller(m.Caller),
+		Rank: ident.Rank(min(m.Rank, 255)), Protected: m.Protected, Idempotent: m.Idempotent, Once: m.Once,
+		Service: ident.Service(m.Service), Born: born(m, now), Deadline: now.Add(within(m.LeftNs)),
+		Budget: ident.Tokens(min(max(m.Budget, 0), maxTokens)), Passed: fraction(m.Passed), Hop: ident.Hop(min(m.Hop, 255)),
+		Method: m.Method, Path: m.Path, Header: toHeader(m.Header), Body: m.Body,
+	}
+}
+
+// maxTokens is the highest retry bound that the rules allow.
+const maxTokens = 16
+
+// born keeps the entry's time stamp, which all hops must share for the cohort, unless it disagrees
+// with the age by more than clocks plausibly do.
+func born(m *wirepb.Call, now time.Time) time.Time {
+	stamp := time.Unix(0, m.BornUnixNs)
+	local := now.Add(-within(m.AgeNs))
+	if d := stamp.Sub(local); d > MaxAge || d < -MaxAge {
+		return local
+	}
+	return stamp
+}
+
+func within(ns int64) time.Duration { return min(max(time.Duration(ns), -MaxAge), MaxAge) }
+
+// fraction replaces what is not a share in (0,1], such as NaN, by 1.
+func fraction(f float64) ident.Fraction {
+	if f > 0 && f <= 1 {
+		return ident.Fraction(f)
+	}
+	return 1
+}
+
+// FromResult makes the message for a result.
+func FromResult(id ident.CallID, r *call.Result) *wirepb.Answer {
+	return &wirepb.Answer{
+		CallId: uint64(id), Outcome: uint32(r.Outcome), Reason: uint32(r.Reason),
+		RetryAfterNs: int64(r.RetryAfter), Status: int32(r.Status), Header: fromHeader(r.Header), Body: r.Body,
+		TokensLeft: int32(r.TokensLeft), Free: int32(r.Free), Fraction: float64(r.Fraction),
+		RefusalSeq: uint64(r.RefusalSeq),
+	}
+}
+
+// ToResult makes the result of an answer; an outcome that this version does not know is Unknown.
+func ToResult(m *wirepb.Answer) call.Result {
+	out := reason.Outcome(min(m.Outcome, 255))
+	if out > reason.Running {
+		out = reason.Unknown
+	}
+	return call.Result{
+		Outcome: out, Reason: reason.Refusal(min(m.Reason, 255)), RetryAfter: within(m.RetryAfterNs),
+		Status: int(m.Status), Header: toHeader(m.Header), Body: m.Body,
+		TokensLeft: ident.Tokens(max(m.TokensLeft, 0)), Free: ident.Slots(m.Free),
+		Fraction: fraction(m.Fraction), RefusalSeq: ident.Seq(m.RefusalSeq),
+	}
+}
+
+func fromHeader(hs []call.Header) []*wirepb.Header {
+	out := make([]*wirepb.Header, len(hs))
+	for i, h := range hs {
+		out[i] = &wirepb.Header{Name: h.Name, Value: h.Value}
+	}
+	return out
+}
+
+func toHeader(hs []*wirepb.Header) []call.Header {
+	out := make([]call.Header, len(hs))
+	for i, h := range hs {
+		out[i] = call.Header{Name: h.GetName(), Value: h.GetValue()}
+	}
+	return out
+}
+
+// FromMember makes the message for a member.
+func FromMember(m fleet.Member) *wirepb.Member {
+	return &wirepb.Member{
+		Server: string(m.Server), Service: string(m.Service), DataCentre: string(m.DataCentre),
+		Address: string(m.Address), Incarnation: uint64(m.Incarnation), Slots: int32(m.Slots),
+		Connections: int32(m.Conns), Left: m.Left, AnnouncedUnixNs: m.Announced.UnixNano(),
+	}
+}
+
+// ToMember makes the member of a message.
+func ToMember(m *wirepb.Member) fleet.Member {
+	return fleet.Member{
+		Server: ident.Server(m.Server), Service: ident.Service(m.Service), DataCentre: ident.DataCentre(m.DataCentre),
+		Address: ident.Address(m.Address), Incarnation: ident.Incarnation(m.Incarnation), Slots: ident.Slots(m.Slots),
+		Conns: ident.Conns(m.Connections), Left: m.Left, Announced: time.Unix(0, m.AnnouncedUnixNs),
+	}
+}
--- /dev/null
+++ b/internal/wire/frame.go
@@ -0,0 +1,45 @@
+package wire
+
+import (
+	"bufio"
+	"io"
+
+	"github.com/samber/oops"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+
+	"briarworks.example/briarworks/internal/wire/wirepb"
+	"briarworks.example/briarworks/pkg/ident"
+)
+
+// Protocol is the version that Hello carries; nodes of different versions refuse each other.
+const Protocol = 1
+
+// MaxFrame bounds one message on a stream; it leaves room for a whole answer and its headers.
+const MaxFrame ident.Bytes = 8 << 20
+
+// Write sends one message as a frame.
+func Write[M proto.Message](w io.Writer, m M) (err error) {
+	defer func() { err = oops.Wrapf(err, "wire: write frame") }()
+	_, err = protodelim.MarshalTo(w, m)
+	return err
+}
+
+// Read receives one frame into m; a frame over MaxFrame or one that does not decode is an error.
+func Read[M proto.Message](r *bufio.Reader, m M) (err error) {
+	defer func() { err = oops.Wrapf(err, "wire: read frame") }()
+	opts := protodelim.UnmarshalOptions{MaxSize: int64(MaxFrame)}
+	return opts.UnmarshalFrom(r, m)
+}
+
+// Exchange sends a request on a stream and reads the reply.
+func Exchange(rw io.ReadWriter, req *wirepb.Envelope) (reply *wirepb.Envelope, err error) {
+	if err = Write(rw, req); err != nil {
+		return nil, err
+	}
+	reply = &wirepb.Envelope{}
+	if err = Read(bufio.NewReader(rw), reply); err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
--- a/pkg/reason/reason.go
+++ b/pkg/reason/reason.go
@@ -50,6 +50,7 @@
 	PeerVersion                     // the peer speaks another protocol version
 	DepthExceeded                   // more hops than the rules allow
 	Internal                        // a fault of the node
+	KeyMissing                      // at-most-once work without an Idempotency-Key
 	refusalCount
 )
 
@@ -58,7 +59,7 @@
 	"starting", "noServer", "serverDown", "serverShed", "serverFailed", "logUnavailable", "leaseLapsed",
 	"keyRunning", "keyUnknown", "badRequest", "bodyTooLarge", "bodyShort", "answerTooLarge",
 	"unknownKind", "budgetSpent", "connectionLost", "connectionSilent", "cancelled", "peerVersion",
-	"depthExceeded", "internal",
+	"depthExceeded", "internal", "keyMissing",
 }
 
 // String returns the name used in answers, records, logs and metrics.
