--- /dev/null
+++ b/pkg/route/peer.go
@@ -0,0 +1,227 @@
+package route
+
+import (
+	"math/bits"
+	"sync/atomic"
+	"time"
+
+	"briarworks.example/briarworks/pkg/fleet"
+	"briarworks.example/briarworks/pkg/ident"
+)
+
+// Bounds of the ejection of a peer.
+const (
+	EjectFirst   = time.Second      // first ejection; each further one doubles
+	EjectLongest = 30 * time.Second // longest ejection before jitter
+	RampTime     = 2 * time.Second  // time over which a peer returns from an ejection
+	SlowFactor   = 5                // a peer is slow above this multiple of its siblings' median
+	SlowFloor    = 100 * time.Millisecond
+	// SlowSamples is the number of answers before a peer's latency is judged, because the kinds of
+	// work that it happened to get first may take long everywhere.
+	SlowSamples = 10
+	// ReportAge is how long a report of free slots counts. An older one that shows no room is taken
+	// as one free slot, or a peer that was full once would not be asked again.
+	ReportAge = time.Second
+
+	historyBits   = 20 // calls over which the failure share is taken
+	historyMask   = 1<<historyBits - 1
+	failuresInRow = 3
+	rowMask       = 1<<failuresInRow - 1
+	// onTrial is the history after an ejection: one more failure ejects again.
+	onTrial      = rowMask >> 1
+	jitterPart   = 4 // an ejection is longer by up to one in this many parts
+	latencyShare = 8 // a new latency counts for one in this many parts
+	// coldPart is the part of its slots that a server is taken to have free before its first answer;
+	// a server that has just started admits no more.
+	coldPart = 8
+)
+
+// Feedback is what a caller learned from one finished call.
+type Feedback struct {
+	Failed  bool          // the peer or its server is at fault; a refusal as notRun for load is not a failure
+	Free    ident.Slots   // free slots on the answer, or NoReport
+	Latency time.Duration // 0 when the call says nothing about the time that work takes
+}
+
+// NoReport stands for free slots in a Feedback when no answer reported them.
+const NoReport ident.Slots = -1
+
+// Peer is one server that a node sends calls to. Its methods may be used concurrently.
+type Peer struct {
+	// Member is the server as it was announced.
+	Member fleet.Member
+
+	set   *Set
+	state *state
+}
+
+// state outlives the sets that a peer is part of. Its fields are changed on every call and therefore
+// fill a cache line of their own.
+type state struct {
+	_        [64]byte
+	room     atomic.Int32  // free slots on the last answer less the calls started since
+	inFlight atomic.Int32  // calls started and not finished
+	reported atomic.Int64  // time of the last report of free slots, ns of Unix time
+	history  atomic.Uint32 // outcomes of the last calls, newest in the lowest bit, 1 is a failure
+	samples  atomic.Int32  // latencies since the last ejection
+	latency  atomic.Int64  // smoothed latency, ns
+	until    atomic.Int64  // end of the last ejection, ns of Unix time; 0 when never ejected
+	length   atomic.Int64  // length of the last ejection without jitter, ns
+	_        [64]byte
+}
+
+func newState(m fleet.Member) *state {
+	s := &state{}
+	s.room.Store(int32(max(m.Slots/coldPart, 1)))
+	return s
+}
+
+// InFlight returns the number of calls started and not finished.
+func (p *Peer) InFlight() int { return int(p.state.inFlight.Load()) }
+
+// Ejected reports whether the peer is left out at this time; Pick may still use it when more than
+// the allowed share of the set is ejected.
+func (p *Peer) Ejected(now time.Time) bool { return p.state.ejected(now.UnixNano()) }
+
+// Start counts a call to the peer; each must be followed by one Finish.
+func (p *Peer) Start() {
+	p.state.inFlight.Add(1)
+	p.state.room.Add(-1)
+}
+
+// Finish ends a call that Start counted and judges the peer by it.
+func (p *Peer) Finish(fb Feedback, now time.Time) {
+	s := p.state
+	t := now.UnixNano()
+	s.inFlight.Add(-1)
+	if fb.Failed || fb.Free < 0 {
+		s.room.Add(1)
+	} else {
+		s.room.Store(int32(fb.Free))
+		s.reported.Store(t)
+	}
+	if s.beforeReturn(fb.Latency, t) {
+		return
+	}
+	failing := s.record(fb.Failed)
+	if !fb.Failed && fb.Latency > 0 {
+		s.smooth(fb.Latency)
+	}
+	if failing || p.slow() {
+		p.eject(t)
+	}
+}
+
+// beforeReturn reports whether the call began before the peer returned from its last ejection. Such
+// a call tells nothing new, and would double the ejection for the fault that already caused it.
+func (s *state) beforeReturn(latency time.Duration, t int64) bool {
+	until := s.until.Load()
+	return until != 0 && t-int64(latency) < until && until-t <= maxUntil
+}
+
+// maxUntil bounds an ejection with its jitter. An end that is further away means that the clock was
+// set back, and does not count.
+const maxUntil = int64(EjectLongest + EjectLongest/jitterPart)
+
+func (s *state) ejected(t int64) bool {
+	until := s.until.Load()
+	return t < until && until-t <= maxUntil
+}
+
+// record adds an outcome to the history and reports whether the history is bad enough for an ejection.
+func (s *state) record(failed bool) (failing bool) {
+	for {
+		old := s.history.Load()
+		next := old << 1 & historyMask
+		if failed {
+			next |= 1
+		}
+		if next == old || s.history.CompareAndSwap(old, next) {
+			return failed && (next&rowMask == rowMask || bits.OnesCount32(next) > historyBits/2)
+		}
+	}
+}
+
+// smooth may lose a latency when two calls finish at once, which does not matter to a mean.
+func (s *state) smooth(latency time.Duration) {
+	old := s.latency.Load()
+	next := int64(latency)
+	if old != 0 {
+		next = old + (next-old)/latencyShare
+	}
+	s.latency.Store(next)
+	if s.samples.Load() < SlowSamples {
+		s.samples.Add(1)
+	}
+}
+
+// slow reports whether the peer's latency stands out among its siblings. A server whose work hangs
+// halfway still answers, so its failures alone would not show.
+func (p *Peer) slow() bool {
+	own := p.state.latency.Load()
+	if own <= int64(SlowFloor) || p.state.samples.Load() < SlowSamples {
+		return false
+	}
+	median, known := p.set.medianWithout(p)
+	return known && own > SlowFactor*median
+}
+
+// eject leaves the peer out, twice as long as the last time unless it has done well since for as
+// long as the last ejection.
+func (p *Peer) eject(t int64) {
+	s := p.state
+	until := s.until.Load()
+	if p.set.ejectedOthers(p, t) >= p.set.maxEjected() {
+		return
+	}
+	last := s.length.Load()
+	length := int64(EjectFirst)
+	if last != 0 && t-until < last+int64(RampTime) {
+		length = min(2*last, int64(EjectLongest))
+	}
+	jitter, _ := bits.Mul64(mix(uint64(t)^p.set.seed), uint64(length/jitterPart))
+	// Only one of several calls that fail at once ejects the peer.
+	if !s.until.CompareAndSwap(until, t+length+int64(jitter)) {
+		return
+	}
+	s.length.Store(length)
+	s.history.Store(onTrial)
+	s.samples.Store(0)
+	s.latency.Store(0)
+}
+
+// heldBack reports whether a peer is held back during its gradual return; share is uniform over all
+// 64-bit values.
+func (s *state) heldBack(t int64, share uint64) bool {
+	until := s.until.Load()
+	since := t - until
+	if until == 0 || since < 0 || since >= int64(RampTime) {
+		return false
+	}
+	// The ramp begins above zero, or a peer with little traffic would get its trial late.
+	const first = int64(RampTime) / 20
+	at, _ := bits.Mul64(share, uint64(RampTime))
+	return int64(at) >= max(since, first)
+}
+
+// roomAt returns the slots that the peer is taken to have free.
+func (s *state) roomAt(t int64) int32 {
+	room := s.room.Load()
+	if room > 0 {
+		return room
+	}
+	age := t - s.reported.Load()
+	if age > int64(ReportAge) || age < 0 {
+		return 1
+	}
+	return room
+}
+
+// mix is the finalizer of MurmurHash3: each bit of the result depends on each bit of x.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xFF51AFD7ED558CCD
+	x ^= x >> 33
+	x *= 0xC4CEB9FE1A85EC53
+	return x ^ x>>33
+}
--- /dev/null
+++ b/pkg/route/set.go
@@ -0,0 +1,142 @@
+package route
+
+import (
+	"math/bits"
+	"slices"
+	"time"
+
+	"briarworks.example/briarworks/pkg/ident"
+)
+
+// Bounds of a set.
+const (
+	MaxPeers = 12 // peers of one node for one service
+	NearPart = 8  // of these, peers in the own data centre when it has that many
+)
+
+// Set holds the peers that one node uses for one service, those of its own data centre first. It is
+// immutable but for the state of its peers; the zero value has no peers.
+type Set struct {
+	service ident.Service
+	peers   []*Peer
+	near    int    // number of peers in the own data centre
+	seed    uint64 // makes the jitter of this node differ from that of others
+}
+
+// Service returns the service that the set is for.
+func (s *Set) Service() ident.Service { return s.service }
+
+// Peers returns the peers, those in the own data centre first; the slice must not be changed.
+func (s *Set) Peers() []*Peer { return s.peers }
+
+// Near returns the number of peers in the own data centre.
+func (s *Set) Near() int { return s.near }
+
+// Peer returns the peer with this server name, and false when the set has none.
+func (s *Set) Peer(server ident.Server) (*Peer, bool) {
+	for _, p := range s.peers {
+		if p.Member.Server == server {
+			return p, true
+		}
+	}
+	return nil, false
+}
+
+// maxEjected is a third of the set, but one when there are two or more, so that a small service can
+// leave out a broken server at all.
+func (s *Set) maxEjected() int {
+	n := len(s.peers)
+	return min(max(n/3, 1), max(n-1, 0))
+}
+
+func (s *Set) ejectedOthers(p *Peer, t int64) (n int) {
+	for _, q := range s.peers {
+		if q != p && q.state.ejected(t) {
+			n++
+		}
+	}
+	return n
+}
+
+// medianWithout returns the median latency in ns of the other peers with enough answers, and false
+// when there are none.
+func (s *Set) medianWithout(p *Peer) (median int64, known bool) {
+	var buf [MaxPeers]int64
+	n := 0
+	for _, q := range s.peers {
+		if q != p && q.state.samples.Load() >= SlowSamples {
+			buf[n] = q.state.latency.Load()
+			n++
+		}
+	}
+	if n == 0 {
+		return 0, false
+	}
+	slices.Sort(buf[:n])
+	return buf[n/2], true
+}
+
+// choice collects indexes of peers that a call may go to.
+type choice struct {
+	index [MaxPeers]uint8
+	room  [MaxPeers]int32
+	n     uint32
+}
+
+func (c *choice) add(i int, room int32) {
+	c.index[c.n] = uint8(i)
+	c.room[c.n] = room
+	c.n++
+}
+
+// better returns the one with more room of two that rnd selects.
+func (c *choice) better(rnd uint64) uint8 {
+	first := uint32(uint64(uint32(rnd)) * uint64(c.n) >> 32)
+	if c.n == 1 {
+		return c.index[first]
+	}
+	second := uint32(rnd >> 32 * uint64(c.n-1) >> 32)
+	if second >= first {
+		second++
+	}
+	if c.room[second] > c.room[first] {
+		return c.index[second]
+	}
+	return c.index[first]
+}
+
+// Pick returns the peer for a call: the better of two random peers in the own data centre while one
+// there has room, else of those elsewhere with room, else of all. Ejected peers and those to avoid
+// are left out; rnd is uniform over all 64-bit values. It returns false when no peer is left.
+func (s *Set) Pick(now time.Time, avoid Avoid, rnd uint64) (*Peer, bool) {
+	t := now.UnixNano()
+	var near, far, full, held choice
+	ejected := 0
+	for i, p := range s.peers {
+		// More peers than allowed can be ejected when the set shrank or calls failed at once.
+		if p.state.ejected(t) && ejected < s.maxEjected() {
+			ejected++
+			continue
+		}
+		if avoid.n > 0 && avoid.Has(p.Member.Server) {
+			continue
+		}
+		room := p.state.roomAt(t)
+		switch {
+		case p.state.heldBack(t, bits.RotateLeft64(mix(rnd), 5*i)):
+			held.add(i, room)
+		case room <= 0:
+			full.add(i, room)
+		case i < s.near:
+			near.add(i, room)
+		default:
+			far.add(i, room)
+		}
+	}
+	for _, c := range [...]*choice{&near, &far, &full, &held} {
+		if c.n > 0 {
+			return s.peers[c.better(rnd)], true
+		}
+	}
+	return nil, false
+}
