--- /dev/null
+++ b/pkg/rules/check.go
@@ -0,0 +1,5 @@
+package rules
+
+import "briarworks.example/briarworks/internal/strict"
+
+func check(_ *Document, _ *strict.Source) {}
--- /dev/null
+++ b/pkg/rules/decode.go
@@ -0,0 +1,42 @@
+package rules
+
+import (
+	"slices"
+
+	"github.com/samber/oops"
+
+	"briarworks.example/briarworks/internal/strict"
+)
+
+// Problem is one fault of a document with its place.
+type Problem = strict.Problem
+
+// Problems is every fault of a document; errors of Decode wrap it.
+type Problems = strict.Problems
+
+// Decode reads and checks a document. The error wraps Problems, which lists every fault that was
+// found; file is used only to name the place.
+func Decode(file string, text []byte) (d *Document, err error) {
+	defer func() {
+		if err != nil {
+			d, err = nil, oops.In("rules").Wrapf(err, "rules")
+		}
+	}()
+	d = new(Document)
+	source := strict.Read(file, text, int(MaxText), d)
+	source.Validate(d)
+	check(d, source)
+	return d, source.Err()
+}
+
+func (d *Document) clone() *Document {
+	c := *d
+	c.DataCentres = slices.Clone(d.DataCentres)
+	c.Services = slices.Clone(d.Services)
+	for i := range c.Services {
+		c.Services[i].DataCentres = slices.Clone(c.Services[i].DataCentres)
+	}
+	c.Ranks = slices.Clone(d.Ranks)
+	c.Kinds = slices.Clone(d.Kinds)
+	return &c
+}
