--- a/internal/applog/writer.go
+++ b/internal/applog/writer.go
@@ -2,18 +2,54 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"errors"
+	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/samber/oops"
+	"google.golang.org/protobuf/proto"
+
+	"briarworks.example/briarworks/internal/record"
 	"briarworks.example/briarworks/internal/record/recpb"
 	"briarworks.example/briarworks/pkg/ident"
 )
 
-// Writer owns the appends to one stream. Its fields are set before Run and not changed after.
+// Defaults of Writer.
+const (
+	defaultTimeout             = 2 * time.Second
+	defaultMargin              = 500 * time.Millisecond
+	defaultQueue               = 1024
+	defaultGroup   ident.Bytes = 512 << 10
+)
+
+const (
+	// boundsAge is how old the offset known before an append may be. An older one may lie before the
+	// first record that the log still keeps, and the lookup of a lost answer could prove nothing.
+	boundsAge = 5 * time.Second
+	// lookupPage is how many appends a lookup reads at a time.
+	lookupPage = 512
+	// lookupPause is the time between two failed reads of a lookup.
+	lookupPause = 100 * time.Millisecond
+)
+
+var (
+	errQueueFull = errors.New("applog: queue is full")
+	errStopped   = errors.New("applog: writer has stopped")
+	errTrimmed   = errors.New("applog: the log has trimmed the place of the append")
+	errAbsent    = errors.New("applog: the append did not take effect")
+	errBadOffset = errors.New("applog: read returned no usable offset")
+)
+
+// Writer owns the appends to one stream. Its fields are set before first use and not changed after.
 type Writer struct {
-	// Send appends one group.
+	// Send appends one group; its errors are ErrNotWritten or else count as ErrUnknown.
 	Send func(ctx context.Context, data []byte) (ident.Offset, error)
 	// Read reads the stream back; it has the contract of Client.Read.
 	Read func(ctx context.Context, from ident.Offset, limit int, wait time.Duration) (Page, error)
+	// Lookup is told after each lost answer whether the append was found; it may be nil.
+	Lookup func(found bool)
 	// Now reads the clock; time.Now when nil.
 	Now func() time.Time
 
@@ -23,7 +59,14 @@
 	Queue   int           // appends that may wait; 1024 when 0
 	Group   ident.Bytes   // size of a group over which no further record is added; 512 KiB when 0
 
-	state writerState
+	once    sync.Once
+	queue   chan *pending
+	stopped chan struct{}
+
+	// The fields below belong to the goroutine of Run.
+	known   ident.Offset // no append of the future has a lower offset
+	knownAt time.Time    // zero when known is not set
+	over    *pending     // taken from the queue but too large for the last group
 }
 
 // NewWriter returns a writer for one stream of the client's log, with default settings.
@@ -42,16 +85,330 @@
 	}
 }
 
-type writerState struct{}
+// States of a pending append. A caller may withdraw it only until the writer takes it.
+const (
+	queued int32 = iota
+	taken
+	withdrawn
+)
 
-// Run sends what Append queues until ctx ends. It is called once.
-func (w *Writer) Run(ctx context.Context) { <-ctx.Done() }
+type pending struct {
+	ctx   context.Context
+	recs  []*recpb.Record
+	size  ident.Bytes
+	state atomic.Int32
+	done  chan receipt // takes one receipt without blocking
+}
+
+type receipt struct {
+	at  ident.Offset
+	err error
+}
+
+func (p *pending) finish(at ident.Offset, err error) { p.done <- receipt{at, err} }
+
+func (w *Writer) init() {
+	w.once.Do(func() {
+		if w.Now == nil {
+			w.Now = time.Now
+		}
+		if w.Timeout == 0 {
+			w.Timeout = defaultTimeout
+		}
+		if w.Margin == 0 {
+			w.Margin = defaultMargin
+		}
+		if w.Queue == 0 {
+			w.Queue = defaultQueue
+		}
+		if w.Group == 0 {
+			w.Group = defaultGroup
+		}
+		w.queue = make(chan *pending, w.Queue)
+		w.stopped = make(chan struct{})
+	})
+}
 
 // Append writes the records in one group, in order, and waits until they are on the log. Without an
 // error it returns the offset of the group. Else the error is ErrNotWritten when no record was
 // written or ever will be, and ErrUnknown when that cannot be told before ctx ends. A full queue
-// is refused at once. Records without an id get one.
+// is refused at once. Records without an id or time get them here.
 func (w *Writer) Append(ctx context.Context, recs ...*recpb.Record) (at ident.Offset, err error) {
-	_, _ = ctx, recs
-	return 0, ErrNotWritten
+	defer func() { err = oops.Wrapf(err, "applog: append") }()
+	w.init()
+	p := w.pend(ctx, recs)
+	select {
+	case w.queue <- p:
+	default:
+		return 0, errors.Join(ErrNotWritten, errQueueFull)
+	}
+	select {
+	case r := <-p.done:
+		return r.at, r.err
+	case <-ctx.Done():
+		return p.withdraw(ctx.Err())
+	case <-w.stopped:
+		return p.withdraw(errStopped)
+	}
+}
+
+func (w *Writer) pend(ctx context.Context, recs []*recpb.Record) *pending {
+	p := &pending{ctx: ctx, recs: recs, done: make(chan receipt, 1)}
+	for _, r := range recs {
+		if r.Id == "" {
+			r.Id = rand.Text()
+		}
+		if r.WrittenUnixNs == 0 {
+			r.WrittenUnixNs = w.Now().UnixNano()
+		}
+		p.size += ident.Bytes(proto.Size(r))
+	}
+	return p
+}
+
+// withdraw ends the wait of a caller. Only an append that the writer has not taken yet is sure never
+// to be written.
+func (p *pending) withdraw(cause error) (ident.Offset, error) {
+	if p.state.CompareAndSwap(queued, withdrawn) {
+		return 0, errors.Join(ErrNotWritten, cause)
+	}
+	select {
+	case r := <-p.done:
+		return r.at, r.err
+	default:
+		return 0, errors.Join(ErrUnknown, cause)
+	}
+}
+
+// Run sends what Append queues until ctx ends. It is called once.
+func (w *Writer) Run(ctx context.Context) {
+	w.init()
+	defer close(w.stopped)
+	for {
+		first := w.take(ctx)
+		if first == nil {
+			return
+		}
+		w.write(ctx, w.collect(ctx, first))
+	}
+}
+
+func (w *Writer) take(ctx context.Context) *pending {
+	if p := w.over; p != nil {
+		w.over = nil
+		return p
+	}
+	select {
+	case p := <-w.queue:
+		return p
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+// collect adds to the group what is queued already and what arrives within the linger time.
+func (w *Writer) collect(ctx context.Context, first *pending) (group []*pending) {
+	group = append(group, first)
+	size := first.size
+	var linger <-chan time.Time
+	if w.Linger > 0 {
+		t := time.NewTimer(w.Linger)
+		defer t.Stop()
+		linger = t.C
+	}
+	for size < w.Group {
+		var p *pending
+		select {
+		case p = <-w.queue:
+		default:
+			if linger == nil {
+				return group
+			}
+			select {
+			case p = <-w.queue:
+			case <-linger:
+				return group
+			case <-ctx.Done():
+				return group
+			}
+		}
+		if size+p.size > w.Group {
+			w.over = p
+			return group
+		}
+		group = append(group, p)
+		size += p.size
+	}
+	return group
+}
+
+// write sends a group until its outcome is known or nobody waits for it any more.
+func (w *Writer) write(ctx context.Context, group []*pending) {
+	// The bounds are read before the group is taken: until then its callers can still withdraw.
+	if err := w.bounds(ctx); err != nil {
+		for _, p := range claim(group) {
+			p.finish(0, errors.Join(ErrNotWritten, err))
+		}
+		return
+	}
+	for group = claim(group); len(group) > 0; group = waiting(group) {
+		at, err := w.try(ctx, group)
+		if errors.Is(err, errAbsent) {
+			continue
+		}
+		for _, p := range group {
+			p.finish(at, err)
+		}
+		return
+	}
+}
+
+// claim returns the appends that were not withdrawn; these can no longer be.
+func claim(group []*pending) (live []*pending) {
+	for _, p := range group {
+		if p.state.CompareAndSwap(queued, taken) {
+			live = append(live, p)
+		}
+	}
+	return live
+}
+
+// waiting returns the appends whose callers still wait. The others were told that the outcome is
+// unknown, which stays true when the record is not written.
+func waiting(group []*pending) (live []*pending) {
+	for _, p := range group {
+		if p.ctx.Err() == nil {
+			live = append(live, p)
+		}
+	}
+	return live
+}
+
+// bounds makes sure that a recent lower bound for the offset of the next append is known.
+func (w *Writer) bounds(ctx context.Context) error {
+	if !w.knownAt.IsZero() && w.Now().Sub(w.knownAt) < boundsAge {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, w.Timeout)
+	defer cancel()
+	at := w.Now()
+	page, err := w.Read(ctx, 0, 0, 0)
+	if err != nil {
+		return err
+	}
+	if page.Next < page.First {
+		return errBadOffset
+	}
+	w.learn(page.Next, at)
+	return nil
+}
+
+func (w *Writer) learn(next ident.Offset, at time.Time) {
+	w.known = max(w.known, next)
+	w.knownAt = at
+}
+
+// try makes one append and finds out what became of it. The error is errAbsent when it is known not
+// to have taken effect after its answer was lost.
+func (w *Writer) try(ctx context.Context, group []*pending) (ident.Offset, error) {
+	var recs []*recpb.Record
+	for _, p := range group {
+		recs = append(recs, p.recs...)
+	}
+	data, err := record.EncodeGroup(recs)
+	if err != nil {
+		return 0, errors.Join(ErrNotWritten, err)
+	}
+	at, err := w.send(ctx, data)
+	switch {
+	case err == nil:
+		w.learn(at+1, w.Now())
+		return at, nil
+	case errors.Is(err, ErrNotWritten):
+		return 0, err
+	}
+	return w.lookup(ctx, idsOf(recs), w.Now().Add(w.Timeout+w.Margin))
+}
+
+func (w *Writer) send(ctx context.Context, data []byte) (ident.Offset, error) {
+	ctx, cancel := context.WithTimeout(ctx, w.Timeout)
+	defer cancel()
+	return w.Send(ctx, data)
+}
+
+func idsOf(recs []*recpb.Record) map[string]bool {
+	ids := make(map[string]bool, len(recs))
+	for _, r := range recs {
+		ids[r.GetId()] = true
+	}
+	return ids
+}
+
+// lookup reads the stream from the offset known before the append. The append is absent only when a
+// read that began after settled, the last moment at which it could take effect, reached the end
+// without its ids.
+func (w *Writer) lookup(ctx context.Context, ids map[string]bool, settled time.Time) (ident.Offset, error) {
+	from := w.known
+	for {
+		if err := ctx.Err(); err != nil {
+			return 0, errors.Join(ErrUnknown, err)
+		}
+		began := w.Now()
+		page, err := w.readFrom(ctx, from, settled.Sub(began))
+		if err != nil {
+			pause(ctx, lookupPause)
+			continue
+		}
+		if page.First > from {
+			return 0, errors.Join(ErrUnknown, errTrimmed)
+		}
+		for _, raw := range page.Records {
+			if holds(raw.Data, ids) {
+				w.learn(raw.Offset+1, w.Now())
+				w.looked(true)
+				return raw.Offset, nil
+			}
+			from = raw.Offset + 1
+		}
+		if from >= page.Next && !began.Before(settled) {
+			w.learn(from, began)
+			w.looked(false)
+			return 0, errAbsent
+		}
+	}
+}
+
+func (w *Writer) readFrom(ctx context.Context, from ident.Offset, wait time.Duration) (Page, error) {
+	wait = min(max(wait, 0), w.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, wait+2*w.Timeout)
+	defer cancel()
+	return w.Read(ctx, from, lookupPage, wait)
+}
+
+func (w *Writer) looked(found bool) {
+	if w.Lookup != nil {
+		w.Lookup(found)
+	}
+}
+
+func holds(data []byte, ids map[string]bool) bool {
+	recs, err := record.DecodeGroup(data)
+	if err != nil {
+		return false
+	}
+	for _, r := range recs {
+		if ids[r.GetId()] {
+			return true
+		}
+	}
+	return false
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
 }
--- a/internal/fakes/log.go
+++ b/internal/fakes/log.go
@@ -99,7 +99,12 @@
 	first   int64
 	records []LogRecord
 	appends int64
-	grown   chan struct{} // closed at the next append
+	grown   chan struct{} // closed at the next append or change of faults
+}
+
+func (s *logStream) wake() {
+	close(s.grown)
+	s.grown = make(chan struct{})
 }
 
 func (s *logStream) next() int64 { return s.first + int64(len(s.records)) }
@@ -139,6 +144,9 @@
 	l.faults = f
 	l.tokens = f.AppendRate / 10
 	l.refill = l.Now()
+	for _, s := range l.streams {
+		s.wake() // an outage also ends the polls in progress
+	}
 }
 
 // CurrentFaults returns the faults in force.
@@ -258,8 +266,7 @@
 	at := s.next()
 	s.records = append(s.records, LogRecord{Offset: at, AtUnixNs: l.Now().UnixNano(), Data: data})
 	s.appends++
-	close(s.grown)
-	s.grown = make(chan struct{})
+	s.wake()
 	l.trim(s)
 	return at
 }
