node: assemble a node and its command

Members, configuration and peers are tied to the path of a request by function fields; fx starts and stops them.

--- /dev/null
+++ b/cmd/briarworks/node.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"context"
+	"io"
+	"os"
+	"runtime/debug"
+
+	zaplogfmt "github.com/jsternberg/zap-logfmt"
+	"github.com/samber/oops"
+	"github.com/spf13/cobra"
+	"go.uber.org/fx"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"briarworks.example/briarworks/internal/node"
+	"briarworks.example/briarworks/internal/setup"
+)
+
+// memoryGoal makes the collector work harder before a node reaches the 64 MB that it may use.
+const memoryGoal = 56 << 20
+
+func nodeCommand() *cobra.Command {
+	var file string
+	c := &cobra.Command{
+		Use: "node", Short: "Run the node beside a backend server",
+		Long: "Run the node beside a backend server until SIGTERM or an interrupt. A stop takes no new work,\n" +
+			"ends what is in flight and exits with 0.",
+		Example: "  briarworks node --settings node.yaml",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			return runNode(c.Context(), file, c.OutOrStdout())
+		},
+	}
+	c.Flags().StringVar(&file, "settings", "node.yaml", "file with the node's settings")
+	return c
+}
+
+// runNode runs a node until ctx ends and then stops it gracefully.
+func runNode(ctx context.Context, file string, out io.Writer) (err error) {
+	defer func() { err = oops.Wrapf(err, "node") }()
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	s, err := setup.Decode(file, text)
+	if err != nil {
+		return err
+	}
+	debug.SetMemoryLimit(memoryGoal)
+	log := newLogger(out).With(zap.String("server", string(s.Server)))
+	app := fx.New(node.Module, fx.Supply(s, log), fx.NopLogger, fx.StopTimeout(s.StopTimeout))
+	if err = app.Start(ctx); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.StopTimeout)
+	defer cancel()
+	return app.Stop(stop)
+}
+
+// newLogger writes one line of key=value pairs for each event.
+func newLogger(out io.Writer) *zap.Logger {
+	cfg := zap.NewProductionEncoderConfig()
+	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	cfg.MessageKey = "event"
+	return zap.New(zapcore.NewCore(zaplogfmt.NewEncoder(cfg), zapcore.Lock(zapcore.AddSync(out)), zap.InfoLevel))
+}
--- /dev/null
+++ b/cmd/briarworks/version.go
@@ -0,0 +1,33 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"briarworks.example/briarworks/internal/wire"
+)
+
+// version is the version of this software.
+const version = "0.1.0"
+
+// versions is what the version command prints.
+type versions struct {
+	Version  string `json:"version"`
+	Protocol int    `json:"protocol"` // between nodes
+}
+
+func versionCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "version", Short: "Print the version", Example: "  briarworks version --output json", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			v := versions{Version: version, Protocol: wire.Protocol}
+			if out, _ := c.Flags().GetString("output"); out == "json" {
+				return json.NewEncoder(c.OutOrStdout()).Encode(v)
+			}
+			_, err := fmt.Fprintf(c.OutOrStdout(), "briarworks %s, protocol %d\n", v.Version, v.Protocol)
+			return err
+		},
+	}
+}
--- a/internal/flight/flight.go
+++ b/internal/flight/flight.go
@@ -16,7 +16,7 @@
 type Flight struct {
 	Token   Token
 	Request *call.Request
-	Pool    *retry.Pool     // tokens left at this node
+	Pool    retry.Pool      // tokens left at this node
 	Ctx     context.Context // ends when the request is cancelled or its deadline passes
 
 	mu      sync.Mutex // guards the fields below; contended only by parallel children of one request
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -101,7 +101,7 @@
 func (f *Front) request(c *gin.Context, now time.Time) (req *call.Request, why reason.Refusal) {
 	caller := c.GetHeader(server.HeaderCaller)
 	req = &call.Request{
-		Caller: ident.Caller(caller), Service: f.Service, Born: now, Deadline: now, Passed: 1,
+		Caller: ident.Caller(caller), Service: f.Service, Born: now, Deadline: now,
 		Method: c.Request.Method, Path: c.Request.URL.RequestURI(),
 	}
 	key := c.GetHeader(server.HeaderKey)
@@ -193,7 +193,7 @@
 	}
 	now := f.Now()
 	req := &call.Request{
-		Caller: ident.Caller(f.Service), Service: to.Service, Born: now, Passed: 1,
+		Caller: ident.Caller(f.Service), Service: to.Service, Born: now,
 		Method: to.Method, Path: to.Path, Header: to.Header, Body: to.Body,
 	}
 	f.classify(req, kind, snap, key)
--- /dev/null
+++ b/internal/node/build.go
@@ -0,0 +1,177 @@
+package node
+
+import (
+	"context"
+	mrand "math/rand/v2"
+	"net"
+	"time"
+
+	"go.uber.org/fx"
+	"go.uber.org/zap"
+
+	"briarworks.example/briarworks/internal/applog"
+	"briarworks.example/briarworks/internal/flight"
+	"briarworks.example/briarworks/internal/front"
+	"briarworks.example/briarworks/internal/peer"
+	"briarworks.example/briarworks/internal/policy"
+	"briarworks.example/briarworks/internal/relay"
+	"briarworks.example/briarworks/internal/roster"
+	"briarworks.example/briarworks/internal/server"
+	"briarworks.example/briarworks/internal/setup"
+	"briarworks.example/briarworks/internal/stats"
+	"briarworks.example/briarworks/pkg/admit"
+	"briarworks.example/briarworks/pkg/audit"
+	"briarworks.example/briarworks/pkg/call"
+	"briarworks.example/briarworks/pkg/fleet"
+	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/reason"
+	"briarworks.example/briarworks/pkg/share"
+)
+
+// The size of a server before the first configuration tells it.
+const (
+	defaultSlots ident.Slots = 64
+	defaultConns ident.Conns = 256
+)
+
+// Module provides a node from its settings and a logger.
+var Module = fx.Module("node",
+	fx.Provide(newSelf, newStats, newRoster, newPolicy, newPaths, newGate, newClient, newBackend, newLedger, newBook, newNode),
+	fx.Invoke(func(lc fx.Lifecycle, n *Node) {
+		lc.Append(fx.Hook{OnStart: n.Start, OnStop: n.Stop})
+	}),
+)
+
+func newSelf(s *setup.Settings) fleet.Member {
+	return fleet.Member{
+		Server: s.Server, Service: s.Service, DataCentre: s.DataCentre, Address: s.Listen.Peers,
+		Incarnation: ident.Incarnation(time.Now().UnixNano()), Slots: defaultSlots, Conns: defaultConns,
+	}
+}
+
+func newStats(s *setup.Settings) *stats.Stats { return stats.New(s.Server, s.Service) }
+
+func newRoster(s *setup.Settings, self fleet.Member) *roster.Roster {
+	return &roster.Roster{Self: self, Retention: s.Log.Retention}
+}
+
+func newPolicy(s *setup.Settings) *policy.Policy { return &policy.Policy{Retention: s.Log.Retention} }
+
+func newPaths() *share.Paths { return &share.Paths{} }
+
+func newGate(s *setup.Settings, paths *share.Paths) *admit.Gate {
+	return admit.New(admit.Config{Service: s.Service, Slots: defaultSlots, Paths: paths})
+}
+
+func newClient(s *setup.Settings) *applog.Client {
+	return &applog.Client{Base: "http://" + string(s.Log.Address)}
+}
+
+func newBackend(s *setup.Settings) *server.Client { return server.New(s.Backend, defaultConns) }
+
+func newLedger(self fleet.Member) *audit.Ledger {
+	return &audit.Ledger{
+		Server: self.Server, Incarnation: self.Incarnation, Service: self.Service, DataCentre: self.DataCentre,
+	}
+}
+
+func newBook(self fleet.Member, st *stats.Stats, log *zap.Logger) *peer.Book {
+	return &peer.Book{
+		Server: self.Server, Incarnation: self.Incarnation, Now: time.Now,
+		Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+			return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+		},
+		Event: func(e peer.Event) { st.Count(e.String()) },
+		OnLost: func(s ident.Server, inc ident.Incarnation, silent bool) {
+			log.Info("peerLost", zap.String("peer", string(s)), zap.String("incarnation", inc.String()), zap.Bool("silent", silent))
+		},
+	}
+}
+
+// parts are what newNode ties together.
+type parts struct {
+	fx.In
+
+	Settings *setup.Settings
+	Log      *zap.Logger
+	Stats    *stats.Stats
+	Self     fleet.Member
+	Roster   *roster.Roster
+	Policy   *policy.Policy
+	Gate     *admit.Gate
+	Paths    *share.Paths
+	Client   *applog.Client
+	Backend  *server.Client
+	Ledger   *audit.Ledger
+	Book     *peer.Book
+}
+
+// newNode ties the parts together by their function fields.
+func newNode(p parts) *Node {
+	n := &Node{
+		Settings: p.Settings, Log: p.Log, Stats: p.Stats, Self: p.Self, Roster: p.Roster, Policy: p.Policy,
+		Gate: p.Gate, Paths: p.Paths, Book: p.Book, Backend: p.Backend, Ledger: p.Ledger,
+		client: p.Client, spread: make(chan []fleet.Member, maxNews),
+	}
+	n.Relay = &relay.Relay{
+		Self: p.Self, Now: time.Now, Rand: mrand.Uint64, Token: func() flight.Token { return flight.Token(random()) },
+		Rules: p.Policy.Rules, Routes: p.Roster.Set, Run: p.Backend.Run, Send: p.Book.Call,
+		Seq: p.Ledger.Seq, Retried: p.Stats.Retried, Gate: p.Gate, Paths: p.Paths, Flights: &flight.Table{},
+		Once: func(ctx context.Context, _ *call.Request, run func(context.Context) call.Result) call.Result {
+			return run(ctx)
+		},
+		Home: func(ident.Service, ident.Key) (ident.Address, bool, bool) { return "", true, true },
+	}
+	n.Front = &front.Front{
+		Service: p.Self.Service, Relay: n.Relay, Rules: p.Policy.Rules, Now: time.Now,
+		NewKey:  func() ident.Key { return ident.Key(random()) },
+		Refused: n.refused, Served: p.Stats.Served,
+	}
+	p.Book.OnCall = n.Relay.Serve
+	p.Book.OnSync = n.onSync
+	p.Book.OnLeave = func(s ident.Server, inc ident.Incarnation) {
+		n.Log.Info("peerLeaves", zap.String("peer", string(s)))
+		n.Roster.Leave(s, inc, time.Now())
+	}
+	p.Roster.Changed = n.news
+	p.Policy.Changed = n.onConfig
+	n.members = newStream(p.Client, applog.Members, n.onMember)
+	cr := &configReader{node: n}
+	n.config = newStream(p.Client, applog.Config, cr.handle)
+	n.config.tail.Trimmed = p.Policy.Trimmed
+	caught := n.config.tail.Caught
+	n.config.tail.Caught = func(next ident.Offset) {
+		cr.flush()
+		caught(next)
+	}
+	return n
+}
+
+// configure puts the parts of the rules in force that are kept elsewhere.
+func (n *Node) configure(c policy.InForce) {
+	kinds := make([]share.Kind, 0, len(c.Rules.Kinds()))
+	for _, k := range c.Rules.Kinds() {
+		kinds = append(kinds, share.Kind{Name: k.Name, Rank: k.Rank, Protected: k.Protected})
+	}
+	n.Gate.Configure(kinds)
+	if s, ok := c.Rules.Service(n.Self.Service); ok {
+		n.Gate.SetSlots(s.Slots)
+		n.Backend.Resize(s.Connections)
+	}
+}
+
+// refused notes an answer that the system made itself: in the refusal record, the metrics and the log.
+func (n *Node) refused(t front.Told) {
+	now := time.Now()
+	req, res := t.Request, t.Result
+	n.Ledger.Note(audit.Entry{
+		Caller: req.Caller, Remote: t.Remote, Key: req.Key, Kind: req.Kind, Rank: req.Rank, Protected: req.Protected,
+		Reason: res.Reason, Outcome: res.Outcome, Version: n.Policy.Version(),
+	}, now)
+	n.Stats.Refused(req.Kind, res.Reason)
+	n.rates.note(req.Kind, res.Reason, now)
+	if req.Protected || res.Outcome != reason.NotRun {
+		n.Log.Info("refused", zap.String("kind", string(req.Kind)), zap.String("caller", string(req.Caller)),
+			zap.String("outcome", res.Outcome.String()), zap.String("reason", res.Reason.String()))
+	}
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,183 @@
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	mrand "math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/samber/oops"
+	"go.uber.org/zap"
+
+	"briarworks.example/briarworks/internal/admin"
+	"briarworks.example/briarworks/internal/applog"
+	"briarworks.example/briarworks/internal/flight"
+	"briarworks.example/briarworks/internal/front"
+	"briarworks.example/briarworks/internal/peer"
+	"briarworks.example/briarworks/internal/policy"
+	"briarworks.example/briarworks/internal/relay"
+	"briarworks.example/briarworks/internal/roster"
+	"briarworks.example/briarworks/internal/server"
+	"briarworks.example/briarworks/internal/setup"
+	"briarworks.example/briarworks/internal/stats"
+	"briarworks.example/briarworks/pkg/admit"
+	"briarworks.example/briarworks/pkg/audit"
+	"briarworks.example/briarworks/pkg/fleet"
+	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/share"
+)
+
+// Node is one running node.
+type Node struct {
+	Settings *setup.Settings
+	Log      *zap.Logger
+	Stats    *stats.Stats
+	Self     fleet.Member
+	Roster   *roster.Roster
+	Policy   *policy.Policy
+	Gate     *admit.Gate
+	Paths    *share.Paths
+	Relay    *relay.Relay
+	Front    *front.Front
+	Book     *peer.Book
+	Backend  *server.Client
+	Ledger   *audit.Ledger
+
+	client  *applog.Client
+	members *stream
+	config  *stream
+	rates   rates
+	spread  chan []fleet.Member // news to tell the peers; full means that a periodic sync carries them
+	peers   net.Listener
+	servers []*http.Server
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+}
+
+// tickPeriod is how often the gate ends waits and rolls its windows.
+const tickPeriod = 20 * time.Millisecond
+
+// Start opens the ports and starts the goroutines of the node.
+func (n *Node) Start(context.Context) (err error) {
+	defer func() { err = oops.Wrapf(err, "node: start") }()
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	if err = n.listen(); err != nil {
+		cancel()
+		return err
+	}
+	n.run(func() { n.Book.Watch(ctx) })
+	n.run(func() { n.tick(ctx) })
+	n.run(func() { n.exchange(ctx) })
+	n.run(func() { n.tell(ctx) })
+	n.run(func() { n.gauge(ctx) })
+	n.members.start(ctx, n)
+	n.config.start(ctx, n)
+	n.run(func() { n.announce(ctx) })
+	n.run(func() { n.carry(ctx) })
+	n.Log.Info("nodeStarted",
+		zap.String("incarnation", n.Self.Incarnation.String()), zap.String("callers", string(n.Settings.Listen.Callers)),
+		zap.String("peers", string(n.Settings.Listen.Peers)))
+	return nil
+}
+
+func (n *Node) run(f func()) { n.wg.Go(f) }
+
+// listen opens the four ports.
+func (n *Node) listen() (err error) {
+	at := n.Settings.Listen
+	peers, err := net.Listen("tcp", string(at.Peers))
+	if err != nil {
+		return err
+	}
+	n.run(func() {
+		if err := n.Book.Serve(peers); err != nil {
+			n.Log.Error("peersPortFailed", zap.Error(err))
+		}
+	})
+	ports := []struct {
+		addr ident.Address
+		h    http.Handler
+	}{
+		{at.Local, front.Engine(n.Front.Local)},
+		{at.Operator, admin.Handler(n.Stats.Handler, n.status)},
+		{at.Callers, front.Engine(n.Front.Callers)},
+	}
+	for _, p := range ports {
+		ln, err := net.Listen("tcp", string(p.addr))
+		if err != nil {
+			return errors.Join(err, peers.Close(), n.shut(context.Background()))
+		}
+		srv := front.Server(p.h)
+		n.servers = append(n.servers, srv)
+		n.run(func() {
+			if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+				n.Log.Error("portFailed", zap.String("address", string(p.addr)), zap.Error(err))
+			}
+		})
+	}
+	n.peers = peers
+	return nil
+}
+
+// Stop ends the node gracefully; ctx bounds the wait for requests in flight.
+func (n *Node) Stop(ctx context.Context) (err error) {
+	defer func() { err = oops.Wrapf(err, "node: stop") }()
+	n.Log.Info("stopStarted", zap.Int64("inFlight", n.Relay.Active()))
+	n.Relay.Drain()
+	n.Book.TellLeave(ctx, tellTimeout)
+	idle := n.Relay.Idle(ctx)
+	n.leave(ctx)
+	err = n.shut(ctx)
+	n.cancel()
+	err = errors.Join(err, n.peers.Close())
+	n.Book.Close()
+	n.wg.Wait()
+	n.Backend.Close()
+	n.Log.Info("stopEnded", zap.Bool("idle", idle), zap.Int64("inFlight", n.Relay.Active()))
+	return errors.Join(err, n.Stats.Close())
+}
+
+// tellTimeout bounds the time to tell peers of a leave; those that do not answer find out by refusals.
+const tellTimeout = time.Second
+
+// shut closes the HTTP ports after their requests have ended.
+func (n *Node) shut(ctx context.Context) (err error) {
+	for _, srv := range n.servers {
+		err = errors.Join(err, srv.Shutdown(ctx))
+	}
+	return err
+}
+
+// tick drives the gate's windows.
+func (n *Node) tick(ctx context.Context) {
+	every(ctx, tickPeriod, func(now time.Time) { n.Gate.Tick(now) })
+}
+
+// every calls f with the time of each tick until ctx ends.
+func every(ctx context.Context, d time.Duration, f func(now time.Time)) {
+	t := time.NewTicker(d)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			f(time.Now())
+		}
+	}
+}
+
+// random returns 128 random bits as text.
+func random() string {
+	var b [16]byte
+	_, _ = rand.Read(b[:]) // never fails
+	return hex.EncodeToString(b[:])
+}
+
+func jitter(d time.Duration) time.Duration { return time.Duration(mrand.Float64() * float64(d)) }
--- /dev/null
+++ b/internal/node/streams.go
@@ -0,0 +1,161 @@
+package node
+
+import (
+	"context"
+	mrand "math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"briarworks.example/briarworks/internal/applog"
+	"briarworks.example/briarworks/internal/record"
+	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/order"
+)
+
+// Times of the streams that every node reads.
+const (
+	pollWait       = 10 * time.Second // long poll; a short one would cost the log 960 reads a second
+	announcePart   = 4                // a member announces itself again after this part of the retention
+	announceSpread = 12               // and a random part of this part
+	startSpread    = 5 * time.Millisecond
+	maxStartSpread = 10 * time.Second
+	carryCheck     = time.Minute
+	leaveTimeout   = 2 * time.Second
+	firstRead      = 2 * time.Second
+)
+
+// stream reads and writes one stream of the log.
+type stream struct {
+	name   applog.Stream
+	tail   *applog.Tail
+	writer *applog.Writer
+	once   sync.Once
+	caught chan struct{} // closed when the stream was first read to its end
+}
+
+func newStream(c *applog.Client, name applog.Stream, handle func(applog.Entry)) *stream {
+	s := &stream{name: name, caught: make(chan struct{})}
+	s.tail = applog.NewTail(c, name, handle)
+	s.tail.Wait = pollWait
+	s.tail.Caught = func(ident.Offset) { s.once.Do(func() { close(s.caught) }) }
+	s.writer = applog.NewWriter(c, name)
+	return s
+}
+
+func (s *stream) start(ctx context.Context, n *Node) {
+	s.tail.Skipped = func(at ident.Offset) {
+		n.Stats.Count("logRecordSkipped")
+		n.Log.Warn("logRecordSkipped", zap.String("stream", string(s.name)), zap.Int64("offset", int64(at)))
+	}
+	n.run(func() { s.tail.Run(ctx, 0) })
+	n.run(func() { s.writer.Run(ctx) })
+}
+
+// onMember joins one record of the members stream.
+func (n *Node) onMember(e applog.Entry) {
+	if m, ok := record.Member(e.Record); ok {
+		n.Roster.Apply(time.Now(), m)
+	}
+}
+
+// configReader collects the records of one offset, which the fold of configurations takes together.
+type configReader struct {
+	node    *Node
+	at      ident.Offset
+	records []order.Record
+}
+
+func (c *configReader) handle(e applog.Entry) {
+	if e.Offset != c.at {
+		c.flush()
+	}
+	c.at = e.Offset
+	c.records = append(c.records, record.Order(e.Record))
+}
+
+func (c *configReader) flush() {
+	if len(c.records) > 0 {
+		c.node.Policy.Read(c.at, c.records...)
+		c.records = nil
+	}
+}
+
+// announce tells the fleet of this server at the start and again before its record expires. The start
+// is spread over the members that are known, so that a fleet that starts at once stays within what the
+// log takes.
+func (n *Node) announce(ctx context.Context) {
+	select {
+	case <-n.members.caught:
+	case <-time.After(firstRead):
+	case <-ctx.Done():
+		return
+	}
+	known := len(n.Roster.Table().All())
+	wait := jitter(min(time.Duration(known)*startSpread, maxStartSpread))
+	for {
+		if !pause(ctx, wait) {
+			return
+		}
+		if n.announceOnce(ctx) {
+			part := n.Settings.Log.Retention / announcePart
+			wait = part + jitter(n.Settings.Log.Retention/announceSpread)
+		} else {
+			wait = time.Second + jitter(time.Second)
+		}
+	}
+}
+
+func (n *Node) announceOnce(ctx context.Context) bool {
+	now := time.Now()
+	m := n.Self
+	m.Announced = now
+	_, err := n.members.writer.Append(ctx, record.Announce(ident.RecordID(random()), m, now))
+	if err != nil {
+		n.Log.Warn("announceFailed", zap.Error(err))
+		return false
+	}
+	n.Roster.Apply(now, m)
+	n.Log.Info("announced", zap.String("address", string(m.Address)))
+	return true
+}
+
+// leave writes this server's leave; without the log the peers, who were told, carry it.
+func (n *Node) leave(ctx context.Context) {
+	now := time.Now()
+	n.Roster.Leave(n.Self.Server, n.Self.Incarnation, now)
+	short, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	_, err := n.members.writer.Append(short, record.Leave(ident.RecordID(random()), n.Self, now))
+	if err != nil {
+		n.Log.Warn("leaveNotWritten", zap.Error(err))
+	}
+}
+
+// carry writes the accepted configuration again before its record expires.
+func (n *Node) carry(ctx context.Context) {
+	chance := ident.Fraction(mrand.Float64())
+	every(ctx, carryCheck, func(now time.Time) {
+		c, due := n.Policy.Due(now, chance)
+		if !due {
+			return
+		}
+		chance = ident.Fraction(mrand.Float64())
+		if _, err := n.config.writer.Append(ctx, record.Carry(ident.RecordID(random()), c)); err != nil {
+			n.Log.Warn("carryNotWritten", zap.Error(err))
+		}
+	})
+}
+
+// pause waits for d and reports whether ctx is still alive.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- a/internal/peer/book.go
+++ b/internal/peer/book.go
@@ -31,6 +31,16 @@
 	EventSettled               // a call was settled over a new connection
 )
 
+var events = [...]string{"peerDialed", "peerAccepted", "peerSilent", "peerLost", "peerVersion", "peerGarbled", "callSettled"}
+
+// String returns the name used in metrics.
+func (e Event) String() string {
+	if int(e) < len(events) {
+		return events[e]
+	}
+	return "unlisted"
+}
+
 // maxSessions bounds the sessions that peers opened to this node; more are closed at once.
 const maxSessions = 4096
 
--- a/internal/peer/in.go
+++ b/internal/peer/in.go
@@ -12,9 +12,7 @@
 
 	"briarworks.example/briarworks/internal/wire"
 	"briarworks.example/briarworks/internal/wire/wirepb"
-	"briarworks.example/briarworks/pkg/call"
 	"briarworks.example/briarworks/pkg/ident"
-	"briarworks.example/briarworks/pkg/reason"
 )
 
 // errGarbled reports a message that is out of place.
@@ -156,4 +154,3 @@
 
 // maxSettle bounds the calls of one Settle.
 const maxSettle = 1024
-
--- a/internal/relay/onward.go
+++ b/internal/relay/onward.go
@@ -28,23 +28,26 @@
 	child.Service, child.Method, child.Path = to.Service, to.Method, to.Path
 	child.Header, child.Body = to.Header, to.Body
 	child.Hop++
-	if snap := r.Rules(); snap != nil && int(child.Hop) >= snap.Rules().MaxDepth {
+	if snap := r.Rules(); snap != nil && child.Hop >= snap.Rules().MaxDepth {
 		return call.Refuse(reason.DepthExceeded)
 	}
 	f.Begin(r.Now())
 	defer func() { f.End(r.Now()) }()
-	return r.attempts(ctx, &child, f.Pool)
+	return r.attempts(ctx, &child, &f.Pool)
 }
 
 // place runs a request of the entry on the own server or, when that is full, on another one of the
 // service that has room.
 func (r *Relay) place(ctx context.Context, req *call.Request) call.Result {
+	if !r.Gate.Offer(req, r.Now()) {
+		return r.annotate(req, call.Refuse(reason.Overload), req.Budget)
+	}
 	set := r.Routes(r.Self.Service)
 	if r.Gate.Free() > 0 || set == nil {
 		return r.local(ctx, req)
 	}
 	p, ok := set.Pick(r.Now(), route.Avoid{}, r.Rand())
-	if !ok || p.Room() <= 0 {
+	if !ok || p.Room(r.Now()) <= 0 {
 		return r.local(ctx, req)
 	}
 	res := r.send(ctx, p, req)
@@ -94,7 +97,7 @@
 	res := r.send(ctx, p, req)
 	pool.Return(min(res.TokensLeft, req.Budget))
 	if res.Outcome != reason.Ran {
-		avoid.Add(p.Member().Server)
+		avoid.Add(p.Member.Server)
 	}
 	return res
 }
@@ -103,12 +106,17 @@
 func (r *Relay) send(ctx context.Context, p *route.Peer, req *call.Request) call.Result {
 	start := r.Now()
 	p.Start()
-	res := r.Send(ctx, p.Member().Address, req)
+	res := r.Send(ctx, p.Member.Address, req)
 	now := r.Now()
-	p.Finish(route.Feedback{Failed: failed(res), Free: res.Free, Latency: now.Sub(start)}, now)
+	fb := route.Feedback{Failed: failed(res), Free: route.NoReport}
 	if answered(res) {
+		fb.Free = res.Free
+		if res.Outcome == reason.Ran {
+			fb.Latency = now.Sub(start)
+		}
 		r.Paths.Learn(req.Service, req.Kind, res.Fraction, now)
 	}
+	p.Finish(fb, now)
 	if res.Outcome == reason.NotRun && !answered(res) {
 		res.TokensLeft = req.Budget // nothing was sent or run, so nothing was spent
 	}
@@ -156,5 +164,7 @@
 	if req.Once {
 		return r.enterOnce(ctx, req)
 	}
-	return r.attempts(ctx, req, retry.NewPool(req.Budget))
+	var pool retry.Pool
+	pool.Fill(req.Budget)
+	return r.attempts(ctx, req, &pool)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -24,14 +24,14 @@
 	Now     func() time.Time
 	Rand    func() uint64
 	Token   func() flight.Token
-	Rules   func() *rules.Snapshot                                                                               // nil before the first configuration
-	Routes  func(ident.Service) *route.Set                                                                       // nil when no server of the service is known
-	Run     func(ctx context.Context, req *call.Request, token flight.Token, now time.Time) call.Result          // own backend server
-	Send    func(ctx context.Context, addr ident.Address, req *call.Request) call.Result                         // another node
-	Once    func(ctx context.Context, req *call.Request, run func(context.Context) call.Result) call.Result      // at-most-once keeper
-	Home    func(service ident.Service, key ident.Key) (addr ident.Address, self, ok bool)                       // home node of a key
-	Seq     func() ident.Seq                                                                                     // last refusal number of this node
-	Retried func(reason.Retry)                                                                                   // counts a retry
+	Rules   func() *rules.Snapshot                                                                          // nil before the first configuration
+	Routes  func(ident.Service) *route.Set                                                                  // nil when no server of the service is known
+	Run     func(ctx context.Context, req *call.Request, token flight.Token, now time.Time) call.Result     // own backend server
+	Send    func(ctx context.Context, addr ident.Address, req *call.Request) call.Result                    // another node
+	Once    func(ctx context.Context, req *call.Request, run func(context.Context) call.Result) call.Result // at-most-once keeper
+	Home    func(service ident.Service, key ident.Key) (addr ident.Address, self, ok bool)                  // home node of a key
+	Seq     func() ident.Seq                                                                                // last refusal number of this node
+	Retried func(reason.Retry)                                                                              // counts a retry
 	Gate    *admit.Gate
 	Paths   *share.Paths
 	Flights *flight.Table
@@ -47,6 +47,23 @@
 // Draining reports whether Drain was called.
 func (r *Relay) Draining() bool { return r.draining.Load() }
 
+// Idle waits until this node carries no request and reports whether that came before ctx ended.
+func (r *Relay) Idle(ctx context.Context) bool {
+	t := time.NewTicker(idlePeriod)
+	defer t.Stop()
+	for r.active.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-t.C:
+		}
+	}
+	return true
+}
+
+// idlePeriod is how often a stopping node looks whether its requests have ended.
+const idlePeriod = 10 * time.Millisecond
+
 // Active returns the number of requests that this node is carrying.
 func (r *Relay) Active() int64 { return r.active.Load() }
 
@@ -97,11 +114,11 @@
 
 // local admits the request to the own backend server and runs it there.
 func (r *Relay) local(ctx context.Context, req *call.Request) call.Result {
-	if refusal := r.admit(ctx, req); refusal.why != reason.None {
-		return r.annotate(req, call.Refuse(refusal.why), req.Budget)
-	} else {
-		return r.run(ctx, req, refusal.ticket)
+	a := r.admit(ctx, req)
+	if a.why != reason.None {
+		return r.annotate(req, call.Refuse(a.why), req.Budget)
 	}
+	return r.run(ctx, req, a.ticket)
 }
 
 // admitted is a ticket, or the reason why there is none.
@@ -151,8 +168,8 @@
 // run runs an admitted request on the own backend server.
 func (r *Relay) run(ctx context.Context, req *call.Request, t *ticket) call.Result {
 	start := r.Now()
-	pool := retry.NewPool(req.Budget)
-	f := &flight.Flight{Token: r.Token(), Request: req, Pool: pool, Ctx: ctx}
+	f := &flight.Flight{Token: r.Token(), Request: req, Ctx: ctx}
+	f.Pool.Fill(req.Budget)
 	r.Flights.Add(f)
 	res := r.Run(ctx, req, f.Token, start)
 	r.Flights.Remove(f)
@@ -163,7 +180,7 @@
 		Shed:   res.Reason == reason.ServerShed,
 		Failed: res.Outcome != reason.Ran && res.Reason != reason.ServerShed,
 	}, now)
-	return r.annotate(req, res, pool.Left())
+	return r.annotate(req, res, f.Pool.Left())
 }
 
 // annotate adds to a result what the caller's node learns from it.
@@ -174,7 +191,7 @@
 	if r.draining.Load() {
 		res.Free = 0
 	}
-	res.Fraction = min(r.Gate.Fraction(req.Kind), r.Paths.Below(req.Kind, now))
+	res.Fraction = r.Gate.Advertise(req.Kind, now)
 	res.RefusalSeq = r.Seq()
 	return res
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -44,12 +44,23 @@
 
 // Client runs requests on one backend server.
 type Client struct {
-	Addr ident.Address
-	http *http.Client
+	Addr  ident.Address
+	conns atomic.Int32
+	http  atomic.Pointer[http.Client]
 }
 
 // New returns a client that opens at most conns connections to the server.
 func New(addr ident.Address, conns ident.Conns) *Client {
+	c := &Client{Addr: addr}
+	c.Resize(conns)
+	return c
+}
+
+// Resize changes how many connections may be open. Requests in flight keep the connections they have.
+func (c *Client) Resize(conns ident.Conns) {
+	if c.conns.Swap(int32(conns)) == int32(conns) {
+		return
+	}
 	d := &net.Dialer{Timeout: dialTimeout}
 	t := &http.Transport{
 		DialContext:            d.DialContext,
@@ -60,11 +71,14 @@
 		MaxResponseHeaderBytes: int64(call.MaxHeader),
 	}
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &Client{Addr: addr, http: &http.Client{Transport: t, CheckRedirect: noRedirect}}
+	old := c.http.Swap(&http.Client{Transport: t, CheckRedirect: noRedirect})
+	if old != nil {
+		old.CloseIdleConnections()
+	}
 }
 
 // Close closes the idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
+func (c *Client) Close() { c.http.Load().CloseIdleConnections() }
 
 // Run runs a request once and returns its result.
 func (c *Client) Run(ctx context.Context, req *call.Request, token flight.Token, now time.Time) call.Result {
@@ -79,7 +93,7 @@
 	if err != nil {
 		return call.Refuse(reason.BadRequest)
 	}
-	resp, err := c.http.Do(hr)
+	resp, err := c.http.Load().Do(hr)
 	if err != nil {
 		return failed(ctx, err, wrote.Load())
 	}
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -109,3 +109,8 @@
 
 // Set sets a gauge.
 func (s *Stats) Set(name string, v float64) { s.Scope.Gauge(name).Update(v) }
+
+// SetKind sets a gauge of one kind of work.
+func (s *Stats) SetKind(name, kind string, v float64) {
+	s.Scope.Tagged(map[string]string{"kind": kind}).Gauge(name).Update(v)
+}
