--- /dev/null
+++ b/pkg/order/order_test.go
@@ -0,0 +1,320 @@
+package order
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"briarworks.example/briarworks/pkg/ident"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// model is a log with readers; whole is the fold that read everything.
+type model struct {
+	t       *rapid.T
+	log     [][]Record
+	first   ident.Offset
+	whole   Fold
+	states  []Accepted // of whole, by through + 1
+	taken   map[ident.Offset]map[ident.RecordID]bool
+	readers []*Fold
+	known   []ident.Version // highest version that each reader showed since its start
+	seen    []Accepted      // states of readers, written late as carries
+	sent    []Publish
+}
+
+func newModel(t *rapid.T) *model {
+	m := &model{t: t, taken: make(map[ident.Offset]map[ident.RecordID]bool)}
+	m.whole.Start(0)
+	m.states = []Accepted{m.whole.Current()}
+	for range 4 {
+		m.readers = append(m.readers, &Fold{})
+		m.known = append(m.known, 0)
+	}
+	return m
+}
+
+func (m *model) pick(n int, label string) int { return rapid.IntRange(0, n-1).Draw(m.t, label) }
+
+func (m *model) append(records ...Record) {
+	at := ident.Offset(len(m.log))
+	m.log = append(m.log, records)
+	m.taken[at] = make(map[ident.RecordID]bool)
+	for _, d := range m.whole.Read(at, records...) {
+		m.taken[at][d.Publish.ID] = m.taken[at][d.Publish.ID] || d.Verdict == Taken
+	}
+	m.states = append(m.states, m.whole.Current())
+}
+
+// draw makes a publish with the base that some reader knows, a wild one, or a repeat.
+func (m *model) draw() Publish {
+	how := m.pick(8, "how")
+	if how == 0 && len(m.sent) > 0 {
+		return m.sent[m.pick(len(m.sent), "repeat")]
+	}
+	base := m.readers[m.pick(len(m.readers), "author")].Current().Version
+	switch {
+	case how == 1:
+		base = ident.Version(m.pick(12, "base"))
+	case how >= 4:
+		base = m.whole.Current().Version
+	}
+	n := len(m.sent)
+	p := Publish{
+		ID: ident.RecordID(fmt.Sprintf("p%d", n)), Base: base, Document: fmt.Sprintf("document %d", n),
+		At: epoch.Add(time.Duration(n) * time.Minute),
+	}
+	m.sent = append(m.sent, p)
+	return p
+}
+
+func (m *model) publish(*rapid.T) {
+	var group []Record
+	for range 1 + m.pick(3, "group") {
+		p := m.draw()
+		group = append(group, Record{Publish: &p})
+	}
+	if m.pick(4, "with carry") == 0 {
+		c := Carry{Accepted: m.whole.Current(), At: epoch}
+		group = append(group, Record{Carry: &c})
+		group[0], group[len(group)-1] = group[len(group)-1], group[0]
+	}
+	m.append(group...)
+}
+
+func (m *model) lateCarry(*rapid.T) {
+	if len(m.seen) == 0 {
+		return
+	}
+	c := Carry{Accepted: m.seen[m.pick(len(m.seen), "state")], At: epoch}
+	m.append(Record{Carry: &c})
+}
+
+func (m *model) trim(*rapid.T) {
+	m.first += ident.Offset(m.pick(len(m.log)-int(m.first)+1, "trim"))
+}
+
+func (m *model) read(*rapid.T) {
+	i := m.pick(len(m.readers), "reader")
+	m.step(i, m.pick(6, "count"))
+}
+
+func (m *model) step(i, count int) {
+	f := m.readers[i]
+	f.Start(m.first)
+	for range count {
+		at := f.Next()
+		if int(at) >= len(m.log) {
+			return
+		}
+		for _, d := range f.Read(at, m.log[at]...) {
+			m.verdict(d)
+		}
+	}
+}
+
+func (m *model) restart(*rapid.T) {
+	i := m.pick(len(m.readers), "reader")
+	m.readers[i], m.known[i] = &Fold{}, 0
+}
+
+func (m *model) adopt(*rapid.T) {
+	i, j := m.pick(len(m.readers), "reader"), m.pick(len(m.readers), "peer")
+	_, decisions := m.readers[i].Adopt(m.readers[j].Current())
+	for _, d := range decisions {
+		m.verdict(d)
+	}
+}
+
+func (m *model) verdict(d Decision) {
+	taken := m.taken[d.Offset][d.Publish.ID]
+	if d.Verdict == Taken && !taken {
+		m.t.Fatalf("publish %s at %d: got accepted, want refused", d.Publish.ID, d.Offset)
+	}
+	repeats := 0
+	for _, r := range m.log[d.Offset] {
+		if r.Publish != nil && r.Publish.ID == d.Publish.ID {
+			repeats++
+		}
+	}
+	if d.Verdict == Refused && taken && repeats == 1 {
+		m.t.Fatalf("publish %s at %d: got refused, want accepted", d.Publish.ID, d.Offset)
+	}
+}
+
+func (m *model) check(*rapid.T) {
+	for i, f := range m.readers {
+		got := f.Current()
+		want := m.states[got.Through+1]
+		if got != want {
+			m.t.Fatalf("reader %d through %d: got %+v, want %+v", i, got.Through, got, want)
+		}
+		if got.Version < m.known[i] {
+			m.t.Fatalf("reader %d: version went from %d back to %d", i, m.known[i], got.Version)
+		}
+		m.known[i] = got.Version
+		m.seen = append(m.seen, got)
+	}
+}
+
+// Guards against two readers of differently trimmed logs that hold different documents under one
+// version, against a version that goes back, and against readers that never decide after a Carry.
+func TestFoldsAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"publish": m.publish, "lateCarry": m.lateCarry, "trim": m.trim, "read": m.read,
+			"restart": m.restart, "adopt": m.adopt, "": m.check,
+		})
+		c := Carry{Accepted: m.whole.Current(), At: epoch}
+		m.append(Record{Carry: &c})
+		for i, f := range m.readers {
+			m.step(i, len(m.log)+1)
+			got, want := f.Current(), m.whole.Current()
+			if !f.Decided() || got != want {
+				t.Fatalf("reader %d after a fresh carry: got %+v, want %+v", i, got, want)
+			}
+		}
+	})
+}
+
+// Guards against operators who are told the wrong verdict or the wrong winner.
+func TestVerdicts(t *testing.T) {
+	type want struct {
+		verdict Verdict
+		version ident.Version
+		by      ident.RecordID
+	}
+	pub := func(id string, base ident.Version) Record {
+		return Record{Publish: &Publish{ID: ident.RecordID(id), Base: base, Document: id}}
+	}
+	carry := func(v ident.Version, through ident.Offset) Record {
+		return Record{Carry: &Carry{Accepted: Accepted{Version: v, Through: through, Document: "carried", ID: "c"}}}
+	}
+	tests := map[string]struct {
+		first ident.Offset
+		log   []Record
+		want  []want
+	}{
+		"first wins": {
+			log:  []Record{pub("a", 0), pub("b", 0), pub("c", 1)},
+			want: []want{{Taken, 1, ""}, {Refused, 1, "a"}, {Taken, 2, ""}},
+		},
+		"repeat of an accepted id": {
+			log:  []Record{pub("a", 0), pub("a", 0)},
+			want: []want{{Taken, 1, ""}, {Ignored, 1, "a"}},
+		},
+		"base of the future": {
+			log:  []Record{pub("a", 3)},
+			want: []want{{Refused, 0, ""}},
+		},
+		"trimmed log decides at a carry": {
+			first: 10,
+			log:   []Record{pub("a", 4), pub("b", 4), carry(4, 9), pub("d", 5)},
+			want:  []want{{Undecided, 0, ""}, {Undecided, 0, ""}, {Taken, 5, ""}, {Refused, 5, "a"}, {Taken, 6, ""}},
+		},
+		"carry that is too old for the trimmed log": {
+			first: 10,
+			log:   []Record{pub("a", 4), carry(4, 8), pub("b", 4)},
+			want:  []want{{Undecided, 0, ""}, {Undecided, 0, ""}},
+		},
+		"carry that claims records after itself": {
+			first: 10,
+			log:   []Record{carry(4, 10), pub("b", 4)},
+			want:  []want{{Undecided, 0, ""}},
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var f Fold
+			f.Start(tt.first)
+			var got []want
+			for i, r := range tt.log {
+				for _, d := range f.Read(tt.first+ident.Offset(i), r) {
+					got = append(got, want{d.Verdict, d.Version, d.By.ID})
+				}
+			}
+			if fmt.Sprint(got) != fmt.Sprint(tt.want) {
+				t.Errorf("got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against undecided documents that fill a node's memory, and against a wrong answer after some
+// of them were given up.
+func TestUndecidedIsBounded(t *testing.T) {
+	var f Fold
+	f.Start(1)
+	large := strings.Repeat("x", 1<<20)
+	at := ident.Offset(1)
+	for ; at <= 40; at++ {
+		f.Read(at, Record{Publish: &Publish{ID: "p", Base: 7, Document: large}})
+	}
+	if got, want := f.bytes, MaxUndecided; got > want {
+		t.Errorf("bytes held: got %d, want at most %d", got, want)
+	}
+	f.Read(at, Record{Carry: &Carry{Accepted: Accepted{Version: 7, Through: 2}}})
+	if f.Decided() {
+		t.Errorf("decided by a carry before what was given up: got true, want false")
+	}
+	f.Read(at+1, Record{Carry: &Carry{Accepted: Accepted{Version: 8, Through: 39}}})
+	if got, want := f.Current().Version, ident.Version(8); !f.Decided() || got != want {
+		t.Errorf("version after a later carry: got %d, want %d", got, want)
+	}
+}
+
+// Guards against a fleet that lets its last Carry be trimmed, and against all nodes writing one at once.
+func TestCarryIsWrittenInTimeByFew(t *testing.T) {
+	const nodes = 960
+	tests := map[string]struct {
+		retention time.Duration
+		start     time.Duration // age of the last carry when the nodes begin
+		by        time.Duration // when the next one has to be written, at the latest
+		most      int
+	}{
+		"two days":       {48 * time.Hour, 12*time.Hour - time.Minute, 16 * time.Hour, 4},
+		"one hour":       {time.Hour, 0, 20 * time.Minute, 16},
+		"overdue":        {48 * time.Hour, 40 * time.Hour, 40*time.Hour + time.Minute, 64},
+		"clock in front": {48 * time.Hour, -time.Hour, 16 * time.Hour, 4},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			folds := make([]Fold, nodes)
+			for i := range folds {
+				folds[i].Start(0)
+				folds[i].Read(0, Record{Publish: &Publish{ID: "a", At: epoch}})
+			}
+			const answer = time.Second // until the others read a carry
+			now, written, firstAt := epoch.Add(tt.start), 0, time.Time{}
+			for firstAt.IsZero() || now.Before(firstAt.Add(answer)) {
+				for i := range folds {
+					_, due := folds[i].Due(now, tt.retention, ident.Fraction(float64(i*617%nodes)/nodes))
+					if due {
+						written++
+					}
+					if due && firstAt.IsZero() {
+						firstAt = now
+					}
+				}
+				now = now.Add(answer)
+				if written == 0 && now.Before(epoch.Add(tt.start+tt.retention/5)) {
+					now = now.Add(time.Minute)
+				}
+				if now.After(epoch.Add(tt.retention)) {
+					t.Fatalf("no carry within the retention")
+				}
+			}
+			if got, want := firstAt.Sub(epoch), tt.by; got > want {
+				t.Errorf("first carry: got after %v, want within %v", got, want)
+			}
+			if got, want := written, tt.most; got > want {
+				t.Errorf("carries written: got %d, want at most %d", got, want)
+			}
+		})
+	}
+}
--- a/pkg/rules/check.go
+++ b/pkg/rules/check.go
@@ -1,5 +1,155 @@
 package rules
 
-import "briarworks.example/briarworks/internal/strict"
+import (
+	"fmt"
+	"strings"
 
-func check(_ *Document, _ *strict.Source) {}
+	"briarworks.example/briarworks/internal/strict"
+	"briarworks.example/briarworks/pkg/ident"
+)
+
+// check reports the faults that need more than one field. A field that is already faulty is left out,
+// so that one mistake gives one problem.
+func check(d *Document, s *strict.Source) {
+	checkNames(d, s)
+	checkPlaces(d, s)
+	checkKinds(d, s)
+	checkRanks(d, s)
+	checkRules(d, s)
+}
+
+func checkNames(d *Document, s *strict.Source) {
+	unique(s, "dataCentres", ".name", len(d.DataCentres), func(i int) string { return string(d.DataCentres[i].Name) })
+	unique(s, "services", ".name", len(d.Services), func(i int) string { return string(d.Services[i].Name) })
+	unique(s, "ranks", ".name", len(d.Ranks), func(i int) string { return d.Ranks[i].Name })
+	unique(s, "kinds", ".name", len(d.Kinds), func(i int) string { return string(d.Kinds[i].Name) })
+}
+
+// unique reports entries of a list whose name an earlier entry has.
+func unique(s *strict.Source, list, field string, n int, name func(int) string) {
+	first := make(map[string]int, n)
+	for i := range n {
+		at := entry(list, i) + field
+		if s.Faulty(at) {
+			continue
+		}
+		if before, ok := first[name(i)]; ok {
+			s.Add(at, "%q is already used by %s", name(i), entry(list, before))
+			continue
+		}
+		first[name(i)] = i
+	}
+}
+
+func entry(list string, i int) string { return fmt.Sprintf("%s[%d]", list, i) }
+
+func checkPlaces(d *Document, s *strict.Source) {
+	listed := make(map[ident.DataCentre]bool)
+	for _, dc := range d.DataCentres {
+		listed[dc.Name] = true
+	}
+	for i, service := range d.Services {
+		list := entry("services", i) + ".dataCentres"
+		unique(s, list, "", len(service.DataCentres), func(j int) string { return string(service.DataCentres[j]) })
+		for j, dc := range service.DataCentres {
+			if at := entry(list, j); len(listed) > 0 && !listed[dc] && !s.Faulty(at) {
+				s.Add(at, "data centre %q is not in dataCentres", dc)
+			}
+		}
+	}
+}
+
+func checkKinds(d *Document, s *strict.Source) {
+	services := make(map[ident.Service]bool)
+	for _, service := range d.Services {
+		services[service.Name] = true
+	}
+	type claim struct {
+		service      ident.Service
+		method, path string
+	}
+	claimed := make(map[claim]ident.Kind)
+	for i, k := range d.Kinds {
+		at := entry("kinds", i)
+		if k.Name == Unlisted && !s.Faulty(at+".name") {
+			s.Add(at+".name", "%q is reserved for requests that match no kind", Unlisted)
+		}
+		if len(services) > 0 && !services[k.Service] && !s.Faulty(at+".service") {
+			s.Add(at+".service", "service %q is not in services", k.Service)
+		}
+		if k.AtMostOnce && k.Idempotent {
+			s.Add(at+".atMostOnce", "a kind cannot be both atMostOnce and idempotent")
+		}
+		if s.Faulty(at+".path") || s.Faulty(at+".method") {
+			continue
+		}
+		c := claim{k.Service, k.Method, trimSlash(k.Path)}
+		if other, ok := claimed[c]; ok {
+			s.Add(at+".path", "kind %q already has %s %s at service %s", other, k.Method, k.Path, k.Service)
+			continue
+		}
+		claimed[c] = k.Name
+	}
+}
+
+// checkRanks reports unknown and unused ranks, and protected kinds that are not ahead of every
+// unprotected kind: they would be shed before work that may be lost.
+func checkRanks(d *Document, s *strict.Source) {
+	number := make(map[string]int)
+	for i, r := range d.Ranks {
+		number[r.Name] = i
+	}
+	used := make(map[string]bool)
+	urgent := -1 // place in kinds of the most urgent unprotected kind
+	for i, k := range d.Kinds {
+		at := entry("kinds", i) + ".rank"
+		if _, ok := number[k.Rank]; !ok {
+			if len(number) > 0 && !s.Faulty(at) {
+				s.Add(at, "rank %q is not in ranks", k.Rank)
+			}
+			continue
+		}
+		used[k.Rank] = true
+		if !k.Protected && (urgent < 0 || number[k.Rank] < number[d.Kinds[urgent].Rank]) {
+			urgent = i
+		}
+	}
+	for i, r := range d.Ranks {
+		if at := entry("ranks", i); len(d.Kinds) > 0 && !used[r.Name] && !s.Faulty(at) {
+			s.Add(at+".name", "no kind uses rank %q", r.Name)
+		}
+	}
+	if urgent < 0 {
+		return
+	}
+	for i, k := range d.Kinds {
+		n, ok := number[k.Rank]
+		if at := entry("kinds", i) + ".rank"; ok && k.Protected && n >= number[d.Kinds[urgent].Rank] && !s.Faulty(at) {
+			s.Add(at, "protected kind %q must have a more urgent rank than %q, as unprotected kind %q has that rank",
+				k.Name, d.Kinds[urgent].Rank, d.Kinds[urgent].Name)
+		}
+	}
+}
+
+// checkRules keeps the key window within the retention: a key that the log has forgotten cannot be
+// told from a new one, and its work would run a second time.
+func checkRules(d *Document, s *strict.Source) {
+	if s.Faulty("rules.keyWindow") || s.Faulty("rules.logRetention") {
+		return
+	}
+	if d.Rules.KeyWindow > d.Rules.LogRetention {
+		s.Add("rules.keyWindow", "%s is longer than rules.logRetention, %s", span(d.Rules.KeyWindow), span(d.Rules.LogRetention))
+	}
+}
+
+// span returns a duration without the units that are zero, as in 48h.
+func span(d fmt.Stringer) string {
+	v := d.String()
+	if strings.HasSuffix(v, "m0s") {
+		v = strings.TrimSuffix(v, "0s")
+	}
+	if strings.HasSuffix(v, "h0m") {
+		v = strings.TrimSuffix(v, "0m")
+	}
+	return v
+}
