--- /dev/null
+++ b/pkg/fleet/fleet_test.go
@@ -0,0 +1,174 @@
+package fleet
+
+import (
+	"flag"
+	"os"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"briarworks.example/briarworks/pkg/ident"
+)
+
+// TestMain fixes the seed, so that a run can be repeated; -rapid.seed on the command line replaces it.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+var start = time.Unix(1_700_000_000, 0).UTC()
+
+// members draws from few values, so that equal incarnations and times are common.
+func members() *rapid.Generator[Member] {
+	return rapid.Custom(func(t *rapid.T) Member {
+		return Member{
+			Server:      rapid.SampledFrom([]ident.Server{"a", "b", "c"}).Draw(t, "server"),
+			Service:     rapid.SampledFrom([]ident.Service{"", "ledger", "sorting"}).Draw(t, "service"),
+			DataCentre:  rapid.SampledFrom([]ident.DataCentre{"d", "e"}).Draw(t, "dataCentre"),
+			Address:     rapid.SampledFrom([]ident.Address{"x", "y"}).Draw(t, "address"),
+			Incarnation: ident.Incarnation(rapid.IntRange(1, 3).Draw(t, "incarnation")),
+			Slots:       ident.Slots(rapid.IntRange(1, 2).Draw(t, "slots")),
+			Conns:       ident.Conns(rapid.IntRange(1, 2).Draw(t, "conns")),
+			Left:        rapid.Bool().Draw(t, "left"),
+			Announced:   start.Add(time.Duration(rapid.IntRange(0, 3).Draw(t, "announced"))),
+		}
+	})
+}
+
+// Guards against nodes that disagree for ever because they heard the same news in another order.
+func TestJoinLaws(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, c := members().Draw(t, "a"), members().Draw(t, "b"), members().Draw(t, "c")
+		if got, want := Join(a, b), Join(b, a); got != want {
+			t.Errorf("commutative: got %v, want %v", got, want)
+		}
+		if got, want := Join(Join(a, b), c), Join(a, Join(b, c)); got != want {
+			t.Errorf("associative: got %v, want %v", got, want)
+		}
+		if got := Join(a, a); got != a {
+			t.Errorf("idempotent: got %v, want %v", got, a)
+		}
+	})
+}
+
+// Guards against a fold that depends on the order or the number of times that news arrive, and
+// against a changed result that does not go with the digest.
+func TestApplyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		news := rapid.SliceOfN(members(), 0, 12).Draw(t, "news")
+		again := rapid.Permutation(append(news, news...)).Draw(t, "again")
+		var a, b State
+		for _, m := range news {
+			before := a.Table().Digest()
+			changed := a.Apply(m, start)
+			if got, want := changed, before != a.Table().Digest(); got != want {
+				t.Errorf("changed by %v: got %v, want %v", m, got, want)
+			}
+		}
+		Merge(&b, again, start)
+		if got, want := b.Table().All(), a.Table().All(); !reflect.DeepEqual(got, want) {
+			t.Errorf("members: got %v, want %v", got, want)
+		}
+		if got, want := b.Table().Digest(), a.Table().Digest(); got != want {
+			t.Errorf("digest: got %x, want %x", got, want)
+		}
+		if Merge(&a, b.Table().All(), start) {
+			t.Error("merge of the same members: got changed")
+		}
+	})
+}
+
+// Guards against a server that left and receives work again, and against one that is forgotten or
+// kept for ever.
+func TestState(t *testing.T) {
+	const retention = time.Hour
+	live := Member{Server: "a", Service: "ledger", Incarnation: 5, Announced: start}
+	restarted := live
+	restarted.Incarnation = 6
+	tests := map[string]struct {
+		steps func(s *State)
+		live  int // members in service
+		known int // with those that left
+	}{
+		"announced": {func(s *State) { s.Apply(live, start) }, 1, 1},
+		"left":      {func(s *State) { s.Apply(live, start); s.Leave("a", 5, start) }, 0, 1},
+		"left before its announcement arrives": {func(s *State) {
+			s.Leave("a", 5, start)
+			s.Apply(live, start.Add(time.Minute))
+		}, 0, 1},
+		"leave mark of a lower incarnation": {func(s *State) { s.Apply(live, start); s.Leave("a", 4, start) }, 1, 1},
+		"leave mark of a higher incarnation": {func(s *State) {
+			s.Apply(live, start)
+			s.Leave("a", 6, start)
+			s.Apply(restarted, start)
+		}, 0, 1},
+		"restarted after leaving": {func(s *State) {
+			s.Apply(live, start)
+			s.Leave("a", 5, start)
+			s.Apply(restarted, start)
+		}, 1, 1},
+		"not announced again": {func(s *State) {
+			s.Apply(live, start)
+			s.Expire(start.Add(retention+1), retention)
+		}, 0, 0},
+		"announced again": {func(s *State) {
+			s.Apply(live, start)
+			later := live
+			later.Announced = start.Add(time.Minute)
+			s.Apply(later, start)
+			s.Expire(start.Add(retention+1), retention)
+		}, 1, 1},
+		"expired announcement from a peer": {func(s *State) {
+			s.Apply(live, start)
+			s.Expire(start.Add(retention+1), retention)
+			s.Apply(live, start.Add(retention+1))
+		}, 0, 0},
+		"leave mark outlives the announcement": {func(s *State) {
+			s.Apply(live, start)
+			s.Leave("a", 5, start)
+			s.Expire(start.Add(2*retention), retention)
+			s.Apply(live, start.Add(retention))
+		}, 0, 1},
+		"leave mark expires": {func(s *State) {
+			s.Leave("a", 5, start)
+			s.Expire(start.Add(2*retention+1), retention)
+		}, 0, 0},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			var s State
+			tc.steps(&s)
+			if got := len(s.Table().Of("ledger")); got != tc.live {
+				t.Errorf("in service: got %d, want %d", got, tc.live)
+			}
+			if got := len(s.Table().All()); got != tc.known {
+				t.Errorf("known: got %d, want %d", got, tc.known)
+			}
+			m, known := s.Table().Member("a")
+			if got, want := known && !m.Left, tc.live > 0; got != want {
+				t.Errorf("server a in service: got %v, want %v", got, want)
+			}
+		})
+	}
+}
+
+// Guards against an exchange between nodes that noted different times for the same leaving.
+func TestLeaveDigest(t *testing.T) {
+	m := Member{Server: "a", Service: "ledger", Incarnation: 5, Announced: start}
+	var a, b State
+	a.Apply(m, start)
+	b.Apply(m, start)
+	if !a.Leave("a", 5, start) || !b.Leave("a", 5, start.Add(time.Second)) {
+		t.Fatal("leave: got unchanged")
+	}
+	if got, want := b.Table().Digest(), a.Table().Digest(); got != want {
+		t.Errorf("digest: got %x, want %x", got, want)
+	}
+	if a.Leave("a", 5, start.Add(time.Minute)) {
+		t.Error("second leave: got changed")
+	}
+}
--- a/pkg/route/peer.go
+++ b/pkg/route/peer.go
@@ -20,7 +20,7 @@
 	// work that it happened to get first may take long everywhere.
 	SlowSamples = 10
 	// ReportAge is how long a report of free slots counts. An older one that shows no room is taken
-	// as one free slot, or a peer that was full once would not be asked again.
+	// as room for one call at a time, or a peer that was full once would not be asked again.
 	ReportAge = time.Second
 
 	historyBits   = 20 // calls over which the failure share is taken
@@ -31,6 +31,7 @@
 	onTrial      = rowMask >> 1
 	jitterPart   = 4 // an ejection is longer by up to one in this many parts
 	latencyShare = 8 // a new latency counts for one in this many parts
+	latencyClip  = 4 // and for at most this multiple of the smoothed one
 	// coldPart is the part of its slots that a server is taken to have free before its first answer;
 	// a server that has just started admits no more.
 	coldPart = 8
@@ -142,17 +143,22 @@
 	}
 }
 
-// smooth may lose a latency when two calls finish at once, which does not matter to a mean.
+// smooth may lose a latency when two calls finish at once, which does not matter to a mean. The first
+// latencies count by their minimum and later ones are clipped, so that a few calls of a slow kind do
+// not make a sound peer look slow.
 func (s *state) smooth(latency time.Duration) {
 	old := s.latency.Load()
 	next := int64(latency)
-	if old != 0 {
-		next = old + (next-old)/latencyShare
-	}
-	s.latency.Store(next)
-	if s.samples.Load() < SlowSamples {
+	switch samples := s.samples.Load(); {
+	case samples == 0:
+		s.samples.Store(1)
+	case samples < SlowSamples:
+		next = min(old, next)
 		s.samples.Add(1)
+	default:
+		next = old + (min(next, latencyClip*old)-old)/latencyShare
 	}
+	s.latency.Store(next)
 }
 
 // slow reports whether the peer's latency stands out among its siblings. A server whose work hangs
@@ -212,7 +218,7 @@
 	}
 	age := t - s.reported.Load()
 	if age > int64(ReportAge) || age < 0 {
-		return 1
+		return 1 - s.inFlight.Load()
 	}
 	return room
 }
