--- /dev/null
+++ b/pkg/admit/window.go
@@ -0,0 +1,260 @@
+package admit
+
+import (
+	"time"
+
+	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/limit"
+	"briarworks.example/briarworks/pkg/share"
+)
+
+const (
+	costCalls    = 20                   // calls that give a measured cost half of the weight
+	demandCalls  = 40                   // arrivals that give a measured demand half of the weight
+	callerWeight = 0.3                  // of the last window in the demand of a bucket of callers
+	heldBelow    = 0.8                  // passed against advertised fraction below which another service is narrower
+	heldRoom     = 1.1                  // growth left to a kind that another service holds back
+	forget       = 0.9                  // expected time kept by a window without finished calls
+	usedTarget   = 0.99                 // part of the limit that should be in use under overload
+	queueTarget  = 5 * time.Millisecond // mean wait under overload
+	gainStep     = 0.3                  // gain per window; the loop's delay of about three windows allows 0.5
+	gainMin      = 0.9                  // a queue kept up by the least urgent work must not squeeze the rest
+	gainMax      = 2.0
+	gainFade     = 0.1  // return to 1 per window while another service is narrower
+	fullUse      = 0.95 // part of the limit in use that counts as full
+)
+
+// estimate is what is known of one kind's demand, smoothed over windows.
+type estimate struct {
+	last    sums
+	cost    float64 // slot time of a call in s, 0 when unknown
+	rate    float64 // outside demand in calls per second
+	visible float64 // part of the outside demand that arrives here or is counted at the entry
+	through float64 // part of the outside demand that arrives here
+	shown   float64 // fraction that upstream nodes know
+	callers [callerBuckets]float64
+	seen    [callerBuckets]uint32
+}
+
+// newKind returns the state of a kind whose demand is taken to arrive unthinned.
+func newKind(kind share.Kind) *kindState {
+	return &kindState{Kind: kind, est: estimate{visible: 1, through: 1, shown: 1}}
+}
+
+// window is the state of the computation at the end of each window.
+type window struct {
+	began   time.Time
+	samples int
+	used    float64 // sum over samples of the part of the limit in use
+	queued  float64 // sum over samples of the queue's length
+	gain    float64 // correction of the capacity for errors of the estimates
+	demands []share.Demand
+	states  []*kindState
+}
+
+// sample reads the use of the limit and ends the window when it is over.
+func (g *Gate) sample(now time.Time) {
+	w := &g.window
+	if w.began.IsZero() {
+		w.began = now
+	}
+	w.samples++
+	w.used += float64(g.Inflight()) / float64(max(g.Limit(), 1))
+	w.queued += float64(g.Queued())
+	if span := now.Sub(w.began); span >= g.cfg.Window {
+		g.roll(span, now)
+		w.began, w.samples, w.used, w.queued = now, 0, 0, 0
+	}
+}
+
+// roll ends a window: it adapts the limit and divides it anew.
+func (g *Gate) roll(span time.Duration, now time.Time) {
+	w := &g.window
+	g.mu.Lock()
+	waits := g.waits
+	g.waits = 0
+	g.mu.Unlock()
+
+	used := w.used / float64(w.samples)
+	var s limit.Sample
+	kinds := g.kinds.Load()
+	w.demands, w.states = w.demands[:0], w.states[:0]
+	for _, k := range kinds.list {
+		d := k.measure(span, &s)
+		w.demands = append(w.demands, d)
+		w.states = append(w.states, k)
+	}
+	s.Span = span
+	s.Full = used >= fullUse
+	g.limiter.Roll(s, now)
+	g.limit.Store(int32(g.limiter.Limit()))
+	g.divide(used, waits > 0, s, now)
+}
+
+// measure updates the estimates of a kind and returns its demand in slots.
+func (k *kindState) measure(span time.Duration, s *limit.Sample) share.Demand {
+	e := &k.est
+	total := k.read()
+	d := total.minus(&e.last)
+	e.last = total
+	s.Done += int(d.good)
+	s.Shed += int(d.shed)
+	s.Own += time.Duration(d.own * float64(time.Second))
+	k.measureCost(&d)
+	k.measureDemand(&d, span.Seconds())
+	offered := e.rate * e.cost
+	need := offered
+	if e.through < heldBelow*e.shown {
+		need = offered * min(1, e.through*heldRoom)
+	}
+	return share.Demand{Kind: k.Kind, Offered: offered, Need: need}
+}
+
+func (k *kindState) measureCost(d *sums) {
+	e := &k.est
+	if d.done == 0 {
+		// Without samples the expected time must not keep refusing requests for their deadline.
+		k.expected.Store(int64(float64(k.expected.Load()) * forget))
+		return
+	}
+	mean := d.total / d.done
+	if e.cost == 0 {
+		e.cost = mean
+	}
+	e.cost += (mean - e.cost) * d.done / (d.done + costCalls)
+	k.expected.Store(int64(e.cost * float64(time.Second)))
+}
+
+// measureDemand estimates the demand as if no node refused anything. New requests are counted at the
+// entry before any refusal, so they are weighed by the part that comes to this server; begun ones
+// count 1/Passed.
+func (k *kindState) measureDemand(d *sums, span float64) {
+	e := &k.est
+	local := float64(k.local.load())
+	if d.passed > 0 {
+		local += (min(1, d.entered/d.passed) - local) * d.passed / (d.passed + demandCalls)
+		k.local.store(ident.Fraction(local))
+	}
+	calls := d.offered*local + d.weight
+	seen := d.offered + d.arrived
+	// Few visible calls say little, and none says nothing where less than one was to be expected.
+	weigh := max(seen, e.rate*e.visible*span)
+	if weigh == 0 {
+		return
+	}
+	weight := weigh / (weigh + demandCalls)
+	e.rate += (calls/span - e.rate) * weight
+	if calls > 0 {
+		e.visible += (min(1, seen/calls) - e.visible) * weight
+		e.through += (min(1, (d.entered+d.arrived)/calls) - e.through) * weight
+	}
+}
+
+// divide computes the fractions from the demands.
+func (g *Gate) divide(used float64, waited bool, s limit.Sample, now time.Time) {
+	w := &g.window
+	slots := float64(g.Limit())
+	// A kind that another service holds back counts with all of its demand here: it could arrive at any
+	// moment, and a fraction of 1 would let it.
+	var sum float64
+	for i := range w.demands {
+		sum += w.demands[i].Offered
+	}
+	pressed := sum > slots*w.gain && (g.pressed.Load() || waited || used >= fullUse)
+	g.pressed.Store(pressed)
+	if !pressed {
+		w.gain = 1
+		for _, k := range w.states {
+			k.publish(1, 1, g, now)
+		}
+		return
+	}
+	w.adjust(used, s)
+	// Divide sorts the demands; the states follow by name through the table.
+	share.Divide(slots, w.gain, w.demands)
+	kinds := g.kinds.Load()
+	for i := range w.demands {
+		d := &w.demands[i]
+		k := kinds.find(d.Kind.Name)
+		k.publish(d.Fraction, k.est.thin(d), g, now)
+	}
+}
+
+// adjust corrects the capacity for errors of the estimates: up while the limit is not used although
+// work is refused, down while a queue stands.
+func (w *window) adjust(used float64, s limit.Sample) {
+	miss := usedTarget - used
+	if s.Done > 0 {
+		// By Little's law, the wait is the queue's length over the throughput.
+		throughput := float64(s.Done) / s.Span.Seconds()
+		wait := w.queued / float64(w.samples) / throughput
+		if over := wait - queueTarget.Seconds(); over > 0 {
+			miss -= min(0.1, over/DefaultMaxWait.Seconds()*0.2)
+		}
+	}
+	if !w.binds() && miss > 0 {
+		w.gain += (1 - w.gain) * gainFade
+		return
+	}
+	w.gain = min(max(w.gain+gainStep*miss, gainMin), gainMax)
+}
+
+// binds reports whether this server is what holds back some kind.
+func (w *window) binds() bool {
+	for _, k := range w.states {
+		if e := &k.est; e.shown < 1 && e.through >= heldBelow*e.shown {
+			return true
+		}
+	}
+	return false
+}
+
+// thin returns the part of the begun work that fits the grant.
+func (e *estimate) thin(d *share.Demand) ident.Fraction {
+	arriving := d.Offered * e.through
+	if arriving <= d.Grant*thinSlack {
+		return 1
+	}
+	return max(share.Floor, ident.Fraction(d.Grant*thinSlack/arriving))
+}
+
+// publish puts the fractions of a kind in force.
+func (k *kindState) publish(own, thin ident.Fraction, g *Gate, now time.Time) {
+	e := &k.est
+	// Upstream nodes learn a fraction about one window after it is published.
+	e.shown += (float64(k.own.load()) - e.shown) * 0.5
+	k.own.store(own)
+	k.thin.store(thin)
+	k.divideCallers(g.entry(k, now))
+}
+
+// divideCallers splits the fraction of a kind at the entry max-min fair over buckets of callers.
+func (k *kindState) divideCallers(f ident.Fraction) {
+	e := &k.est
+	var sum float64
+	busy := 0
+	for i := range e.callers {
+		n := k.callers[i].Load()
+		e.callers[i] += (float64(n-e.seen[i]) - e.callers[i]) * callerWeight
+		e.seen[i] = n
+		sum += e.callers[i]
+		if e.callers[i] > 0 {
+			busy++
+		}
+	}
+	if f >= 1 || busy < 2 {
+		if k.split.Load() != nil {
+			k.split.Store(nil)
+		}
+		return
+	}
+	c := &callerMap{whole: f}
+	level := share.Fill(float64(f)*sum, e.callers[:])
+	for i, want := range e.callers {
+		c.part[i] = 1
+		if want > level {
+			c.part[i] = ident.Fraction(level / want)
+		}
+	}
+	k.split.Store(c)
+}
--- a/pkg/share/share.go
+++ b/pkg/share/share.go
@@ -42,8 +42,8 @@
 }
 
 // Fill divides capacity max-min fair: nobody gets more than want, and what one leaves goes to the
-// others in equal parts. It returns the level, the most that anyone gets, and +Inf-free: when all
-// wants fit, the level is the largest want.
+// others in equal parts. It returns the level, which is the most that anyone gets; when all wants
+// fit, it is the largest of them.
 func Fill(capacity float64, want []float64) (level float64) {
 	var total, largest float64
 	for _, w := range want {
@@ -77,36 +77,51 @@
 	return level
 }
 
-// Divide sorts the demands by importance and sets Grant and Fraction of each for a server with the
-// given capacity in slots.
-func Divide(capacity float64, all []Demand) {
+// protectedSlack is the excess of demand over capacity at which protected kinds are not yet thinned.
+// Demand is measured over few calls at a small server; a chance excess is left to the queue.
+const protectedSlack = 1.1
+
+// Divide sorts the demands by importance and sets Grant and Fraction of each, for a server with the
+// given capacity in slots. The gain corrects the capacity for errors of the estimates. A gain below 1
+// applies only to the rank that does not fit, so that more important work is not thinned for it.
+func Divide(capacity, gain float64, all []Demand) {
 	slices.SortStableFunc(all, func(a, b Demand) int { return Compare(a.Kind, b.Kind) })
-	var want [64]float64
-	rest := max(capacity, 0)
+	var buf [64]float64
+	want := buf[:0]
+	used := 0.0
 	for len(all) > 0 {
 		n := 1
 		for n < len(all) && Compare(all[0].Kind, all[n].Kind) == 0 {
 			n++
 		}
-		rest = divideRank(rest, all[:n], want[:0])
+		used += divideRank(capacity, gain, used, all[:n], want)
 		all = all[n:]
 	}
 }
 
-// divideRank serves kinds of equal importance and returns the capacity that is left.
-func divideRank(capacity float64, all []Demand, want []float64) (rest float64) {
+// divideRank serves kinds of equal importance and returns what they are granted together.
+func divideRank(capacity, gain, used float64, all []Demand, want []float64) (granted float64) {
+	var sum float64
 	for _, d := range all {
 		want = append(want, min(d.Need, d.Offered))
+		sum += d.Offered
+	}
+	rest := capacity*max(gain, 1) - used
+	if all[0].Kind.Protected {
+		rest *= protectedSlack
+	}
+	if sum > rest {
+		rest = capacity*gain - used
 	}
-	level := Fill(capacity, want)
-	rest = capacity
+	rest = max(rest, 0)
+	level := Fill(rest, want)
 	for i := range all {
 		d := &all[i]
 		d.Grant = min(want[i], level)
-		rest -= d.Grant
-		d.Fraction = fraction(capacity, d, i, want, level)
+		d.Fraction = fraction(rest, d, i, want, level)
+		granted += d.Grant
 	}
-	return max(rest, 0)
+	return granted
 }
 
 // fraction returns what the kind could get with its whole demand while the others keep their need.
