--- a/pkg/admit/window.go
+++ b/pkg/admit/window.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"math"
 	"time"
 
 	"briarworks.example/briarworks/pkg/ident"
@@ -9,19 +10,21 @@
 )
 
 const (
-	costCalls    = 20                   // calls that give a measured cost half of the weight
-	demandCalls  = 40                   // arrivals that give a measured demand half of the weight
-	callerWeight = 0.3                  // of the last window in the demand of a bucket of callers
-	heldBelow    = 0.8                  // passed against advertised fraction below which another service is narrower
-	heldRoom     = 1.1                  // growth left to a kind that another service holds back
-	forget       = 0.9                  // expected time kept by a window without finished calls
-	usedTarget   = 0.99                 // part of the limit that should be in use under overload
-	queueTarget  = 5 * time.Millisecond // mean wait under overload
-	gainStep     = 0.3                  // gain per window; the loop's delay of about three windows allows 0.5
-	gainMin      = 0.9                  // a queue kept up by the least urgent work must not squeeze the rest
-	gainMax      = 2.0
-	gainFade     = 0.1  // return to 1 per window while another service is narrower
-	fullUse      = 0.95 // part of the limit in use that counts as full
+	costCalls     = 20                   // calls that give a measured cost half of the weight
+	demandCalls   = 40                   // arrivals that give a measured demand half of the weight
+	surprise      = 3                    // standard deviations of a count beyond which a demand has changed
+	surpriseCalls = 5                    // arrivals that give such a demand half of the weight
+	callerWeight  = 0.3                  // of the last window in the demand of a bucket of callers
+	heldBelow     = 0.8                  // passed against advertised fraction below which another service is narrower
+	heldRoom      = 1.1                  // growth left to a kind that another service holds back
+	forget        = 0.9                  // expected time kept by a window without finished calls
+	usedTarget    = 0.99                 // part of the limit that should be in use under overload
+	queueTarget   = 5 * time.Millisecond // mean wait under overload
+	gainStep      = 0.3                  // gain per window; the loop's delay of about three windows allows 0.5
+	gainMin       = 0.9                  // a queue kept up by the least urgent work must not squeeze the rest
+	gainMax       = 2.0
+	gainFade      = 0.1  // return to 1 per window while another service is narrower
+	fullUse       = 0.95 // part of the limit in use that counts as full
 )
 
 // estimate is what is known of one kind's demand, smoothed over windows.
@@ -143,6 +146,12 @@
 		return
 	}
 	weight := weigh / (weigh + demandCalls)
+	if seen > 0 {
+		// A change that chance does not explain is followed at once.
+		if chance := math.Sqrt(seen) * calls / seen; math.Abs(calls-e.rate*span) > surprise*chance {
+			weight = max(weight, seen/(seen+surpriseCalls))
+		}
+	}
 	e.rate += (calls/span - e.rate) * weight
 	if calls > 0 {
 		e.visible += (min(1, seen/calls) - e.visible) * weight
--- a/pkg/limit/limit.go
+++ b/pkg/limit/limit.go
@@ -94,7 +94,8 @@
 	retrial time.Duration
 
 	own  float64 // smoothed own time in seconds, 0 when unknown
-	base float64 // own time that is not held for overload, 0 when unknown
+	base float64 // own time that is not taken for crowding, 0 when unknown
+	calm int     // calls answered while the limit was not in full use
 
 	span float64 // length of the last window in seconds
 
@@ -129,7 +130,7 @@
 	slots := l.slots
 	l.reset(now)
 	l.held, l.knee, l.state = false, false, noTrial
-	l.own, l.base, l.coldLast = 0, 0, 0
+	l.own, l.base, l.coldLast, l.calm = 0, 0, 0, 0
 	l.coldNow = measure{}
 	l.cold = max(1, slots/coldShare)
 	l.coldNext = now.Add(coldStep)
@@ -196,6 +197,9 @@
 	if l.base == 0 || l.own < l.base {
 		l.base = l.own
 	}
+	if !s.Full {
+		l.calm = min(l.calm+s.Done, baseDone)
+	}
 	if l.retrial == 0 {
 		l.retrial = firstRetrial
 		l.due = now.Add(firstRetrial)
@@ -292,8 +296,9 @@
 	}
 }
 
-// consider begins a trial of lower concurrency when the limit is in full use, at once when own time
-// has risen and now and then otherwise.
+// consider begins a trial of lower concurrency when the limit is in full use and own time has risen.
+// Own time that was only ever seen at a full limit may be a crowded server's, so then there is a trial
+// now and then.
 func (l *Limiter) consider(s Sample, now time.Time) {
 	l.refer(s)
 	if l.cold == 0 && l.lowerDue(now) {
@@ -305,7 +310,7 @@
 	if !l.ref.enough() || l.limit <= 2 {
 		return false
 	}
-	return l.ref.ownTime() > risen*l.base || !l.knee && !now.Before(l.due)
+	return l.ref.ownTime() > risen*l.base || l.calm < baseDone && !l.knee && !now.Before(l.due)
 }
 
 func (l *Limiter) begin(t trial, step float64, now time.Time) {
