--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,7 +16,6 @@
 
 	"briarworks.example/briarworks/internal/admin"
 	"briarworks.example/briarworks/internal/applog"
-	"briarworks.example/briarworks/internal/flight"
 	"briarworks.example/briarworks/internal/front"
 	"briarworks.example/briarworks/internal/peer"
 	"briarworks.example/briarworks/internal/policy"
