--- a/pkg/retry/ratio.go
+++ b/pkg/retry/ratio.go
@@ -11,7 +11,7 @@
 	RatioPart     = 10               // one in this many calls may be a retry
 	RatioPerSec   = 1                // retries per second allowed in any case
 	ratioBuckets  = 16               // one per second; a power of two above the seconds of the window
-	ratioShards   = 8                // spreads counts over cache lines
+	ratioShards   = 4                // spreads counts over cache lines
 	ratioSeconds  = uint64(RatioWindow / time.Second)
 	ratioAlways   = ratioSeconds * RatioPerSec
 	countBits     = 32
@@ -71,24 +71,32 @@
 // Call counts a call that is no retry.
 func (r *Ratio) Call(now time.Time) {
 	// The nanoseconds differ between cores, which keeps them off each other's cache lines.
-	shard := uint64(now.Nanosecond()) * 0x9E3779B97F4A7C15 >> 61
+	shard := uint64(now.Nanosecond()) * 0x9E3779B97F4A7C15 >> 62
 	r.calls[shard].add(uint64(now.Unix()))
 }
 
 // Allow reports whether a retry may be made now and counts it if so.
 func (r *Ratio) Allow(now time.Time) bool {
 	sec := uint64(now.Unix())
-	// Counting first keeps the bound when several goroutines ask at once: they may all be refused,
-	// but never all allowed.
-	r.retries.add(sec)
-	retries := r.retries.sum(sec)
-	calls := retries
-	for i := range r.calls {
-		calls += r.calls[i].sum(sec)
+	if !r.within(sec, 1) {
+		return false
 	}
-	if retries*RatioPart <= calls+ratioAlways*RatioPart {
+	// Counting before the final check keeps the bound when several goroutines ask at once: they may
+	// all be refused, but never all allowed.
+	r.retries.add(sec)
+	if r.within(sec, 0) {
 		return true
 	}
 	r.retries.remove(sec)
 	return false
 }
+
+// within reports whether the retries counted and the given number of further ones are in the bound.
+func (r *Ratio) within(sec, more uint64) bool {
+	retries := r.retries.sum(sec) + more
+	calls := retries
+	for i := range r.calls {
+		calls += r.calls[i].sum(sec)
+	}
+	return retries*RatioPart <= calls+ratioAlways*RatioPart
+}
--- a/pkg/route/build.go
+++ b/pkg/route/build.go
@@ -1,80 +1,35 @@
 package route
 
 import (
-	"cmp"
-	"slices"
-
 	"github.com/cespare/xxhash/v2"
 
 	"briarworks.example/briarworks/pkg/fleet"
 	"briarworks.example/briarworks/pkg/ident"
 )
 
-// candidate is a server with its rendezvous weight for one node.
-type candidate struct {
-	member fleet.Member
-	weight uint64
-}
-
 // Build chooses the peers of the node self for a service and keeps the state of those that prev, if
 // not nil, already had in the same incarnation. The node's own server is never among them.
 func Build(self fleet.Member, t *fleet.Table, service ident.Service, prev *Set) *Set {
-	node := xxhash.Sum64String(string(self.Server))
-	near, far := candidates(self, node, t.Of(service))
-	nNear := min(len(near), max(NearPart, MaxPeers-len(far)), MaxPeers)
-	set := &Set{service: service, near: nNear, seed: mix(node)}
-	chosen := slices.Concat(near[:nNear], spread(far, MaxPeers-nNear))
-	for _, c := range chosen {
-		set.peers = append(set.peers, &Peer{Member: c.member, set: set, state: prev.stateOf(c.member)})
+	near, far := newPlan(t.Of(service)).choose(self, callers(self, t))
+	set := &Set{service: service, near: len(near), seed: mix(xxhash.Sum64String(string(self.Server)))}
+	for _, m := range append(near, far...) {
+		set.peers = append(set.peers, &Peer{Member: m, set: set, state: prev.stateOf(m)})
 	}
 	return set
 }
 
-// candidates returns the servers inside and outside the own data centre, the highest weight first.
-func candidates(self fleet.Member, node uint64, members []fleet.Member) (near, far []candidate) {
-	for _, m := range members {
+// callers returns the servers of self's service, self included, in the order that all nodes use.
+func callers(self fleet.Member, t *fleet.Table) []fleet.Member {
+	all := t.Of(self.Service)
+	for i, m := range all {
 		if m.Server == self.Server {
-			continue
+			return all
 		}
-		c := candidate{member: m, weight: mix(xxhash.Sum64String(string(m.Server)) ^ mix(node))}
-		if m.DataCentre == self.DataCentre {
-			near = append(near, c)
-		} else {
-			far = append(far, c)
-		}
-	}
-	slices.SortFunc(near, byWeight)
-	slices.SortFunc(far, byWeight)
-	return near, far
-}
-
-func byWeight(a, b candidate) int {
-	return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.member.Server, b.member.Server))
-}
-
-// spread takes n of the candidates, from each data centre its share by number of servers rounded
-// down, and the rest at most one more from each. Equal numbers from data centres of unequal size
-// would load the servers of the small ones with many times the callers of the others.
-func spread(far []candidate, n int) (chosen []candidate) {
-	n = min(n, len(far))
-	size := make(map[ident.DataCentre]int)
-	for _, c := range far {
-		size[c.member.DataCentre]++
-	}
-	taken := make(map[ident.DataCentre]int)
-	used := make([]bool, len(far))
-	for _, extra := range [...]int{0, 1, n} {
-		for i, c := range far {
-			dc := c.member.DataCentre
-			if used[i] || len(chosen) == n || taken[dc] >= n*size[dc]/len(far)+extra {
-				continue
-			}
-			used[i] = true
-			taken[dc]++
-			chosen = append(chosen, c)
+		if m.Server > self.Server {
+			return append(append(all[:i:i], self), all[i:]...)
 		}
 	}
-	return chosen
+	return append(all[:len(all):len(all)], self)
 }
 
 func (s *Set) stateOf(m fleet.Member) *state {
--- a/pkg/route/peer.go
+++ b/pkg/route/peer.go
@@ -99,7 +99,10 @@
 		s.room.Add(1)
 	} else {
 		s.room.Store(int32(fb.Free))
-		s.reported.Store(t)
+		// Fewer writes let other cores keep the cache line for reading.
+		if t-s.reported.Load() > int64(ReportAge)/100 || t < s.reported.Load() {
+			s.reported.Store(t)
+		}
 	}
 	if s.beforeReturn(fb.Latency, t) {
 		return
@@ -158,7 +161,9 @@
 	default:
 		next = old + (min(next, latencyClip*old)-old)/latencyShare
 	}
-	s.latency.Store(next)
+	if next != old {
+		s.latency.Store(next)
+	}
 }
 
 // slow reports whether the peer's latency stands out among its siblings. A server whose work hangs
@@ -196,9 +201,9 @@
 	s.latency.Store(0)
 }
 
-// heldBack reports whether a peer is held back during its gradual return; share is uniform over all
-// 64-bit values.
-func (s *state) heldBack(t int64, share uint64) bool {
+// heldBack reports whether a peer is left out of a call during its gradual return; rnd is uniform
+// over all 64-bit values.
+func (s *state) heldBack(t int64, rnd uint64) bool {
 	until := s.until.Load()
 	since := t - until
 	if until == 0 || since < 0 || since >= int64(RampTime) {
@@ -206,7 +211,8 @@
 	}
 	// The ramp begins above zero, or a peer with little traffic would get its trial late.
 	const first = int64(RampTime) / 20
-	at, _ := bits.Mul64(share, uint64(RampTime))
+	// The draw differs from that of the choice of two and from that of other peers.
+	at, _ := bits.Mul64(mix(rnd^uint64(until)), uint64(RampTime))
 	return int64(at) >= max(since, first)
 }
 
--- /dev/null
+++ b/pkg/route/route_test.go
@@ -0,0 +1,459 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"briarworks.example/briarworks/pkg/fleet"
+	"briarworks.example/briarworks/pkg/ident"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+const (
+	designServers  = 960
+	designServices = 27
+	designCentres  = 8
+)
+
+func serviceName(i int) ident.Service { return ident.Service(fmt.Sprintf("service%02d", i)) }
+
+// member places servers evenly: the servers of a service follow each other over the data centres.
+func member(i int) fleet.Member {
+	return fleet.Member{
+		Server:      ident.Server(fmt.Sprintf("server%03d", i)),
+		Service:     serviceName(i % designServices),
+		DataCentre:  ident.DataCentre(fmt.Sprintf("dc%d", i/designServices%designCentres)),
+		Incarnation: 1,
+		Slots:       40,
+		Announced:   start,
+	}
+}
+
+func designFleet() (s fleet.State) {
+	for i := range designServers {
+		s.Apply(member(i), start)
+	}
+	return s
+}
+
+// smallFleet has one service with the given number of servers in each data centre.
+func smallFleet(sizes ...int) *fleet.Table {
+	var s fleet.State
+	n := 0
+	for dc, size := range sizes {
+		for range size {
+			m := member(n)
+			m.Service, m.DataCentre = "ledger", ident.DataCentre(fmt.Sprintf("dc%d", dc))
+			s.Apply(m, start)
+			n++
+		}
+	}
+	return s.Table()
+}
+
+func smallSet(sizes ...int) *Set {
+	return Build(fleet.Member{Server: "self", DataCentre: "dc0"}, smallFleet(sizes...), "ledger", nil)
+}
+
+// Guards against sets that grow with the fleet or leave the data centre without need.
+func TestBuild(t *testing.T) {
+	tests := map[string]struct {
+		sizes     []int // servers by data centre; the node is in the first
+		near, far int
+		spread    int // most peers in one other data centre
+	}{
+		"empty":                       {nil, 0, 0, 0},
+		"few servers":                 {[]int{3, 3, 3}, 3, 6, 3},
+		"twelve servers":              {[]int{1, 11}, 1, 11, 11},
+		"many everywhere":             {[]int{20, 20, 20, 20, 20}, 8, 4, 1},
+		"few in the own data centre":  {[]int{2, 20, 20}, 2, 10, 5},
+		"none in the own data centre": {[]int{0, 20, 20, 20}, 0, 12, 4},
+		"few elsewhere":               {[]int{20, 1}, 11, 1, 1},
+		"only the own data centre":    {[]int{20}, 12, 0, 0},
+		"five at design size":         {[]int{5, 5, 5, 5, 5, 4, 4, 4}, 5, 7, 1},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := smallSet(tc.sizes...)
+			byCentre := make(map[ident.DataCentre]int)
+			for _, p := range s.Peers()[s.Near():] {
+				byCentre[p.Member.DataCentre]++
+			}
+			most := 0
+			for _, n := range byCentre {
+				most = max(most, n)
+			}
+			if got, want := [...]int{s.Near(), len(s.Peers()) - s.Near(), most}, [...]int{tc.near, tc.far, tc.spread}; got != want {
+				t.Errorf("near, far, most in one data centre: got %v, want %v", got, want)
+			}
+		})
+	}
+}
+
+// Guards against servers that receive far more callers than others.
+func TestSpread(t *testing.T) {
+	s := designFleet()
+	table := s.Table()
+	uneven := unevenFleet()
+	tests := map[string]struct {
+		table *fleet.Table
+		calls func(from, to int) bool // whether servers of one service call another
+	}{
+		"every node calls every service": {table, func(int, int) bool { return true }},
+		"a chain of services":            {table, func(from, to int) bool { return to == from+1 }},
+		"uneven data centres":            {uneven, func(int, int) bool { return true }},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			worst := 0.0
+			for to := range designServices {
+				worst = max(worst, maxToMean(tc.table, to, tc.calls))
+			}
+			t.Logf("largest max/mean of callers per server: %.2f", worst)
+			if worst > 1.6 {
+				t.Errorf("max/mean of callers per server: got %.2f, want at most 1.6", worst)
+			}
+		})
+	}
+}
+
+// unevenFleet places a quarter of each service in one data centre and few servers in another.
+func unevenFleet() *fleet.Table {
+	var s fleet.State
+	rnd := rand.New(rand.NewPCG(1, 2))
+	for i := range designServers {
+		m := member(i)
+		m.DataCentre = ident.DataCentre(fmt.Sprintf("dc%d", int(float64(designCentres)*rnd.Float64()*rnd.Float64())))
+		s.Apply(m, start)
+	}
+	return s.Table()
+}
+
+func maxToMean(table *fleet.Table, to int, calls func(from, to int) bool) float64 {
+	callers := make(map[ident.Server]int)
+	total, most := 0, 0
+	for from := range designServices {
+		if !calls(from, to) {
+			continue
+		}
+		for _, self := range table.Of(serviceName(from)) {
+			for _, p := range Build(self, table, serviceName(to), nil).Peers() {
+				callers[p.Member.Server]++
+				total++
+				most = max(most, callers[p.Member.Server])
+			}
+		}
+	}
+	if total == 0 {
+		return 0
+	}
+	return float64(most) * float64(len(table.Of(serviceName(to)))) / float64(total)
+}
+
+// Guards against a change of one server that replaces connections all over the fleet.
+func TestStability(t *testing.T) {
+	tests := map[string]func(s *fleet.State){
+		"a server leaves": func(s *fleet.State) { s.Leave(member(27).Server, 1, start) },
+		"a server joins":  func(s *fleet.State) { m := member(designServers); m.Service = serviceName(0); s.Apply(m, start) },
+		"a server restarts": func(s *fleet.State) {
+			m := member(27)
+			m.Incarnation++
+			s.Apply(m, start)
+		},
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := designFleet()
+			before := s.Table()
+			change(&s)
+			after := s.Table()
+			replaced, kept := 0, 0
+			for _, self := range before.All() {
+				old := Build(self, before, serviceName(0), nil)
+				for _, p := range Build(self, after, serviceName(0), old).Peers() {
+					q, found := old.Peer(p.Member.Server)
+					switch {
+					case !found:
+						replaced++
+					case q.state == p.state:
+						kept++
+					}
+				}
+			}
+			// The changed server is in a third of the sets; each should replace about that one peer.
+			t.Logf("replaced %d peers in %d sets, kept the state of %d", replaced, designServers, kept)
+			if got, most := replaced, designServers/2; got > most {
+				t.Errorf("replaced peers: got %d, want at most %d", got, most)
+			}
+			if got, least := kept, designServers*(MaxPeers-1); got < least {
+				t.Errorf("kept peers: got %d, want at least %d", got, least)
+			}
+		})
+	}
+}
+
+// finish makes n calls to a peer, one after the other.
+func finish(p *Peer, n int, fb Feedback, now time.Time) {
+	for range n {
+		p.Start()
+		p.Finish(fb, now)
+	}
+}
+
+// Guards against bad servers that stay in use and against sound ones that are ejected.
+func TestEject(t *testing.T) {
+	sound := Feedback{Free: 10, Latency: 10 * time.Millisecond}
+	slow := Feedback{Free: 10, Latency: 600 * time.Millisecond}
+	failed := Feedback{Failed: true}
+	full := Feedback{Free: 0}
+	tests := map[string]struct {
+		run  func(p *Peer)
+		want bool
+	}{
+		"two failures in a row":   {func(p *Peer) { finish(p, 2, failed, start) }, false},
+		"three failures in a row": {func(p *Peer) { finish(p, 3, failed, start) }, true},
+		"refusals for load":       {func(p *Peer) { finish(p, 100, full, start) }, false},
+		"half of the calls fail": {func(p *Peer) {
+			for range 20 {
+				finish(p, 1, failed, start)
+				finish(p, 1, sound, start)
+			}
+		}, false},
+		"two thirds of the calls fail": {func(p *Peer) {
+			for range 20 {
+				finish(p, 2, failed, start)
+				finish(p, 1, sound, start)
+			}
+		}, true},
+		"much slower than the others": {func(p *Peer) { finish(p, 2*SlowSamples, slow, start) }, true},
+		"one slow call in five": {func(p *Peer) {
+			for range 20 {
+				finish(p, 1, slow, start)
+				finish(p, 4, sound, start)
+			}
+		}, false},
+		"becomes slow": {func(p *Peer) { finish(p, 50, sound, start); finish(p, 15, slow, start) }, true},
+		"slower, but not slow": {func(p *Peer) {
+			finish(p, 50, Feedback{Free: 10, Latency: 90 * time.Millisecond}, start)
+		}, false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := smallSet(3, 3)
+			for _, p := range s.Peers()[1:] {
+				finish(p, 2*SlowSamples, sound, start)
+			}
+			tc.run(s.Peers()[0])
+			if got := s.Peers()[0].Ejected(start); got != tc.want {
+				t.Errorf("ejected: got %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
+
+// Guards against a common fault, such as a lost data centre, that ejects the peers which still work,
+// also when members change and while calls finish in parallel.
+func TestEjectShare(t *testing.T) {
+	tests := map[string]struct {
+		sizes []int
+		most  int // ejected peers
+	}{
+		"one peer":         {[]int{1}, 0},
+		"two peers":        {[]int{1, 1}, 1},
+		"five peers":       {[]int{3, 2}, 1},
+		"six peers":        {[]int{3, 3}, 2},
+		"twelve peers":     {[]int{4, 4, 4}, 4},
+		"many more remain": {[]int{40, 40, 40}, 4},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := smallSet(tc.sizes...)
+			var wg sync.WaitGroup
+			for _, p := range s.Peers() {
+				wg.Go(func() { finish(p, 20, Feedback{Failed: true}, start) })
+			}
+			wg.Wait()
+			if got, least := len(picked(s, start)), len(s.Peers())-tc.most; got < least {
+				t.Errorf("peers in use: got %d, want at least %d", got, least)
+			}
+			shrunk := Build(fleet.Member{Server: "self", DataCentre: "dc0"}, smallFleet(1, 1), "ledger", s)
+			if got := len(picked(shrunk, start)); got == 0 {
+				t.Error("peers in use after the set shrank: got 0")
+			}
+		})
+	}
+}
+
+// picked returns the servers that some calls go to; every peer has the same room.
+func picked(s *Set, now time.Time) map[ident.Server]int {
+	rnd := rand.New(rand.NewPCG(1, 2))
+	n := make(map[ident.Server]int)
+	for _, q := range s.peers {
+		q.state.room.Store(0)
+		q.state.reported.Store(now.UnixNano())
+	}
+	for range 2000 {
+		if p, found := s.Pick(now, Avoid{}, rnd.Uint64()); found {
+			n[p.Member.Server]++
+		}
+	}
+	return n
+}
+
+// Guards against ejections that never end or do not grow, against late failures that count twice,
+// and against a returning peer that gets its full share at once.
+func TestReturn(t *testing.T) {
+	s := smallSet(6)
+	p := s.Peers()[0]
+	now := start
+	for i := range 8 {
+		finish(p, 3, Feedback{Failed: true}, now)
+		late := Feedback{Failed: true, Latency: time.Minute}
+		finish(p, 3, late, now.Add(time.Millisecond))
+		length := time.Duration(p.state.until.Load() - now.UnixNano())
+		want := min(EjectFirst<<i, EjectLongest)
+		if length < want || length > want+want/jitterPart {
+			t.Errorf("ejection %d: got %v, want %v and up to a quarter more", i, length, want)
+		}
+		now = now.Add(length)
+		if p.Ejected(now) {
+			t.Fatalf("ejected at the end of ejection %d", i)
+		}
+		finish(p, 3, late, now)
+		if p.Ejected(now) {
+			t.Fatalf("ejected by calls from before ejection %d ended", i)
+		}
+	}
+	share := func(after time.Duration) float64 {
+		return float64(picked(s, now.Add(after))[p.Member.Server]) / 2000
+	}
+	even := 1.0 / 6
+	for after, want := range map[time.Duration]float64{0: 0.05 * even, RampTime / 2: even / 2, RampTime: even} {
+		// While some draws hold the peer back the others have a little more, hence the tolerance.
+		if got := share(after); got < want/2-0.01 || got > want*1.3+0.01 {
+			t.Errorf("share of calls %v after the return: got %.3f, want about %.3f", after, got, want)
+		}
+	}
+	now = now.Add(2 * EjectLongest)
+	finish(p, 1, Feedback{Free: 1}, now)
+	finish(p, 3, Feedback{Failed: true}, now)
+	if got := time.Duration(p.state.until.Load() - now.UnixNano()); got > 2*EjectFirst {
+		t.Errorf("ejection after a long sound time: got %v, want about %v", got, EjectFirst)
+	}
+	if p.Ejected(now.Add(-time.Hour)) {
+		t.Error("ejected for an hour after the clock was set back")
+	}
+}
+
+// Guards against calls to servers that are full, elsewhere or known to fail while a better one is there.
+func TestPick(t *testing.T) {
+	all := []int{0, 1, 2, 3}
+	tests := map[string]struct {
+		rooms [4]int32 // the first two peers are in the own data centre
+		avoid []int
+		age   time.Duration // of the reports
+		want  []int         // peers that calls go to
+	}{
+		"room everywhere":                  {[4]int32{5, 5, 9, 9}, nil, 0, []int{0, 1}},
+		"better of two":                    {[4]int32{5, 6, 9, 9}, nil, 0, []int{1}},
+		"one full":                         {[4]int32{0, 1, 9, 9}, nil, 0, []int{1}},
+		"own data centre full":             {[4]int32{0, -3, 9, 9}, nil, 0, []int{2, 3}},
+		"all full":                         {[4]int32{0, 0, 0, 0}, nil, 0, all},
+		"all full, one less":               {[4]int32{-9, -9, -9, -8}, nil, 0, all},
+		"old reports of no room":           {[4]int32{0, 0, 9, 9}, nil, ReportAge + 1, []int{0, 1}},
+		"one to avoid":                     {[4]int32{5, 5, 9, 9}, []int{1}, 0, []int{0}},
+		"own data centre to avoid":         {[4]int32{5, 5, 9, 9}, []int{0, 1}, 0, []int{2, 3}},
+		"all to avoid":                     {[4]int32{5, 5, 9, 9}, all, 0, nil},
+		"avoid a full list of other names": {[4]int32{5, 5, 9, 9}, []int{9, 9, 9, 9, 9, 9, 9, 9, 1}, 0, []int{0}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := smallSet(2, 2)
+			for i, p := range s.Peers() {
+				p.state.room.Store(tc.rooms[i])
+				p.state.reported.Store(start.Add(-tc.age).UnixNano())
+			}
+			var avoid Avoid
+			for _, i := range tc.avoid {
+				if i < len(s.Peers()) {
+					avoid.Add(s.Peers()[i].Member.Server)
+				} else {
+					avoid.Add("other")
+				}
+			}
+			rnd := rand.New(rand.NewPCG(1, 2))
+			got := make(map[*Peer]bool)
+			for range 200 {
+				if p, found := s.Pick(start, avoid, rnd.Uint64()); found {
+					got[p] = true
+				}
+			}
+			if len(got) != len(tc.want) {
+				t.Errorf("peers picked: got %d, want %d", len(got), len(tc.want))
+			}
+			for _, i := range tc.want {
+				if !got[s.Peers()[i]] {
+					t.Errorf("peer %d was not picked", i)
+				}
+			}
+		})
+	}
+}
+
+// Guards against calls that crowd onto one peer between two answers.
+func TestStart(t *testing.T) {
+	s := smallSet(2)
+	rnd := rand.New(rand.NewPCG(1, 2))
+	for _, p := range s.Peers() {
+		finish(p, 1, Feedback{Free: 10}, start)
+	}
+	for range 20 {
+		p, _ := s.Pick(start, Avoid{}, rnd.Uint64())
+		p.Start()
+	}
+	for i, p := range s.Peers() {
+		if got, want := p.InFlight(), 10; got != want {
+			t.Errorf("calls in flight at peer %d: got %d, want %d", i, got, want)
+		}
+		p.Finish(Feedback{Free: NoReport}, start)
+		if got, want := p.state.room.Load(), int32(1); got != want {
+			t.Errorf("room at peer %d: got %d, want %d", i, got, want)
+		}
+	}
+}
+
+func BenchmarkCall(b *testing.B) {
+	f := designFleet()
+	s := Build(member(0), f.Table(), serviceName(1), nil)
+	tests := map[string]func(rnd uint64, now time.Time){
+		"Pick": func(rnd uint64, now time.Time) { s.Pick(now, Avoid{}, rnd) },
+		"PickStartFinish": func(rnd uint64, now time.Time) {
+			p, _ := s.Pick(now, Avoid{}, rnd)
+			p.Start()
+			p.Finish(Feedback{Free: 20, Latency: time.Duration(rnd>>40) * time.Nanosecond}, now)
+		},
+	}
+	for name, run := range tests {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					run(rand.Uint64(), time.Now())
+				}
+			})
+		})
+	}
+}
+
+func BenchmarkBuild(b *testing.B) {
+	f := designFleet()
+	table := f.Table()
+	b.ReportAllocs()
+	for b.Loop() {
+		Build(member(0), table, serviceName(1), nil)
+	}
+}
--- a/pkg/route/set.go
+++ b/pkg/route/set.go
@@ -1,7 +1,6 @@
 package route
 
 import (
-	"math/bits"
 	"slices"
 	"time"
 
@@ -123,7 +122,7 @@
 		}
 		room := p.state.roomAt(t)
 		switch {
-		case p.state.heldBack(t, bits.RotateLeft64(mix(rnd), 5*i)):
+		case p.state.heldBack(t, rnd):
 			held.add(i, room)
 		case room <= 0:
 			full.add(i, room)
