--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -136,12 +136,12 @@
 	p.Roster.Changed = n.news
 	p.Policy.Changed = n.onConfig
 	n.members = newStream(p.Client, applog.Members, n.onMember)
-	cr := &configReader{node: n}
+	cr := &configReader{policy: p.Policy}
 	n.config = newStream(p.Client, applog.Config, cr.handle)
-	n.config.tail.Trimmed = p.Policy.Trimmed
+	n.config.tail.Trimmed = cr.trimmed
 	caught := n.config.tail.Caught
 	n.config.tail.Caught = func(next ident.Offset) {
-		cr.flush()
+		cr.caught(next)
 		caught(next)
 	}
 	return n
--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"briarworks.example/briarworks/internal/applog"
+	"briarworks.example/briarworks/internal/policy"
 	"briarworks.example/briarworks/internal/record"
 	"briarworks.example/briarworks/pkg/ident"
 	"briarworks.example/briarworks/pkg/order"
@@ -55,15 +56,18 @@
 
 // onMember joins one record of the members stream.
 func (n *Node) onMember(e applog.Entry) {
-	if m, ok := record.Member(e.Record); ok {
+	if m, ok := record.ToMember(e.Record); ok {
 		n.Roster.Apply(time.Now(), m)
 	}
 }
 
-// configReader collects the records of one offset, which the fold of configurations takes together.
+// configReader gives the fold of configurations every offset of its stream, with the records of one
+// offset together. Offsets without a record of the fold (repeated or undecodable ones) are read as
+// empty, because the fold takes a skipped offset as trimmed.
 type configReader struct {
-	node    *Node
-	at      ident.Offset
+	policy  *policy.Policy
+	next    ident.Offset // first offset that was not given to the fold
+	at      ident.Offset // offset of records
 	records []order.Record
 }
 
@@ -72,16 +76,39 @@
 		c.flush()
 	}
 	c.at = e.Offset
-	c.records = append(c.records, record.Order(e.Record))
+	if o, ok := record.ToOrder(e.Record); ok {
+		c.records = append(c.records, o)
+	}
 }
 
+// flush hands over the records collected so far.
 func (c *configReader) flush() {
-	if len(c.records) > 0 {
-		c.node.Policy.Read(c.at, c.records...)
-		c.records = nil
+	if len(c.records) == 0 {
+		return
+	}
+	c.fill(c.at)
+	c.policy.Read(c.at, c.records...)
+	c.next, c.records = c.at+1, nil
+}
+
+// fill reads the offsets before end as empty.
+func (c *configReader) fill(end ident.Offset) {
+	for ; c.next < end; c.next++ {
+		c.policy.Read(c.next)
 	}
 }
 
+func (c *configReader) caught(next ident.Offset) {
+	c.flush()
+	c.fill(next)
+}
+
+func (c *configReader) trimmed(first ident.Offset) {
+	c.flush()
+	c.next = max(c.next, first)
+	c.policy.Trimmed(first)
+}
+
 // announce tells the fleet of this server at the start and again before its record expires. The start
 // is spread over the members that are known, so that a fleet that starts at once stays within what the
 // log takes.
@@ -111,7 +138,7 @@
 	now := time.Now()
 	m := n.Self
 	m.Announced = now
-	_, err := n.members.writer.Append(ctx, record.Announce(ident.RecordID(random()), m, now))
+	_, err := n.members.writer.Append(ctx, record.FromMember(m))
 	if err != nil {
 		n.Log.Warn("announceFailed", zap.Error(err))
 		return false
@@ -125,9 +152,11 @@
 func (n *Node) leave(ctx context.Context) {
 	now := time.Now()
 	n.Roster.Leave(n.Self.Server, n.Self.Incarnation, now)
+	m := n.Self
+	m.Left, m.Announced = true, now
 	short, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
-	_, err := n.members.writer.Append(short, record.Leave(ident.RecordID(random()), n.Self, now))
+	_, err := n.members.writer.Append(short, record.FromMember(m))
 	if err != nil {
 		n.Log.Warn("leaveNotWritten", zap.Error(err))
 	}
@@ -142,7 +171,7 @@
 			return
 		}
 		chance = ident.Fraction(mrand.Float64())
-		if _, err := n.config.writer.Append(ctx, record.Carry(ident.RecordID(random()), c)); err != nil {
+		if _, err := n.config.writer.Append(ctx, record.FromOrder(order.Record{Carry: &c})); err != nil {
 			n.Log.Warn("carryNotWritten", zap.Error(err))
 		}
 	})
