--- /dev/null
+++ b/scripts/fleet.sh
@@ -0,0 +1,81 @@
+# Functions to run a small Tokachi fleet on loopback; sourced by other scripts. Every process that is
+# started here is stopped here, by its id.
+base=${BASE_PORT:-21000}
+out=${OUT:-out/demo}
+pids=()
+names=()
+services=(calendar calendar calendar ledger ledger ledger dispatch dispatch dispatch dispatch sorting sorting sorting)
+centres=(obihiro sapporo asahikawa obihiro sapporo asahikawa obihiro sapporo asahikawa obihiro obihiro sapporo asahikawa)
+log_address=127.0.0.1:$base
+log_url=http://$log_address
+
+callers_port() { echo $((base + 100 + $1)); }
+local_port() { echo $((base + 200 + $1)); }
+peers_port() { echo $((base + 300 + $1)); }
+operator_port() { echo $((base + 400 + $1)); }
+server_port() { echo $((base + 500 + $1)); }
+
+# spawn NAME COMMAND...: starts a process and remembers its id under the name.
+spawn() {
+	local name=$1
+	shift
+	"$@" >"$out/$name.out" 2>"$out/$name.err" &
+	pids+=($!)
+	names+=("$name")
+}
+
+pid_of() {
+	local i
+	for i in "${!names[@]}"; do
+		[ "${names[$i]}" = "$1" ] && echo "${pids[$i]}"
+	done | tail -n 1
+}
+
+# stop_all ends what is still running and waits for it.
+stop_all() {
+	local p
+	for p in "${pids[@]}"; do kill -CONT "$p" 2>/dev/null; kill -TERM "$p" 2>/dev/null; done
+	for p in "${pids[@]}"; do wait "$p" 2>/dev/null; done
+	return 0
+}
+
+start_log() {
+	spawn log bin/briarfake log --listen "$log_address"
+}
+
+# start_server I: the backend server number I.
+start_server() {
+	local i=$1 service=${services[$1]} slots=130 work=4ms
+	case $service in
+	dispatch) slots=100 ;;
+	sorting) slots=20 work=100ms ;;
+	esac
+	local calls=()
+	case $service in
+	calendar) calls=(--call /route-sheets=dispatch --call /credit-claims=ledger --call /collection-runs=ledger --call /schedules=dispatch --call /guides=sorting) ;;
+	ledger) calls=(--call /collection-runs=dispatch) ;;
+	dispatch) calls=(--call /collection-runs=sorting) ;;
+	esac
+	spawn "server$i" bin/briarfake server --listen "127.0.0.1:$(server_port "$i")" --service "$service" \
+		--node "http://127.0.0.1:$(local_port "$i")" --slots $slots --work $work "${calls[@]}"
+}
+
+# start_node I: the node beside server number I.
+start_node() {
+	local i=$1
+	cat >"$out/node$i.yaml" <<-EOF
+	server: ${services[$i]}-$i
+	service: ${services[$i]}
+	dataCentre: ${centres[$i]}
+	listen:
+	  callers: 127.0.0.1:$(callers_port "$i")
+	  local: 127.0.0.1:$(local_port "$i")
+	  peers: 127.0.0.1:$(peers_port "$i")
+	  operator: 127.0.0.1:$(operator_port "$i")
+	backend: 127.0.0.1:$(server_port "$i")
+	log:
+	  address: $log_address
+	stopTimeout: 10s
+	EOF
+	spawn "node$i" bin/briarworks node --settings "$out/node$i.yaml"
+}
