--- a/internal/fakes/log.go
+++ b/internal/fakes/log.go
@@ -44,6 +44,7 @@
 	Down       bool     `json:"down"`       // answers 503 to appends and reads
 	Refuse     bool     `json:"refuse"`     // closes connections without an answer and without a write
 	Slow       Duration `json:"slow"`       // delays every append and read
+	SlowAppend Duration `json:"slowAppend"` // delays every append further
 	LoseNext   int      `json:"loseNext"`   // closes the connection after the write for the next appends
 	LoseShare  float64  `json:"loseShare"`  // probability of a lost answer after the write
 	AppendRate float64  `json:"appendRate"` // appends per second over all streams, 429 over it; 0 has no limit
@@ -194,7 +195,7 @@
 		return
 	}
 	// The delay does not end with the client: an append can take effect after its client gave up.
-	slow := l.delay()
+	slow := l.delay(true)
 	if slow > 0 {
 		<-time.After(min(slow, l.Expiry))
 	}
@@ -306,7 +307,7 @@
 		return
 	}
 	wait := min(time.Duration(waitMs)*time.Millisecond, maxPoll)
-	if slow := l.delay(); slow > 0 {
+	if slow := l.delay(false); slow > 0 {
 		select {
 		case <-time.After(slow):
 		case <-r.Context().Done():
@@ -361,9 +362,12 @@
 	return p
 }
 
-func (l *Log) delay() time.Duration {
+func (l *Log) delay(toAppend bool) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if toAppend {
+		return time.Duration(l.faults.Slow + l.faults.SlowAppend)
+	}
 	return time.Duration(l.faults.Slow)
 }
 
