--- /dev/null
+++ b/pkg/audit/audit_test.go
@@ -0,0 +1,290 @@
+package audit
+
+import (
+	"flag"
+	"os"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/reason"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// TestMain fixes the seed of the property tests.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// Guards against refusals that are lost, counted twice or numbered twice when entries are merged and
+// appends fail, and against a ledger that outgrows its bound.
+func TestConservation(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := ident.Bytes(rapid.SampledFrom([]int{64 << 10, 256 << 10, 1 << 20}).Draw(t, "limit"))
+		l := &Ledger{Server: "s", Incarnation: 1, Limit: limit}
+		var r Reader
+		now, noted, byReason := start, 0, map[reason.Refusal]uint64{}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0:
+				now = now.Add(time.Duration(rapid.IntRange(0, 90).Draw(t, "seconds")) * time.Second)
+			case 1:
+				if b, ok := l.Cut(now); ok {
+					if rapid.Bool().Draw(t, "written") {
+						l.Written()
+						r.Batch(b)
+					} else {
+						l.Restore()
+					}
+				}
+			default:
+				n := rapid.IntRange(1, 400).Draw(t, "refusals")
+				callers := rapid.IntRange(1, 1000).Draw(t, "callers")
+				guarded := rapid.Bool().Draw(t, "protected")
+				why := rapid.SampledFrom(reason.Refusals()).Draw(t, "reason")
+				kind := ident.Kind("guide")
+				if guarded {
+					kind = "claim"
+				}
+				for i := range n {
+					noted++
+					seq := l.Note(Entry{
+						Caller: ident.Caller(strconv.Itoa(i % callers)), Key: ident.Key(strconv.Itoa(noted)),
+						Kind: kind, Protected: guarded, Reason: why, Outcome: reason.NotRun,
+					}, now)
+					if seq != ident.Seq(noted) {
+						t.Fatalf("number: got %d, want %d", seq, noted)
+					}
+				}
+				byReason[why] += uint64(n)
+			}
+			if got := l.Size(); got > limit {
+				t.Fatalf("memory: got %d, want at most %d", got, limit)
+			}
+		}
+		for b, ok := l.Flush(now); ok; b, ok = l.Flush(now) {
+			if !b.Sound() {
+				t.Fatalf("batch %d-%d: got counts that do not add up", b.First, b.Last)
+			}
+			l.Written()
+			r.Batch(b)
+		}
+		r.Open(Open{"s", 1}, start)
+		r.Close(Close{"s", 1, l.Seq()}, now)
+		if got := r.Gaps(); len(got) != 0 {
+			t.Fatalf("gaps: got %v, want none", got)
+		}
+		got := map[reason.Refusal]uint64{}
+		for _, total := range r.Totals(Filter{}) {
+			got[total.Reason] += total.Count
+		}
+		for why, want := range byReason {
+			if got[why] != want {
+				t.Fatalf("refusals for %v: got %d, want %d", why, got[why], want)
+			}
+		}
+	})
+}
+
+// Guards against giving up the single entries of protected kinds while those of a flood could be
+// merged instead.
+func TestProtectedLast(t *testing.T) {
+	l := &Ledger{Server: "s", Incarnation: 1}
+	const claims = 5000
+	for i := range 100_000 {
+		l.Note(Entry{Caller: ident.Caller(strconv.Itoa(i)), Key: ident.Key(strconv.Itoa(i)), Kind: "guide", Reason: reason.Overload}, start)
+		if i < claims {
+			l.Note(Entry{Caller: "c", Key: ident.Key("claim" + strconv.Itoa(i)), Kind: "claim", Protected: true, Reason: reason.Overload}, start)
+		}
+	}
+	if got, most := l.Size(), DefaultLimit; got > most {
+		t.Errorf("memory: got %d, want at most %d", got, most)
+	}
+	var r Reader
+	for b, ok := l.Flush(start); ok; b, ok = l.Flush(start) {
+		l.Written()
+		r.Batch(b)
+	}
+	singles := 0
+	for _, it := range r.Items(Filter{Kind: "claim"}) {
+		if it.Count == 1 && it.Key != "" {
+			singles++
+		}
+	}
+	if singles != claims {
+		t.Errorf("single entries of the protected kind: got %d, want %d", singles, claims)
+	}
+	if got, want := r.Totals(Filter{}), []Total{{"guide", reason.Overload, 100_000}, {"claim", reason.Overload, claims}}; !slices.Equal(got, want) {
+		t.Errorf("totals: got %v, want %v", got, want)
+	}
+}
+
+func part(first, last ident.Seq, at time.Time) Batch {
+	return Batch{Server: "s", Incarnation: 1, First: first, Last: last, Entries: []Entry{
+		{Caller: "c", Kind: "claim", Reason: reason.Overload, Count: uint64(last-first) + 1, First: at, Last: at},
+	}}
+}
+
+// Guards against a loss that the reader does not show, and against a gap where nothing is missing.
+func TestGaps(t *testing.T) {
+	end := start.Add(time.Hour)
+	tests := map[string]struct {
+		fold func(*Reader)
+		want []Gap
+	}{
+		"complete": {func(r *Reader) {
+			r.Open(Open{"s", 1}, start)
+			r.Batch(part(1, 3, start))
+			r.Batch(part(1, 3, start))
+			r.Close(Close{"s", 1, 3}, end)
+		}, nil},
+		"batch lost": {func(r *Reader) {
+			r.Open(Open{"s", 1}, start)
+			r.Batch(part(6, 9, end))
+			r.Batch(part(1, 3, start))
+			r.Close(Close{"s", 1, 9}, end)
+		}, []Gap{{Server: "s", Incarnation: 1, First: 4, Last: 5, After: start, Before: end, Ended: true}}},
+		"killed, seen by a peer": {func(r *Reader) {
+			r.Open(Open{"s", 1}, start)
+			r.Batch(part(1, 3, start))
+			r.Witness(Witness{"s", 1, 7, "t"})
+			r.Open(Open{"s", 2}, end)
+			r.Close(Close{"s", 2, 0}, end)
+		}, []Gap{
+			{Server: "s", Incarnation: 1, First: 4, Last: 7, After: start, Before: end, Ended: true},
+			{Server: "s", Incarnation: 1, First: 8, After: start, Before: end, Ended: true},
+		}},
+		"killed, unseen": {func(r *Reader) {
+			r.Open(Open{"s", 1}, start)
+			r.Open(Open{"s", 2}, end)
+			r.Close(Close{"s", 2, 0}, end)
+		}, []Gap{{Server: "s", Incarnation: 1, First: 1, After: start, Before: end, Ended: true}}},
+		"running": {func(r *Reader) {
+			r.Open(Open{"s", 1}, start)
+			r.Batch(part(1, 3, end))
+		}, []Gap{{Server: "s", Incarnation: 1, First: 4, After: end}}},
+		"trimmed": {func(r *Reader) {
+			r.Batch(part(4, 5, start))
+			r.Close(Close{"s", 1, 5}, end)
+		}, []Gap{{Server: "s", Incarnation: 1, First: 1, Last: 3, Before: start, Ended: true, Trimmed: true}}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var r Reader
+			tt.fold(&r)
+			if got := r.Gaps(); !slices.Equal(got, tt.want) {
+				t.Errorf("gaps: got %+v, want %+v", got, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against a filter that selects by the wrong field or cuts off a merged entry.
+func TestFilter(t *testing.T) {
+	var r Reader
+	b := part(1, 2, start)
+	b.Entries[0].Last = start.Add(time.Minute)
+	r.Batch(b)
+	tests := map[string]struct {
+		f    Filter
+		want int
+	}{
+		"all":           {Filter{}, 1},
+		"caller":        {Filter{Caller: "c"}, 1},
+		"other caller":  {Filter{Caller: "d"}, 0},
+		"other kind":    {Filter{Kind: "guide"}, 0},
+		"other reason":  {Filter{Reason: reason.QueueFull}, 0},
+		"other server":  {Filter{Server: "t"}, 0},
+		"overlaps":      {Filter{From: start.Add(time.Second), Until: start.Add(2 * time.Second)}, 1},
+		"before":        {Filter{Until: start}, 0},
+		"after":         {Filter{From: start.Add(time.Hour)}, 0},
+		"server, exact": {Filter{Server: "s", From: start, Until: start.Add(time.Second)}, 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := len(r.Items(tt.f)); got != tt.want {
+				t.Errorf("items: got %d, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against batches that come too often or too late.
+func TestCut(t *testing.T) {
+	l := &Ledger{Server: "s", Incarnation: 1}
+	l.Cut(start)
+	l.Note(Entry{Key: "k", Kind: "claim", Protected: true}, start)
+	if _, ok := l.Cut(start.Add(CutPeriod - 1)); ok {
+		t.Errorf("cut before the period: got a batch, want none")
+	}
+	first, ok := l.Cut(start.Add(CutPeriod))
+	if !ok || first.First != 1 || first.Last != 1 {
+		t.Fatalf("cut after the period: got %+v %v, want 1 to 1", first, ok)
+	}
+	l.Note(Entry{Key: "l", Kind: "claim", Protected: true}, start)
+	if _, ok := l.Flush(start); ok {
+		t.Errorf("flush with a batch given: got a batch, want none")
+	}
+	l.Restore()
+	if again, ok := l.Cut(start); !ok || again.First != first.First || again.Last != first.Last {
+		t.Errorf("cut after restore: got %+v %v, want the same batch", again, ok)
+	}
+	l.Written()
+	for i := range 2 * int(CutSize/entrySize) {
+		l.Note(Entry{Key: ident.Key(strconv.Itoa(i)), Kind: "claim", Protected: true}, start)
+	}
+	if b, ok := l.Cut(start.Add(CutPeriod)); !ok || b.First != 2 {
+		t.Errorf("cut by size: got %d %v, want a batch from 2", b.First, ok)
+	}
+}
+
+// Guards against a refusal that falls between a cut and the next one while others are noted.
+func TestConcurrent(t *testing.T) {
+	const writers, each = 8, 4000
+	l := &Ledger{Server: "s", Incarnation: 1}
+	var wg sync.WaitGroup
+	for w := range writers {
+		wg.Go(func() {
+			for i := range each {
+				l.Note(Entry{Key: ident.Key(strconv.Itoa(w*each + i)), Kind: "guide"}, start)
+			}
+		})
+	}
+	noted := make(chan struct{})
+	go func() {
+		wg.Wait()
+		close(noted)
+	}()
+	total := uint64(0)
+	flush := func() bool {
+		b, ok := l.Flush(start)
+		for _, e := range b.Entries {
+			total += e.Count
+		}
+		l.Written()
+		return ok
+	}
+	for open := true; open; {
+		select {
+		case <-noted:
+			open = false
+		default:
+			flush()
+		}
+	}
+	for more := true; more; {
+		more = flush()
+	}
+	if got, want := total, uint64(writers*each); got != want || l.Seq() != ident.Seq(want) {
+		t.Errorf("refusals: got %d numbered to %d, want %d", got, l.Seq(), want)
+	}
+}
