--- /dev/null
+++ b/cmd/briarworks/fleet.go
@@ -0,0 +1,156 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"briarworks.example/briarworks/internal/admin"
+)
+
+// Bounds of asking a node.
+const (
+	statusTimeout = 5 * time.Second
+	maxStatus     = 4 << 20 // bytes; a fleet of 960 takes about 200 KB
+)
+
+// clearScreen moves the cursor home and clears what was printed before.
+const clearScreen = "\x1b[H\x1b[2J"
+
+func fleetCommand() *cobra.Command {
+	c := &cobra.Command{
+		Use: "fleet", Short: "Look at the fleet", Example: "  briarworks fleet status --node 127.0.0.1:7004",
+	}
+	c.AddCommand(statusCommand())
+	return c
+}
+
+func statusCommand() *cobra.Command {
+	var node string
+	var watch bool
+	var period time.Duration
+	c := &cobra.Command{
+		Use: "status", Short: "Show the fleet as one node sees it", Args: cobra.NoArgs,
+		Long: "Show the servers by service and data centre, the admission level and limit of the node that is asked,\n" +
+			"the configuration in force, the lag of the log and the refusals a second by kind and reason.",
+		Example: "  briarworks fleet status --node 127.0.0.1:7004 --watch",
+		RunE: func(c *cobra.Command, _ []string) error {
+			if !watch {
+				return showStatus(c.Context(), node, c.OutOrStdout(), isJSON(c), "")
+			}
+			return watchStatus(c.Context(), node, c.OutOrStdout(), isJSON(c), period)
+		},
+	}
+	f := c.Flags()
+	f.StringVar(&node, "node", "127.0.0.1:7004", "IP number and operator's port of any node")
+	f.BoolVar(&watch, "watch", false, "renew the picture until interrupted")
+	f.DurationVar(&period, "period", time.Second, "time between two pictures with --watch")
+	return c
+}
+
+func watchStatus(ctx context.Context, node string, out io.Writer, asJSON bool, period time.Duration) error {
+	t := time.NewTicker(max(period, 100*time.Millisecond))
+	defer t.Stop()
+	for {
+		if err := showStatus(ctx, node, out, asJSON, clearScreen); err != nil && ctx.Err() == nil {
+			_, _ = fmt.Fprintf(out, "%sbriarworks: %v\n", clearScreen, err)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+	}
+}
+
+func showStatus(ctx context.Context, node string, out io.Writer, asJSON bool, before string) error {
+	s, err := getStatus(ctx, node)
+	if err != nil {
+		return err
+	}
+	if asJSON {
+		return json.NewEncoder(out).Encode(s)
+	}
+	_, _ = io.WriteString(out, before)
+	return printStatus(out, s)
+}
+
+func getStatus(ctx context.Context, node string) (s admin.Status, err error) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+node+"/status", nil)
+	if err != nil {
+		return s, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return s, fmt.Errorf("fleet status: no answer from %s; name the operator's port of a running node with --node: %w", node, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return s, fmt.Errorf("fleet status: %s answered %s; is it the operator's port of a node?", node, resp.Status)
+	}
+	return s, json.NewDecoder(io.LimitReader(resp.Body, maxStatus)).Decode(&s)
+}
+
+// place groups servers for the picture.
+type place struct {
+	service, centre string
+}
+
+func printStatus(out io.Writer, s admin.Status) error {
+	_, _ = fmt.Fprintf(out, "seen from %s (%s, %s), %s, at %s\n", s.Server, s.Service, s.DataCentre, s.State, s.At.UTC().Format(time.RFC3339))
+	_, _ = fmt.Fprintf(out, "configuration %d by %s; log %s, lag %d records; peer connections %d\n",
+		s.ConfigVersion, dash(s.ConfigAuthor), upDown(s.LogDown), s.LogLag, s.Connections)
+	if s.ConfigFault != "" {
+		_, _ = fmt.Fprintf(out, "a newer configuration cannot be used here: %s\n", s.ConfigFault)
+	}
+	_, _ = fmt.Fprintf(out, "limit %d, in flight %d, queued %d\n\n", s.Limit, s.Inflight, s.Queued)
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	printPlaces(w, s.Members)
+	_, _ = fmt.Fprintln(w, "\nkind\trank\tadmitted")
+	for _, k := range s.Kinds {
+		_, _ = fmt.Fprintf(w, "%s\t%d\t%.1f%%\n", k.Kind, k.Rank, 100*k.Fraction)
+	}
+	_, _ = fmt.Fprintln(w, "\nrefused kind\treason\ta second")
+	for _, r := range s.Refusals {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%.1f\n", dash(r.Kind), r.Reason, r.PerSecond)
+	}
+	return w.Flush()
+}
+
+func upDown(down bool) string {
+	if down {
+		return "out"
+	}
+	return "up"
+}
+
+func printPlaces(w io.Writer, members []admin.MemberStatus) {
+	counts := map[place]map[string]int{}
+	var places []place
+	for _, m := range members {
+		p := place{m.Service, m.DataCentre}
+		if counts[p] == nil {
+			counts[p] = map[string]int{}
+			places = append(places, p)
+		}
+		counts[p][m.State]++
+	}
+	slices.SortFunc(places, func(a, b place) int {
+		return cmp.Or(cmp.Compare(a.service, b.service), cmp.Compare(a.centre, b.centre))
+	})
+	_, _ = fmt.Fprintln(w, "service\tdata centre\tin service\tstarting\tleaving\tput aside")
+	for _, p := range places {
+		n := counts[p]
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\n", dash(p.service), dash(p.centre), n["inService"], n["starting"], n["leaving"], n["putAside"])
+	}
+}
--- a/cmd/briarworks/main.go
+++ b/cmd/briarworks/main.go
@@ -33,6 +33,6 @@
 		}
 		return nil
 	}
-	c.AddCommand(nodeCommand(), versionCommand())
+	c.AddCommand(nodeCommand(), fleetCommand(), refusalsCommand(), versionCommand())
 	return c
 }
--- /dev/null
+++ b/cmd/briarworks/refusals.go
@@ -0,0 +1,357 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"briarworks.example/briarworks/internal/record/recpb"
+	"briarworks.example/briarworks/pkg/audit"
+	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/reason"
+)
+
+func refusalsCommand() *cobra.Command {
+	c := &cobra.Command{
+		Use: "refusals", Short: "Read the record of who was turned away and why",
+		Example: "  briarworks refusals summary --log 127.0.0.1:9000",
+	}
+	c.AddCommand(listCommand(), summaryCommand(), exportCommand())
+	return c
+}
+
+// selection is the filter of the refusals commands as flags.
+type selection struct {
+	caller, kind, why, server string
+	since, until              string
+}
+
+func (s *selection) flags(c *cobra.Command) {
+	f := c.Flags()
+	f.StringVar(&s.caller, "caller", "", "only this caller")
+	f.StringVar(&s.kind, "kind", "", "only this kind of work")
+	f.StringVar(&s.why, "reason", "", "only this reason")
+	f.StringVar(&s.server, "server", "", "only refusals told beside this server")
+	f.StringVar(&s.since, "since", "", "only refusals from this time on, as in 2026-12-04T05:00:00Z")
+	f.StringVar(&s.until, "until", "", "only refusals before this time")
+}
+
+func (s *selection) filter() (f audit.Filter, err error) {
+	f = audit.Filter{Caller: ident.Caller(s.caller), Kind: ident.Kind(s.kind), Server: ident.Server(s.server)}
+	if s.why != "" {
+		var ok bool
+		if f.Reason, ok = reason.ParseRefusal(s.why); !ok || f.Reason == reason.None {
+			return f, fmt.Errorf("--reason %q is not a reason for a refusal", s.why)
+		}
+	}
+	if f.From, err = parseTime("since", s.since); err != nil {
+		return f, err
+	}
+	f.Until, err = parseTime("until", s.until)
+	return f, err
+}
+
+func parseTime(flag, text string) (t time.Time, err error) {
+	if text == "" {
+		return t, nil
+	}
+	if t, err = time.Parse(time.RFC3339, text); err != nil {
+		return t, fmt.Errorf("--%s %q is not a time such as 2026-12-04T05:00:00Z", flag, text)
+	}
+	return t, nil
+}
+
+// refusalRow is one entry of the record as it is printed.
+type refusalRow struct {
+	First       time.Time `json:"first"`
+	Last        time.Time `json:"last"`
+	Caller      string    `json:"caller"`
+	Remote      string    `json:"remote,omitempty"`
+	Key         string    `json:"key,omitempty"`
+	Kind        string    `json:"kind"`
+	Rank        int       `json:"rank"`
+	Outcome     string    `json:"outcome"`
+	Reason      string    `json:"reason"`
+	Count       uint64    `json:"count"`
+	Server      string    `json:"server"`
+	Service     string    `json:"service"`
+	DataCentre  string    `json:"dataCentre"`
+	Incarnation string    `json:"incarnation"`
+	Version     uint64    `json:"configVersion"`
+}
+
+func rowOf(it audit.Item) refusalRow {
+	return refusalRow{
+		First: it.First, Last: it.Last, Caller: string(it.Caller), Remote: it.Remote, Key: string(it.Key),
+		Kind: string(it.Kind), Rank: int(it.Rank), Outcome: it.Outcome.String(), Reason: it.Reason.String(),
+		Count: it.Count, Server: string(it.Server), Service: string(it.Service), DataCentre: string(it.DataCentre),
+		Incarnation: it.Incarnation.String(), Version: uint64(it.Version),
+	}
+}
+
+// gapRow is a range of refusals that the record lacks, as it is printed.
+type gapRow struct {
+	Server      string     `json:"server"`
+	Incarnation string     `json:"incarnation"`
+	First       uint64     `json:"first"`
+	Last        uint64     `json:"last,omitempty"` // 0 when the end is not known
+	After       *time.Time `json:"after,omitempty"`
+	Before      *time.Time `json:"before,omitempty"`
+	State       string     `json:"state"` // missing, expired, running
+}
+
+func gapsOf(r *audit.Reader) (rows []gapRow) {
+	for _, g := range r.Gaps() {
+		row := gapRow{
+			Server: string(g.Server), Incarnation: g.Incarnation.String(), First: uint64(g.First), Last: uint64(g.Last),
+			After: timeOrNil(g.After), Before: timeOrNil(g.Before), State: "missing",
+		}
+		switch {
+		case g.Trimmed:
+			row.State = "expired"
+		case g.Last == 0 && !g.Ended:
+			row.State = "running" // a node that still runs has not written its newest refusals yet
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+func timeOrNil(t time.Time) *time.Time {
+	if t.IsZero() {
+		return nil
+	}
+	return &t
+}
+
+func listCommand() *cobra.Command {
+	var from source
+	var sel selection
+	var limit, skip int
+	c := &cobra.Command{
+		Use: "list", Short: "List refusals, one line each", Args: cobra.NoArgs,
+		Long: "List refusals in the order of the record. --limit and --skip page through them; refusals that were\n" +
+			"merged in a flood are one line with their count.",
+		Example: "  briarworks refusals list --log 127.0.0.1:9000 --kind creditClaim --since 2026-12-04T05:00:00Z",
+		RunE: func(c *cobra.Command, _ []string) error {
+			f, err := sel.filter()
+			if err != nil {
+				return err
+			}
+			n := 0
+			p := newPrinter(c)
+			_, err = from.read(c.Context(), f, func(it audit.Item) {
+				if n >= skip && n < skip+limit {
+					p.row(rowOf(it))
+				}
+				n++
+			})
+			return errors.Join(err, p.done(n > skip+limit, skip+limit))
+		},
+	}
+	from.flags(c)
+	sel.flags(c)
+	c.Flags().IntVar(&limit, "limit", 1000, "most lines to print")
+	c.Flags().IntVar(&skip, "skip", 0, "lines to leave out at the beginning")
+	return c
+}
+
+// printer prints refusals as a table or as one JSON document a line.
+type printer struct {
+	json *json.Encoder
+	tab  *tabwriter.Writer
+	err  error
+}
+
+func newPrinter(c *cobra.Command) *printer {
+	if isJSON(c) {
+		return &printer{json: json.NewEncoder(c.OutOrStdout())}
+	}
+	p := &printer{tab: tabwriter.NewWriter(c.OutOrStdout(), 0, 4, 2, ' ', 0)}
+	_, p.err = fmt.Fprintln(p.tab, "first\tcaller\tkind\trank\toutcome\treason\tcount\tserver\tconfig\tkey")
+	return p
+}
+
+func isJSON(c *cobra.Command) bool {
+	out, _ := c.Flags().GetString("output")
+	return out == "json"
+}
+
+func (p *printer) row(r refusalRow) {
+	if p.err != nil {
+		return
+	}
+	if p.json != nil {
+		p.err = p.json.Encode(r)
+		return
+	}
+	_, p.err = fmt.Fprintf(p.tab, "%s\t%s\t%s\t%d\t%s\t%s\t%d\t%s\t%d\t%s\n", r.First.UTC().Format(time.RFC3339Nano),
+		dash(r.Caller), dash(r.Kind), r.Rank, r.Outcome, r.Reason, r.Count, r.Server, r.Version, dash(r.Key))
+}
+
+func (p *printer) done(more bool, next int) error {
+	if p.err != nil || p.tab == nil {
+		return p.err
+	}
+	if more {
+		_, _ = fmt.Fprintf(p.tab, "more: --skip %d\n", next)
+	}
+	return p.tab.Flush()
+}
+
+func dash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
+
+// summary is what the summary command prints.
+type summary struct {
+	Totals   []totalRow `json:"totals"`
+	Gaps     []gapRow   `json:"gaps"`
+	Complete bool       `json:"complete"` // no refusal is missing, besides the newest of running nodes
+	Skipped  int        `json:"skipped"`  // appends that did not decode
+}
+
+type totalRow struct {
+	Kind    string `json:"kind"`
+	Outcome string `json:"outcome"`
+	Reason  string `json:"reason"`
+	Count   uint64 `json:"count"`
+}
+
+func summaryCommand() *cobra.Command {
+	var from source
+	var sel selection
+	c := &cobra.Command{
+		Use: "summary", Short: "Count refusals by kind and reason, and say what is missing", Args: cobra.NoArgs,
+		Example: "  briarworks refusals summary --log 127.0.0.1:9000 --output json",
+		RunE: func(c *cobra.Command, _ []string) error {
+			f, err := sel.filter()
+			if err != nil {
+				return err
+			}
+			var sum audit.Sum
+			a, err := from.read(c.Context(), f, sum.Add)
+			if err != nil {
+				return err
+			}
+			s := summarise(&sum, a)
+			if isJSON(c) {
+				return json.NewEncoder(c.OutOrStdout()).Encode(s)
+			}
+			return s.print(c.OutOrStdout())
+		},
+	}
+	from.flags(c)
+	sel.flags(c)
+	return c
+}
+
+func summarise(sum *audit.Sum, a *account) summary {
+	s := summary{Totals: []totalRow{}, Gaps: gapsOf(&a.reader), Skipped: a.skipped, Complete: a.skipped == 0}
+	for _, t := range sum.Totals() {
+		s.Totals = append(s.Totals, totalRow{string(t.Kind), t.Outcome.String(), t.Reason.String(), t.Count})
+	}
+	for _, g := range s.Gaps {
+		s.Complete = s.Complete && g.State == "running"
+	}
+	return s
+}
+
+func (s summary) print(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "kind\toutcome\treason\tcount")
+	for _, t := range s.Totals {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d\n", dash(t.Kind), t.Outcome, t.Reason, t.Count)
+	}
+	for _, g := range s.Gaps {
+		if g.State == "running" {
+			continue
+		}
+		_, _ = fmt.Fprintf(w, "gap\t%s\t%s\t%s\n", g.Server, g.State, g.bounds())
+	}
+	_, _ = fmt.Fprintf(w, "complete: %t, undecodable appends: %d\n", s.Complete, s.Skipped)
+	return w.Flush()
+}
+
+// bounds tells the numbers and times of a gap.
+func (g gapRow) bounds() string {
+	last := "?"
+	if g.Last > 0 {
+		last = fmt.Sprint(g.Last)
+	}
+	return fmt.Sprintf("numbers %d to %s, after %s, before %s", g.First, last, at(g.After), at(g.Before))
+}
+
+func at(t *time.Time) string {
+	if t == nil {
+		return "?"
+	}
+	return t.UTC().Format(time.RFC3339)
+}
+
+func exportCommand() *cobra.Command {
+	var from source
+	var to string
+	c := &cobra.Command{
+		Use: "export", Short: "Copy the record to a file before it expires", Args: cobra.NoArgs,
+		Long: "Copy every record of the refusals stream to a file, one JSON document a line, and print the offset to\n" +
+			"export from next time. list and summary read such files with --file.",
+		Example: "  briarworks refusals export --log 127.0.0.1:9000 --from 0 --to refusals-2026-12.jsonl",
+		RunE: func(c *cobra.Command, _ []string) (err error) {
+			f, err := os.OpenFile(to, os.O_WRONLY|os.O_CREATE|os.O_EXCL, 0o644)
+			if err != nil {
+				return err
+			}
+			defer func() { err = errors.Join(err, f.Close()) }()
+			w := bufio.NewWriter(f)
+			n := 0
+			next, skipped, err := from.each(c.Context(), func(r *recpb.Record) error {
+				n++
+				return writeLine(w, r)
+			})
+			if err = errors.Join(err, w.Flush()); err != nil {
+				return err
+			}
+			return printExport(c, exported{Records: n, Skipped: skipped, Next: int64(next)})
+		},
+	}
+	from.flags(c)
+	c.Flags().StringVar(&to, "to", "", "file to write; it must not exist")
+	_ = c.MarkFlagRequired("to")
+	return c
+}
+
+func writeLine(w io.Writer, r *recpb.Record) error {
+	text, err := protojson.Marshal(r)
+	if err != nil {
+		return err
+	}
+	_, err = w.Write(append(text, '\n'))
+	return err
+}
+
+// exported is what the export command prints.
+type exported struct {
+	Records int   `json:"records"`
+	Skipped int   `json:"skipped"`
+	Next    int64 `json:"next"`
+}
+
+func printExport(c *cobra.Command, e exported) error {
+	if isJSON(c) {
+		return json.NewEncoder(c.OutOrStdout()).Encode(e)
+	}
+	_, err := fmt.Fprintf(c.OutOrStdout(), "%d records, %d undecodable appends; export next with --from %d\n", e.Records, e.Skipped, e.Next)
+	return err
+}
--- /dev/null
+++ b/cmd/briarworks/source.go
@@ -0,0 +1,151 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"briarworks.example/briarworks/internal/applog"
+	"briarworks.example/briarworks/internal/record"
+	"briarworks.example/briarworks/internal/record/recpb"
+	"briarworks.example/briarworks/pkg/audit"
+	"briarworks.example/briarworks/pkg/ident"
+)
+
+// Bounds of reading the record.
+const (
+	readPage    = 512              // appends asked for at a time
+	readTimeout = 10 * time.Second // for one page
+	maxLine     = 4 << 20          // bytes of one exported record
+)
+
+// source is where the refusal record is read from: the log or exported files.
+type source struct {
+	log   string
+	files []string
+	from  int64
+}
+
+func (s *source) flags(c *cobra.Command) {
+	f := c.Flags()
+	f.StringVar(&s.log, "log", "", "IP number and port of the log, as in 127.0.0.1:9000")
+	f.StringArrayVar(&s.files, "file", nil, "exported file to read instead of the log; may be repeated")
+	f.Int64Var(&s.from, "from", 0, "first offset of the log to read")
+}
+
+// each hands every record to take, in order, and returns the next offset of the log and how many appends
+// did not decode.
+func (s *source) each(ctx context.Context, take func(*recpb.Record) error) (next ident.Offset, skipped int, err error) {
+	switch {
+	case len(s.files) > 0:
+		return 0, 0, s.eachFile(take)
+	case s.log != "":
+		return s.eachPage(ctx, take)
+	}
+	return 0, 0, errors.New("name the log with --log or exported files with --file")
+}
+
+func (s *source) eachPage(ctx context.Context, take func(*recpb.Record) error) (next ident.Offset, skipped int, err error) {
+	client := &applog.Client{Base: "http://" + s.log}
+	next = ident.Offset(s.from)
+	for {
+		short, cancel := context.WithTimeout(ctx, readTimeout)
+		page, err := client.Read(short, applog.Refusals, next, readPage, 0)
+		cancel()
+		if err != nil {
+			return next, skipped, err
+		}
+		if page.First > next {
+			fmt.Fprintf(os.Stderr, "records before offset %d have expired; export earlier to keep them\n", page.First)
+			next = page.First
+		}
+		for _, raw := range page.Records {
+			recs, err := record.DecodeGroup(raw.Data)
+			if err != nil {
+				skipped++
+			}
+			for _, r := range recs {
+				if err = take(r); err != nil {
+					return next, skipped, err
+				}
+			}
+			next = raw.Offset + 1
+		}
+		if len(page.Records) == 0 || next >= page.Next {
+			return next, skipped, nil
+		}
+	}
+}
+
+func (s *source) eachFile(take func(*recpb.Record) error) error {
+	for _, name := range s.files {
+		if err := eachLine(name, take); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func eachLine(name string, take func(*recpb.Record) error) error {
+	f, err := os.Open(name)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = f.Close() }()
+	sc := bufio.NewScanner(f)
+	sc.Buffer(nil, maxLine)
+	for n := 1; sc.Scan(); n++ {
+		r := &recpb.Record{}
+		if err = protojson.Unmarshal(sc.Bytes(), r); err != nil {
+			return fmt.Errorf("%s:%d: %w", name, n, err)
+		}
+		if err = take(r); err != nil {
+			return err
+		}
+	}
+	return sc.Err()
+}
+
+// account is the record as it was read.
+type account struct {
+	reader  audit.Reader
+	next    ident.Offset
+	skipped int
+}
+
+// read folds the record and hands each selected item to take.
+func (s *source) read(ctx context.Context, f audit.Filter, take func(audit.Item)) (a *account, err error) {
+	a = &account{}
+	a.reader.Each = func(it audit.Item) {
+		if f.Match(it) {
+			take(it)
+		}
+	}
+	a.next, a.skipped, err = s.each(ctx, func(r *recpb.Record) error {
+		a.take(r)
+		return nil
+	})
+	return a, err
+}
+
+func (a *account) take(r *recpb.Record) {
+	at := time.Unix(0, r.GetWrittenUnixNs())
+	if b, ok := record.ToBatch(r); ok {
+		a.reader.Batch(b)
+	}
+	if o, ok := record.ToOpen(r); ok {
+		a.reader.Open(o, at)
+	}
+	if c, ok := record.ToClose(r); ok {
+		a.reader.Close(c, at)
+	}
+	if w, ok := record.ToWitness(r); ok {
+		a.reader.Witness(w)
+	}
+}
--- a/pkg/audit/audit_test.go
+++ b/pkg/audit/audit_test.go
@@ -101,9 +101,9 @@
 	l := &Ledger{Server: "s", Incarnation: 1}
 	const claims = 5000
 	for i := range 100_000 {
-		l.Note(Entry{Caller: ident.Caller(strconv.Itoa(i)), Key: ident.Key(strconv.Itoa(i)), Kind: "guide", Reason: reason.Overload}, start)
+		l.Note(Entry{Caller: ident.Caller(strconv.Itoa(i)), Key: ident.Key(strconv.Itoa(i)), Kind: "guide", Reason: reason.Overload, Outcome: reason.NotRun}, start)
 		if i < claims {
-			l.Note(Entry{Caller: "c", Key: ident.Key("claim" + strconv.Itoa(i)), Kind: "claim", Protected: true, Reason: reason.Overload}, start)
+			l.Note(Entry{Caller: "c", Key: ident.Key("claim" + strconv.Itoa(i)), Kind: "claim", Protected: true, Reason: reason.Overload, Outcome: reason.NotRun}, start)
 		}
 	}
 	if got, most := l.Size(), DefaultLimit; got > most {
@@ -123,7 +123,7 @@
 	if singles != claims {
 		t.Errorf("single entries of the protected kind: got %d, want %d", singles, claims)
 	}
-	if got, want := r.Totals(Filter{}), []Total{{"guide", reason.Overload, 100_000}, {"claim", reason.Overload, claims}}; !slices.Equal(got, want) {
+	if got, want := r.Totals(Filter{}), []Total{{"guide", reason.Overload, reason.NotRun, 100_000}, {"claim", reason.Overload, reason.NotRun, claims}}; !slices.Equal(got, want) {
 		t.Errorf("totals: got %v, want %v", got, want)
 	}
 }
--- a/pkg/audit/reader.go
+++ b/pkg/audit/reader.go
@@ -38,11 +38,38 @@
 		(f.Until.IsZero() || it.First.Before(f.Until))
 }
 
-// Total counts the refusals of one kind and reason.
+// Total counts the refusals of one kind, reason and outcome.
 type Total struct {
-	Kind   ident.Kind
-	Reason reason.Refusal
-	Count  uint64
+	Kind    ident.Kind
+	Reason  reason.Refusal
+	Outcome reason.Outcome
+	Count   uint64
+}
+
+// Sum adds up items by kind, reason and outcome. The zero value is empty.
+type Sum struct {
+	counts map[Total]uint64 // Count is 0 in the keys
+}
+
+// Add counts one item.
+func (s *Sum) Add(it Item) {
+	if s.counts == nil {
+		s.counts = map[Total]uint64{}
+	}
+	s.counts[Total{Kind: it.Kind, Reason: it.Reason, Outcome: it.Outcome}] += it.Count
+}
+
+// Totals returns the counts, largest first.
+func (s *Sum) Totals() (totals []Total) {
+	for t, n := range s.counts {
+		t.Count = n
+		totals = append(totals, t)
+	}
+	slices.SortFunc(totals, func(a, b Total) int {
+		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Kind, b.Kind),
+			cmp.Compare(a.Reason, b.Reason), cmp.Compare(a.Outcome, b.Outcome))
+	})
+	return totals
 }
 
 // Gap is a range of refusal numbers of one incarnation that no batch covers.
@@ -68,6 +95,10 @@
 // Reader folds the records of the refusals stream. The zero value is empty and ready to use; it is
 // owned by one goroutine. Records may come repeatedly and in any order.
 type Reader struct {
+	// Each takes every new item instead of the reader, which then keeps none; it may be nil. Reading
+	// the exports of years needs it.
+	Each func(Item)
+
 	items []Item
 	runs  map[runKey]*run
 }
@@ -115,9 +146,14 @@
 	}
 	u.seen = max(u.seen, b.Last)
 	for _, e := range b.Entries {
-		r.items = append(r.items, Item{
+		it := Item{
 			Entry: e, Server: b.Server, Incarnation: b.Incarnation, Service: b.Service, DataCentre: b.DataCentre,
-		})
+		}
+		if r.Each != nil {
+			r.Each(it)
+			continue
+		}
+		r.items = append(r.items, it)
 	}
 	return true
 }
@@ -178,25 +214,15 @@
 	return items
 }
 
-// Totals returns the counts of the selected items per kind and reason, largest first.
-func (r *Reader) Totals(f Filter) (totals []Total) {
-	type key struct {
-		kind   ident.Kind
-		reason reason.Refusal
-	}
-	counts := map[key]uint64{}
+// Totals returns the counts of the selected items, largest first.
+func (r *Reader) Totals(f Filter) []Total {
+	var sum Sum
 	for _, it := range r.items {
 		if f.Match(it) {
-			counts[key{it.Kind, it.Reason}] += it.Count
+			sum.Add(it)
 		}
 	}
-	for k, n := range counts {
-		totals = append(totals, Total{Kind: k.kind, Reason: k.reason, Count: n})
-	}
-	slices.SortFunc(totals, func(a, b Total) int {
-		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Reason, b.Reason))
-	})
-	return totals
+	return sum.Totals()
 }
 
 // Gaps returns the missing ranges of every incarnation, by server and incarnation. An incarnation
