--- a/pkg/route/plan.go
+++ b/pkg/route/plan.go
@@ -1,7 +1,6 @@
 package route
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,23 +22,40 @@
 type plan struct {
 	targets []fleet.Member
 	hash    []uint64
+	centre  []int // index of each target's data centre
+	seen    []int // scratch, for each data centre
 	load    []int // callers that have chosen each target
-	near    []candidate
-	far     []candidate
 }
 
-// candidate is a target as one caller sees it.
-type candidate struct {
-	target int
-	weight uint64 // rendezvous weight for the caller
-	rank   int    // place by weight within its data centre
-}
+// candidate is a target as one caller sees it, in one word because a plan sorts many: the rank by
+// weight within its data centre, the high bits of the rendezvous weight for the caller, the target's
+// index. Candidates are used in ascending order.
+type candidate uint64
+
+const (
+	targetBits = 16
+	rankShift  = 56
+	maxRank    = 1<<(64-rankShift) - 1
+	weightMask = 1<<rankShift - 1<<targetBits
+)
+
+func (c candidate) target() int { return int(c & (1<<targetBits - 1)) }
 
 func newPlan(targets []fleet.Member) *plan {
-	p := &plan{targets: targets, hash: make([]uint64, len(targets)), load: make([]int, len(targets))}
-	for i, m := range targets {
+	p := &plan{targets: targets[:min(len(targets), 1<<targetBits)]}
+	n := len(p.targets)
+	p.hash, p.centre, p.load = make([]uint64, n), make([]int, n), make([]int, n)
+	index := make(map[ident.DataCentre]int)
+	for i, m := range p.targets {
 		p.hash[i] = xxhash.Sum64String(string(m.Server))
+		dc, known := index[m.DataCentre]
+		if !known {
+			dc = len(index)
+			index[m.DataCentre] = dc
+		}
+		p.centre[i] = dc
 	}
+	p.seen = make([]int, len(index))
 	return p
 }
 
@@ -52,24 +68,29 @@
 	}
 	share := p.nearShare(callers)
 	total := 0
-	for _, c := range callers {
-		p.rank(c)
-		n := p.nearCount()
-		total += min(MaxPeers, len(p.near)+len(p.far))
-		chosen := p.take(p.near, n, share[c.DataCentre])
+	rest := make([]int, len(callers)) // choices that are left to each caller
+	var buf []candidate
+	for i, c := range callers {
+		var others int
+		buf, others = p.near(c, buf[:0])
+		n := min(len(buf), max(NearPart, MaxPeers-others), MaxPeers)
+		rest[i] = min(MaxPeers-n, others)
+		total += n + rest[i]
+		chosen := p.take(buf, n, share[c.DataCentre])
 		if c.Server == self.Server {
 			near = p.members(chosen)
 		}
 	}
 	bound := bounded(total, len(p.targets))
-	for _, c := range callers {
-		p.rank(c)
-		chosen := p.take(p.far, MaxPeers-p.nearCount(), bound)
+	for i, c := range callers {
+		buf = p.far(c, buf[:0])
+		chosen := p.take(buf, rest[i], bound)
 		if c.Server == self.Server {
-			return near, p.members(chosen)
+			far = p.members(chosen)
+			break
 		}
 	}
-	return near, nil
+	return near, far
 }
 
 // nearShare returns for each data centre how many callers in it a target there should take at most.
@@ -94,39 +115,47 @@
 	return (choices*loadNum + n*loadDen - 1) / max(n*loadDen, 1)
 }
 
-// nearCount returns how many targets the ranked caller uses in its own data centre.
-func (p *plan) nearCount() int {
-	return min(len(p.near), max(NearPart, MaxPeers-len(p.far)), MaxPeers)
-}
-
-// rank fills near and far for one caller: near by weight, and far in turns over the data centres, in
-// each by weight.
-func (p *plan) rank(caller fleet.Member) {
-	p.near, p.far = p.near[:0], p.far[:0]
-	node := mix(xxhash.Sum64String(string(caller.Server)))
-	for i, m := range p.targets {
-		c := candidate{target: i, weight: mix(p.hash[i] ^ node)}
-		switch {
+// near appends the candidates in the caller's data centre to buf by weight, and returns the number of
+// those elsewhere.
+func (p *plan) near(caller fleet.Member, buf []candidate) (near []candidate, others int) {
+	node := nodeHash(caller)
+	for i := range p.targets {
+		switch m := &p.targets[i]; {
 		case m.Server == caller.Server:
 		case m.DataCentre == caller.DataCentre:
-			p.near = append(p.near, c)
+			buf = append(buf, p.candidate(i, node))
 		default:
-			p.far = append(p.far, c)
+			others++
+		}
+	}
+	slices.Sort(buf)
+	return buf, others
+}
+
+// far appends the candidates outside the caller's data centre to buf, in turns over the data centres
+// and by weight in each.
+func (p *plan) far(caller fleet.Member, buf []candidate) []candidate {
+	node := nodeHash(caller)
+	for i := range p.targets {
+		if m := &p.targets[i]; m.DataCentre != caller.DataCentre && m.Server != caller.Server {
+			buf = append(buf, p.candidate(i, node))
 		}
 	}
-	slices.SortFunc(p.near, byRank)
-	slices.SortFunc(p.far, byRank)
-	seen := make(map[ident.DataCentre]int)
-	for i, c := range p.far {
-		dc := p.targets[c.target].DataCentre
-		p.far[i].rank = seen[dc]
-		seen[dc]++
+	slices.Sort(buf)
+	clear(p.seen)
+	for i, c := range buf {
+		dc := p.centre[c.target()]
+		buf[i] |= candidate(min(p.seen[dc], maxRank)) << rankShift
+		p.seen[dc]++
 	}
-	slices.SortFunc(p.far, byRank)
+	slices.Sort(buf)
+	return buf
 }
 
-func byRank(a, b candidate) int {
-	return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(b.weight, a.weight), cmp.Compare(a.target, b.target))
+func nodeHash(caller fleet.Member) uint64 { return mix(xxhash.Sum64String(string(caller.Server))) }
+
+func (p *plan) candidate(target int, node uint64) candidate {
+	return candidate(mix(p.hash[target]^node)&weightMask | uint64(target))
 }
 
 // take chooses n of the candidates in order, first those below the bound on callers.
@@ -134,13 +163,13 @@
 	n = min(n, len(from))
 	chosen = make([]int, 0, n)
 	for _, c := range from {
-		if len(chosen) < n && p.load[c.target] < bound {
-			chosen = append(chosen, c.target)
+		if len(chosen) < n && p.load[c.target()] < bound {
+			chosen = append(chosen, c.target())
 		}
 	}
 	for _, c := range from {
-		if len(chosen) < n && !slices.Contains(chosen, c.target) {
-			chosen = append(chosen, c.target)
+		if len(chosen) < n && !slices.Contains(chosen, c.target()) {
+			chosen = append(chosen, c.target())
 		}
 	}
 	for _, i := range chosen {
--- a/pkg/route/set.go
+++ b/pkg/route/set.go
@@ -19,6 +19,7 @@
 	service ident.Service
 	peers   []*Peer
 	near    int    // number of peers in the own data centre
+	inputs  uint64 // fingerprint of what the set was built from
 	seed    uint64 // makes the jitter of this node differ from that of others
 }
 
