--- a/pkg/order/age.go
+++ b/pkg/order/age.go
@@ -82,7 +82,7 @@
 
 func (a *age) due(now time.Time, retention time.Duration, jitter ident.Fraction) bool {
 	if a.since.After(now) {
-		// The writer's clock was ahead; its record is not younger than now.
+		// The log's clock is ahead of this node's; no record is younger than now.
 		a.since = now
 	}
 	start, spread := a.since.Add(retention/carryAfter), retention/carrySpread
--- a/pkg/order/order.go
+++ b/pkg/order/order.go
@@ -12,13 +12,13 @@
 	Base     ident.Version
 	Document string
 	Author   string
-	At       time.Time // when the record was written, by its writer's clock
+	At       time.Time // when the log took the record, by the log's clock
 }
 
 // Carry repeats the accepted version for readers that start later.
 type Carry struct {
 	Accepted
-	At time.Time // when the record was written, by its writer's clock
+	At time.Time // when the log took the record, by the log's clock
 }
 
 // Record is one record of the stream; at most one field is set, and none for a record of another kind.
@@ -34,7 +34,7 @@
 	Document   string
 	Author     string
 	ID         ident.RecordID // of the accepted Publish
-	AcceptedAt time.Time      // when the accepted Publish was written
+	AcceptedAt time.Time      // when the log took the accepted Publish
 }
 
 // Verdict is what became of a publish.
--- a/pkg/order/order_test.go
+++ b/pkg/order/order_test.go
@@ -111,6 +111,9 @@
 		if int(at) >= len(m.log) {
 			return
 		}
+		if at < m.first {
+			m.t.Fatalf("reader %d wants offset %d, the log begins at %d", i, at, m.first)
+		}
 		for _, d := range f.Read(at, m.log[at]...) {
 			m.verdict(d)
 		}
--- a/pkg/rules/check.go
+++ b/pkg/rules/check.go
@@ -41,6 +41,17 @@
 	}
 }
 
+// named reports whether the list has entries whose names can all be used; otherwise references to them
+// are not checked.
+func named(s *strict.Source, list string, n int) bool {
+	for i := range n {
+		if s.Faulty(entry(list, i) + ".name") {
+			return false
+		}
+	}
+	return n > 0
+}
+
 func entry(list string, i int) string { return fmt.Sprintf("%s[%d]", list, i) }
 
 func checkPlaces(d *Document, s *strict.Source) {
@@ -48,11 +59,12 @@
 	for _, dc := range d.DataCentres {
 		listed[dc.Name] = true
 	}
+	known := named(s, "dataCentres", len(d.DataCentres))
 	for i, service := range d.Services {
 		list := entry("services", i) + ".dataCentres"
 		unique(s, list, "", len(service.DataCentres), func(j int) string { return string(service.DataCentres[j]) })
 		for j, dc := range service.DataCentres {
-			if at := entry(list, j); len(listed) > 0 && !listed[dc] && !s.Faulty(at) {
+			if at := entry(list, j); known && !listed[dc] && !s.Faulty(at) {
 				s.Add(at, "data centre %q is not in dataCentres", dc)
 			}
 		}
@@ -64,6 +76,7 @@
 	for _, service := range d.Services {
 		services[service.Name] = true
 	}
+	known := named(s, "services", len(d.Services))
 	type claim struct {
 		service      ident.Service
 		method, path string
@@ -74,7 +87,7 @@
 		if k.Name == Unlisted && !s.Faulty(at+".name") {
 			s.Add(at+".name", "%q is reserved for requests that match no kind", Unlisted)
 		}
-		if len(services) > 0 && !services[k.Service] && !s.Faulty(at+".service") {
+		if known && !services[k.Service] && !s.Faulty(at+".service") {
 			s.Add(at+".service", "service %q is not in services", k.Service)
 		}
 		if k.AtMostOnce && k.Idempotent {
@@ -99,12 +112,13 @@
 	for i, r := range d.Ranks {
 		number[r.Name] = i
 	}
+	known := named(s, "ranks", len(d.Ranks))
 	used := make(map[string]bool)
 	urgent := -1 // place in kinds of the most urgent unprotected kind
 	for i, k := range d.Kinds {
 		at := entry("kinds", i) + ".rank"
 		if _, ok := number[k.Rank]; !ok {
-			if len(number) > 0 && !s.Faulty(at) {
+			if known && !s.Faulty(at) {
 				s.Add(at, "rank %q is not in ranks", k.Rank)
 			}
 			continue
