--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -269,12 +269,18 @@
 
 func BenchmarkRatio(b *testing.B) {
 	tests := map[string]func(r *Ratio, now time.Time){
-		"Call":  func(r *Ratio, now time.Time) { r.Call(now) },
-		"Allow": func(r *Ratio, now time.Time) { r.Allow(now) },
+		"Call":   func(r *Ratio, now time.Time) { r.Call(now) },
+		"Allow":  func(r *Ratio, now time.Time) { r.Allow(now) },
+		"Refuse": func(r *Ratio, now time.Time) { r.Allow(now) },
 	}
 	for name, run := range tests {
 		b.Run(name, func(b *testing.B) {
 			var r Ratio
+			if name == "Allow" {
+				// Enough calls that no retry is refused.
+				sec := uint64(time.Now().Unix())
+				r.calls[0].buckets[sec%ratioBuckets].Store((sec&bucketSecMask)<<countBits | countMask>>1)
+			}
 			b.ReportAllocs()
 			b.RunParallel(func(pb *testing.PB) {
 				for pb.Next() {
