--- /dev/null
+++ b/cmd/briarworks/config.go
@@ -0,0 +1,197 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"briarworks.example/briarworks/internal/setup"
+	"briarworks.example/briarworks/internal/strict"
+	"briarworks.example/briarworks/pkg/rules"
+)
+
+const (
+	outputText = "text"
+	outputJSON = "json"
+)
+
+// Exit statuses of the configuration commands; 1 stands for every other failure.
+const (
+	statusRefused = 2 // the publish was refused because another came first
+	statusUnknown = 3 // it is not known whether the publish was accepted
+)
+
+// output is the form in which a command answers.
+type output struct {
+	form string
+	w    io.Writer
+}
+
+func outputFlag(cmd *cobra.Command, o *output) {
+	cmd.Flags().StringVar(&o.form, "output", outputText, "form of the answer: text or json")
+}
+
+func (o *output) open(cmd *cobra.Command) error {
+	o.w = cmd.OutOrStdout()
+	if o.form != outputText && o.form != outputJSON {
+		return fmt.Errorf("briarworks: --output %s: want text or json", o.form)
+	}
+	return nil
+}
+
+// show writes v as JSON, or calls text.
+func (o *output) show(v any, text func(w io.Writer)) error {
+	if o.form == outputText {
+		text(o.w)
+		return nil
+	}
+	e := json.NewEncoder(o.w)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
+
+func configCommand() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "config",
+		Short: "Check, compare and publish the configuration of a fleet",
+		Args:  cobra.NoArgs,
+		RunE:  func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
+	}
+	cmd.AddCommand(checkCommand(), diffCommand())
+	return cmd
+}
+
+// checked is the answer of config check.
+type checked struct {
+	File     string           `json:"file"`
+	Valid    bool             `json:"valid"`
+	Problems []strict.Problem `json:"problems"`
+}
+
+func checkCommand() *cobra.Command {
+	var out output
+	var settings bool
+	cmd := &cobra.Command{
+		Use:   "check FILE",
+		Short: "Check a document, or a node's settings, without publishing it",
+		Long: "Check a document, or a node's settings, without publishing it.\n\n" +
+			"Every problem is reported with its file, line, column and field. The exit status is 1 when there is one.",
+		Example: "  briarworks config check examples/tokachi/fleet.yaml\n" +
+			"  briarworks config check --settings examples/tokachi/node.yaml",
+		Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if err := out.open(cmd); err != nil {
+				return err
+			}
+			return check(&out, args[0], settings)
+		},
+	}
+	cmd.Flags().BoolVar(&settings, "settings", false, "FILE holds the settings of a node")
+	outputFlag(cmd, &out)
+	return cmd
+}
+
+func check(out *output, file string, settings bool) error {
+	text, err := readFile(file)
+	if err != nil {
+		return err
+	}
+	if settings {
+		_, err = setup.Decode(file, text)
+	} else {
+		_, err = rules.Decode(file, text)
+	}
+	c := checked{File: file, Valid: err == nil, Problems: strict.Problems{}}
+	var problems strict.Problems
+	if errors.As(err, &problems) {
+		c.Problems = problems
+	}
+	if shown := out.show(c, func(w io.Writer) {
+		if c.Valid {
+			fmt.Fprintf(w, "%s: valid\n", file)
+		}
+	}); shown != nil {
+		return shown
+	}
+	return invalid(file, err)
+}
+
+// invalid returns the error for the operator: one line for each problem.
+func invalid(file string, err error) error {
+	var problems strict.Problems
+	if !errors.As(err, &problems) {
+		return err
+	}
+	return fmt.Errorf("briarworks: %s: not valid, problems found: %d\n%w", file, len(problems), problems)
+}
+
+// readFile reads a file, or standard input for "-".
+func readFile(file string) (text []byte, err error) {
+	if file == "-" {
+		text, err = io.ReadAll(io.LimitReader(os.Stdin, int64(rules.MaxText)+1))
+	} else {
+		text, err = os.ReadFile(file)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("briarworks: %w", err)
+	}
+	return text, nil
+}
+
+func readDocument(file string) (d *rules.Document, text []byte, err error) {
+	if text, err = readFile(file); err != nil {
+		return nil, nil, err
+	}
+	if d, err = rules.Decode(file, text); err != nil {
+		return nil, nil, invalid(file, err)
+	}
+	return d, text, nil
+}
+
+// difference is the answer of config diff.
+type difference struct {
+	A       string         `json:"a"`
+	B       string         `json:"b"`
+	Changes []rules.Change `json:"changes"`
+}
+
+func diffCommand() *cobra.Command {
+	var out output
+	cmd := &cobra.Command{
+		Use:     "diff A B",
+		Short:   "Show what changes from document A to document B",
+		Example: "  briarworks config diff examples/tokachi/fleet.yaml edited.yaml",
+		Args:    cobra.ExactArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if err := out.open(cmd); err != nil {
+				return err
+			}
+			return diff(&out, args[0], args[1])
+		},
+	}
+	outputFlag(cmd, &out)
+	return cmd
+}
+
+func diff(out *output, a, b string) error {
+	before, _, errA := readDocument(a)
+	after, _, errB := readDocument(b)
+	if err := errors.Join(errA, errB); err != nil {
+		return err
+	}
+	d := difference{A: a, B: b, Changes: append([]rules.Change{}, rules.Diff(before, after)...)}
+	return out.show(d, func(w io.Writer) { showChanges(w, d.Changes) })
+}
+
+func showChanges(w io.Writer, changes []rules.Change) {
+	if len(changes) == 0 {
+		fmt.Fprintln(w, "no differences")
+	}
+	for _, c := range changes {
+		fmt.Fprintln(w, c)
+	}
+}
