--- a/cmd/briarworks/config.go
+++ b/cmd/briarworks/config.go
@@ -61,7 +61,7 @@
 		Args:  cobra.NoArgs,
 		RunE:  func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 	}
-	cmd.AddCommand(checkCommand(), diffCommand())
+	cmd.AddCommand(checkCommand(), diffCommand(), publishCommand(), showCommand(), historyCommand())
 	return cmd
 }
 
--- /dev/null
+++ b/cmd/briarworks/publish.go
@@ -0,0 +1,290 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"briarworks.example/briarworks/internal/applog"
+	"briarworks.example/briarworks/internal/config"
+	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/order"
+	"briarworks.example/briarworks/pkg/rules"
+)
+
+// defaultTimeout is longer than one append with the lookup of its lost answer.
+const defaultTimeout = 10 * time.Second
+
+// logFlags tell a command where the platform's log is.
+type logFlags struct {
+	address string
+	timeout time.Duration
+}
+
+func (f *logFlags) add(cmd *cobra.Command) {
+	cmd.Flags().StringVar(&f.address, "log", "", "IP number and port of the platform's log (required)")
+	cmd.Flags().DurationVar(&f.timeout, "timeout", defaultTimeout, "how long to wait for the log")
+	if err := cmd.MarkFlagRequired("log"); err != nil {
+		panic(err)
+	}
+}
+
+func (f *logFlags) client() (*applog.Client, error) {
+	if _, err := netip.ParseAddrPort(f.address); err != nil {
+		return nil, fmt.Errorf("briarworks: --log %s: want an IP number and a port, as in 127.0.0.1:9000", f.address)
+	}
+	return &applog.Client{Base: "http://" + f.address}, nil
+}
+
+// run calls work with the log; a writer runs until work returns.
+func (f *logFlags) run(ctx context.Context, work func(context.Context, config.Log) error) error {
+	client, err := f.client()
+	if err != nil {
+		return err
+	}
+	if ctx == nil {
+		ctx = context.Background()
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.timeout)
+	defer cancel()
+	writer := applog.NewWriter(client, applog.Config)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		writer.Run(ctx)
+	}()
+	read := func(ctx context.Context, from ident.Offset, limit int, wait time.Duration) (applog.Page, error) {
+		return client.Read(ctx, applog.Config, from, limit, wait)
+	}
+	err = work(ctx, config.Log{Read: read, Append: writer.Append})
+	cancel()
+	<-done
+	return err
+}
+
+// version is an accepted version or what became of a publish, as commands show it.
+type version struct {
+	Version  ident.Version  `json:"version"`
+	Verdict  string         `json:"verdict"`
+	ID       ident.RecordID `json:"id"`
+	Base     ident.Version  `json:"base"`
+	Author   string         `json:"author"`
+	At       time.Time      `json:"at"`
+	Offset   ident.Offset   `json:"offset"` // -1 when it is not known
+	Document string         `json:"document,omitempty"`
+}
+
+// published is the answer of config publish.
+type published struct {
+	Verdict string         `json:"verdict"` // accepted, refused or unknown
+	ID      ident.RecordID `json:"id"`
+	Base    ident.Version  `json:"base"`
+	Version ident.Version  `json:"version"` // accepted version after the publish
+	By      *version       `json:"by,omitempty"`
+	// Changes leads from the accepted document to the one that was refused.
+	Changes []rules.Change `json:"changes,omitempty"`
+}
+
+type publishFlags struct {
+	logFlags
+	out    output
+	base   int64
+	author string
+}
+
+func publishCommand() *cobra.Command {
+	var f publishFlags
+	cmd := &cobra.Command{
+		Use:   "publish FILE",
+		Short: "Check a document and publish it as the next version",
+		Long: "Check a document and publish it as the next version.\n\n" +
+			"It is accepted only if the base, the version that it was edited from, is still the accepted version.\n" +
+			"The exit status is 0 when it was accepted, 2 when another publish came first, 3 when this is not known\n" +
+			"(config history --id tells later), and 1 when nothing was published for another reason.",
+		Example: "  briarworks config publish --log 127.0.0.1:9000 --base 7 edited.yaml",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if err := f.out.open(cmd); err != nil {
+				return err
+			}
+			return f.publish(cmd.Context(), args[0])
+		},
+	}
+	f.add(cmd)
+	outputFlag(cmd, &f.out)
+	cmd.Flags().Int64Var(&f.base, "base", -1, "version that the document was edited from; -1 takes the accepted one")
+	cmd.Flags().StringVar(&f.author, "author", os.Getenv("USER"), "who publishes")
+	return cmd
+}
+
+func (f *publishFlags) publish(ctx context.Context, file string) error {
+	d, text, err := readDocument(file)
+	if err != nil {
+		return err
+	}
+	if f.author == "" {
+		return errors.New("briarworks: --author is empty")
+	}
+	return f.run(ctx, func(ctx context.Context, log config.Log) error {
+		var h config.History
+		if err := h.CatchUp(ctx, log, 0); err != nil {
+			return err
+		}
+		base := h.Fold.Current().Version
+		if f.base >= 0 {
+			base = ident.Version(f.base)
+		}
+		p := order.Publish{ID: ident.RecordID(rand.Text()), Base: base, Document: string(text), Author: f.author}
+		decision, err := h.Publish(ctx, log, p)
+		if err != nil {
+			return err
+		}
+		return f.answer(&h, decision, p, d)
+	})
+}
+
+func (f *publishFlags) answer(h *config.History, decision order.Decision, p order.Publish, d *rules.Document) error {
+	a := published{Verdict: decision.Verdict.String(), ID: p.ID, Base: p.Base, Version: decision.Version}
+	switch decision.Verdict {
+	case order.Taken:
+		return f.out.show(a, func(w io.Writer) { fmt.Fprintf(w, "accepted as version %d (record %s)\n", a.Version, a.ID) })
+	case order.Refused:
+		return f.refused(h, decision, a, d)
+	}
+	a.Verdict = "unknown"
+	if err := f.out.show(a, func(io.Writer) {}); err != nil {
+		return err
+	}
+	return &exitError{statusUnknown, fmt.Errorf(
+		"briarworks: unknown: the log did not tell in time whether the publish was accepted; ask later with config history --id %s", a.ID)}
+}
+
+func (f *publishFlags) refused(h *config.History, decision order.Decision, a published, d *rules.Document) error {
+	current := h.Fold.Current()
+	a.Version = current.Version
+	text := fmt.Sprintf("briarworks: refused: base %d is not the accepted version, which is %d", a.Base, current.Version)
+	if by := decision.By; by.Version != 0 {
+		a.By = &version{
+			Version: by.Version, Verdict: order.Taken.String(), ID: by.ID, Base: by.Version - 1, Author: by.Author, At: by.At, Offset: -1,
+		}
+		text = fmt.Sprintf("briarworks: refused: %s published version %d first, at %s (record %s)",
+			by.Author, by.Version, by.At.UTC().Format(time.RFC3339), by.ID)
+	}
+	readable := false
+	if accepted, err := rules.Decode("accepted", []byte(current.Document)); err == nil {
+		readable = true
+		a.Changes = rules.Diff(accepted, d)
+	}
+	err := f.out.show(a, func(w io.Writer) {
+		if !readable {
+			fmt.Fprintf(w, "this program cannot read the accepted version %d\n", current.Version)
+			return
+		}
+		fmt.Fprintf(w, "from the accepted version %d to the refused document:\n", current.Version)
+		showChanges(w, a.Changes)
+	})
+	if err != nil {
+		return err
+	}
+	return &exitError{statusRefused, errors.New(text)}
+}
+
+func showCommand() *cobra.Command {
+	var f logFlags
+	var out output
+	cmd := &cobra.Command{
+		Use:     "show",
+		Short:   "Show the accepted document",
+		Example: "  briarworks config show --log 127.0.0.1:9000 > edited.yaml",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := out.open(cmd); err != nil {
+				return err
+			}
+			return f.run(cmd.Context(), func(ctx context.Context, log config.Log) error { return show(ctx, log, &out) })
+		},
+	}
+	f.add(cmd)
+	outputFlag(cmd, &out)
+	return cmd
+}
+
+func show(ctx context.Context, log config.Log, out *output) error {
+	var h config.History
+	if err := h.CatchUp(ctx, log, 0); err != nil {
+		return err
+	}
+	if !h.Fold.Decided() {
+		return config.ErrUndecided
+	}
+	a := h.Fold.Current()
+	if a.Version == 0 {
+		return errors.New("briarworks: no configuration has been accepted yet")
+	}
+	v := version{
+		Version: a.Version, Verdict: order.Taken.String(), ID: a.ID, Base: a.Version - 1, Author: a.Author,
+		At: a.AcceptedAt.UTC(), Offset: -1, Document: a.Document,
+	}
+	return out.show(v, func(w io.Writer) {
+		fmt.Fprintf(w, "# version %d, published by %s at %s (record %s)\n", v.Version, v.Author, v.At.Format(time.RFC3339), v.ID)
+		fmt.Fprint(w, v.Document)
+	})
+}
+
+func historyCommand() *cobra.Command {
+	var f logFlags
+	var out output
+	var id string
+	cmd := &cobra.Command{
+		Use:   "history",
+		Short: "List the publishes that the log still keeps, and what became of them",
+		Example: "  briarworks config history --log 127.0.0.1:9000\n" +
+			"  briarworks config history --log 127.0.0.1:9000 --id 4NBSWYSZAQ7ZL2KFYC3MTTWQXM",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := out.open(cmd); err != nil {
+				return err
+			}
+			return f.run(cmd.Context(), func(ctx context.Context, log config.Log) error {
+				return history(ctx, log, &out, ident.RecordID(id))
+			})
+		},
+	}
+	f.add(cmd)
+	outputFlag(cmd, &out)
+	cmd.Flags().StringVar(&id, "id", "", "list only the publish with this record id")
+	return cmd
+}
+
+func history(ctx context.Context, log config.Log, out *output, id ident.RecordID) error {
+	var h config.History
+	if err := h.CatchUp(ctx, log, 0); err != nil {
+		return err
+	}
+	list := []version{}
+	for _, d := range h.Decisions {
+		if id != "" && d.Publish.ID != id {
+			continue
+		}
+		list = append(list, version{
+			Version: d.Version, Verdict: d.Verdict.String(), ID: d.Publish.ID, Base: d.Publish.Base,
+			Author: d.Publish.Author, At: d.Publish.At.UTC(), Offset: d.Offset,
+		})
+	}
+	if id != "" && len(list) == 0 {
+		return fmt.Errorf("briarworks: the log keeps no publish with record id %s", id)
+	}
+	return out.show(list, func(w io.Writer) {
+		for _, v := range list {
+			fmt.Fprintf(w, "%s version=%d verdict=%s base=%d author=%q record=%s offset=%d\n",
+				v.At.Format(time.RFC3339), v.Version, v.Verdict, v.Base, v.Author, v.ID, v.Offset)
+		}
+	})
+}
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,236 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"briarworks.example/briarworks/internal/applog"
+	"briarworks.example/briarworks/internal/fakes"
+	"briarworks.example/briarworks/internal/record"
+	"briarworks.example/briarworks/internal/record/recpb"
+	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/order"
+)
+
+// waitFor bounds every wait of these tests.
+const waitFor = 20 * time.Second
+
+// bench is a stand-in log with a client and a running writer.
+type bench struct {
+	fake   *fakes.Log
+	client *applog.Client
+	log    Log
+	ctx    context.Context
+}
+
+func newBench(t *testing.T, fake *fakes.Log) *bench {
+	server := httptest.NewServer(fake)
+	client := &applog.Client{Base: server.URL, HTTP: server.Client()}
+	writer := applog.NewWriter(client, applog.Config)
+	ctx, cancel := context.WithTimeout(context.Background(), waitFor)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		writer.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		server.Close()
+	})
+	return &bench{fake, client, Log{
+		Read: func(ctx context.Context, from ident.Offset, limit int, wait time.Duration) (applog.Page, error) {
+			return client.Read(ctx, applog.Config, from, limit, wait)
+		},
+		Append: writer.Append,
+	}, ctx}
+}
+
+func publish(id string, base ident.Version) *recpb.Record {
+	r := record.FromPublish(record.Publish{Base: base, Document: "document of " + id, Author: "author of " + id})
+	r.Id = id
+	return r
+}
+
+func carry(c order.Carry, id string) *recpb.Record {
+	r := CarryRecord(c)
+	r.Id = id
+	return r
+}
+
+// put appends a group behind the writer's back.
+func (b *bench) put(t *testing.T, recs ...*recpb.Record) {
+	t.Helper()
+	data, err := record.EncodeGroup(recs)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.fake.Append(string(applog.Config), data)
+}
+
+var errFault = errors.New("config: injected fault")
+
+// Guards against an operator who is told that a publish was accepted, refused or not written when
+// that is not so.
+func TestPublish(t *testing.T) {
+	type appendFunc = func(ctx context.Context, recs ...*recpb.Record) (ident.Offset, error)
+	tests := map[string]struct {
+		base    ident.Version
+		faults  fakes.LogFaults
+		append  func(t *testing.T, b *bench, next appendFunc) appendFunc // nil leaves it
+		verdict order.Verdict
+		version ident.Version
+		by      ident.RecordID
+		written bool
+		err     error
+	}{
+		"accepted":    {base: 1, verdict: order.Taken, version: 2, written: true},
+		"stale base":  {base: 0, verdict: order.Refused, version: 1, by: "first"},
+		"future base": {base: 9, verdict: order.Refused, version: 1},
+		"another came first": {
+			base: 1,
+			append: func(t *testing.T, b *bench, next appendFunc) appendFunc {
+				return func(ctx context.Context, recs ...*recpb.Record) (ident.Offset, error) {
+					b.put(t, publish("rival", 1))
+					return next(ctx, recs...)
+				}
+			},
+			verdict: order.Refused, version: 2, by: "rival", written: true,
+		},
+		"answer lost after the write": {
+			base: 1, faults: fakes.LogFaults{LoseNext: 1}, verdict: order.Taken, version: 2, written: true,
+		},
+		"unknown, but written": {
+			base: 1,
+			append: func(_ *testing.T, _ *bench, next appendFunc) appendFunc {
+				return func(ctx context.Context, recs ...*recpb.Record) (ident.Offset, error) {
+					_, err := next(ctx, recs...)
+					return 0, errors.Join(applog.ErrUnknown, errFault, err)
+				}
+			},
+			verdict: order.Taken, version: 2, written: true,
+		},
+		"unknown, and not found": {
+			base: 1,
+			append: func(*testing.T, *bench, appendFunc) appendFunc {
+				return func(context.Context, ...*recpb.Record) (ident.Offset, error) { return 0, applog.ErrUnknown }
+			},
+			verdict: order.Undecided, version: 1,
+		},
+		"not written": {
+			base: 1,
+			append: func(*testing.T, *bench, appendFunc) appendFunc {
+				return func(context.Context, ...*recpb.Record) (ident.Offset, error) { return 0, applog.ErrNotWritten }
+			},
+			err: applog.ErrNotWritten,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, &fakes.Log{Faults: tt.faults})
+			b.put(t, publish("first", 0))
+			log := b.log
+			if tt.append != nil {
+				log.Append = tt.append(t, b, log.Append)
+			}
+			h := History{Patience: time.Second}
+			d, err := h.Publish(b.ctx, log, order.Publish{ID: "mine", Base: tt.base, Document: "mine", Author: "me"})
+			if !errors.Is(err, tt.err) {
+				t.Fatalf("error: got %v, want %v", err, tt.err)
+			}
+			if d.Verdict != tt.verdict || d.By.ID != tt.by {
+				t.Errorf("verdict: got %v by %q, want %v by %q", d.Verdict, d.By.ID, tt.verdict, tt.by)
+			}
+			if err == nil && d.Version != tt.version {
+				t.Errorf("version: got %d, want %d", d.Version, tt.version)
+			}
+			if err := h.CatchUp(b.ctx, b.log, 0); err != nil {
+				t.Fatal(err)
+			}
+			written := 0
+			for _, d := range h.Decisions {
+				if d.Publish.ID == "mine" {
+					written++
+				}
+			}
+			if got := written > 0; got != tt.written {
+				t.Errorf("written: got %v, want %v", got, tt.written)
+			}
+		})
+	}
+}
+
+// Guards against a publish on a guessed base while the log cannot tell the accepted version.
+func TestPublishOnATrimmedLog(t *testing.T) {
+	b := newBench(t, &fakes.Log{MaxCount: 2})
+	for _, id := range []string{"a", "b", "c"} {
+		b.put(t, publish(id, 0))
+	}
+	var h History
+	_, err := h.Publish(b.ctx, b.log, order.Publish{ID: "mine", Base: 1})
+	if !errors.Is(err, ErrUndecided) {
+		t.Errorf("before a carry: got %v, want %v", err, ErrUndecided)
+	}
+	b.put(t, carry(order.Carry{Accepted: order.Accepted{Version: 1, Through: 2, Document: "a", ID: "a"}}, "carry"))
+	d, err := h.Publish(b.ctx, b.log, order.Publish{ID: "mine", Base: 1})
+	if err != nil || d.Verdict != order.Taken || d.Version != 2 {
+		t.Errorf("after a carry: got %v version %d, %v, want accepted as version 2", d.Verdict, d.Version, err)
+	}
+	if got, want := h.Lookup("mine").Verdict, order.Taken; got != want {
+		t.Errorf("lookup: got %v, want %v", got, want)
+	}
+}
+
+// Guards against a node whose tail makes its fold differ from one that reads the log directly: groups,
+// appends that do not decode, repeated ids behind a base of the future, and trimmed records.
+func TestFeed(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	tests := map[string]struct {
+		keep int // records that the log keeps
+		want ident.Version
+	}{
+		"whole":   {0, 4},
+		"trimmed": {7, 4},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, &fakes.Log{MaxCount: tt.keep})
+			b.put(t, publish("a", 0), publish("b", 1))
+			b.put(t, publish("c", 3))
+			b.put(t, carry(order.Carry{Accepted: order.Accepted{Version: 2, Through: 1, Document: "document of b", ID: "b"}}, "carry"))
+			b.fake.Append(string(applog.Config), []byte("not a group"))
+			b.put(t, publish("d", 2), publish("e", 2))
+			b.fake.Append(string(applog.Config), nil)
+			b.put(t, publish("c", 3))
+			b.put(t, publish("f", 3))
+			var h History
+			if err := h.CatchUp(b.ctx, b.log, 0); err != nil {
+				t.Fatal(err)
+			}
+			var fold order.Fold
+			ctx, cancel := context.WithCancel(b.ctx)
+			defer cancel()
+			feed := &Feed{Fold: &fold}
+			feed.Changed = func([]order.Decision) {
+				if fold.Next() == 8 {
+					cancel()
+				}
+			}
+			NewTail(b.client, feed).Run(ctx, 0)
+			if got, want := fold.Current(), h.Fold.Current(); got != want {
+				t.Errorf("current by the tail: got %+v, want %+v", got, want)
+			}
+			if got := fold.Current().Version; got != tt.want || !fold.Decided() {
+				t.Errorf("version: got %d, want %d", got, tt.want)
+			}
+			if got, want := fold.Current().ID, ident.RecordID("c"); got != want {
+				t.Errorf("accepted record: got %s, want %s", got, want)
+			}
+		})
+	}
+}
--- a/internal/config/history.go
+++ b/internal/config/history.go
@@ -18,9 +18,8 @@
 const (
 	pageSize = 256
 	// pollWait is how long one read waits for a record that has not been written yet.
-	pollWait = 500 * time.Millisecond
-	// lookupTime is how long a lost answer is looked up after the time for publishing is over.
-	lookupTime = 5 * time.Second
+	pollWait        = 500 * time.Millisecond
+	defaultPatience = 5 * time.Second
 )
 
 var (
@@ -43,6 +42,8 @@
 type History struct {
 	Fold      order.Fold
 	Decisions []order.Decision // one for each publish that was read, in log order
+	// Patience is how long Publish looks for its record after the append ended; 5 s when 0.
+	Patience time.Duration
 }
 
 // CatchUp reads up to the end that the log has at the first read. When nothing is there to read, it
@@ -155,7 +156,11 @@
 // readBack reads until the record is found. Its time is counted anew, because an append whose answer
 // was lost may have used up the time of ctx.
 func (h *History) readBack(ctx context.Context, log Log, p order.Publish) order.Decision {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), lookupTime)
+	patience := h.Patience
+	if patience == 0 {
+		patience = defaultPatience
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), patience)
 	defer cancel()
 	for {
 		err := h.CatchUp(ctx, log, pollWait)
