--- a/internal/strict/validate.go
+++ b/internal/strict/validate.go
@@ -57,15 +57,18 @@
 		if s.Faulty(field) {
 			continue
 		}
-		s.Add(field, "%s", Explain(f.Tag(), f.Param(), f.Kind() == reflect.Slice))
+		s.Add(field, "%s", Explain(f.Tag(), f.Param(), f.Kind()))
 	}
 }
 
-// Explain returns what a validate tag demands, in words for operators.
-func Explain(tag, param string, list bool) string {
+// Explain returns what a validate tag demands of a field of the given kind, in words for operators.
+func Explain(tag, param string, kind reflect.Kind) string {
 	what := "must be "
-	if list {
+	switch kind {
+	case reflect.Slice:
 		what = "number of entries must be "
+	case reflect.String:
+		what = "number of characters must be "
 	}
 	switch tag {
 	case "name":
