--- a/cmd/briarworks/fleet.go
+++ b/cmd/briarworks/fleet.go
@@ -83,22 +83,27 @@
 	return printStatus(out, s)
 }
 
-func getStatus(ctx context.Context, node string) (s admin.Status, err error) {
+func getStatus(ctx context.Context, node string) (admin.Status, error) {
+	return ask[admin.Status](ctx, node, "/status")
+}
+
+// ask gets a document from the operator's port of a node.
+func ask[T any](ctx context.Context, node, path string) (v T, err error) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+node+"/status", nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+node+path, nil)
 	if err != nil {
-		return s, err
+		return v, err
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return s, fmt.Errorf("fleet status: no answer from %s; name the operator's port of a running node with --node: %w", node, err)
+		return v, fmt.Errorf("briarworks: no answer from %s; name the operator's port of a running node with --node: %w", node, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
-		return s, fmt.Errorf("fleet status: %s answered %s; is it the operator's port of a node?", node, resp.Status)
+		return v, fmt.Errorf("briarworks: %s answered %s; is it the operator's port of a node?", node, resp.Status)
 	}
-	return s, json.NewDecoder(io.LimitReader(resp.Body, maxStatus)).Decode(&s)
+	return v, json.NewDecoder(io.LimitReader(resp.Body, maxStatus)).Decode(&v)
 }
 
 // place groups servers for the picture.
--- a/cmd/briarworks/refusals.go
+++ b/cmd/briarworks/refusals.go
@@ -180,11 +180,6 @@
 	return p
 }
 
-func isJSON(c *cobra.Command) bool {
-	out, _ := c.Flags().GetString("output")
-	return out == "json"
-}
-
 func (p *printer) row(r refusalRow) {
 	if p.err != nil {
 		return
--- a/cmd/briarworks/version.go
+++ b/cmd/briarworks/version.go
@@ -9,8 +9,8 @@
 	"briarworks.example/briarworks/internal/wire"
 )
 
-// version is the version of this software.
-const version = "0.1.0"
+// release is the version of this software.
+const release = "0.1.0"
 
 // versions is what the version command prints.
 type versions struct {
@@ -22,7 +22,7 @@
 	return &cobra.Command{
 		Use: "version", Short: "Print the version", Example: "  briarworks version --output json", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			v := versions{Version: version, Protocol: wire.Protocol}
+			v := versions{Version: release, Protocol: wire.Protocol}
 			if out, _ := c.Flags().GetString("output"); out == "json" {
 				return json.NewEncoder(c.OutOrStdout()).Encode(v)
 			}
--- a/internal/admin/status.go
+++ b/internal/admin/status.go
@@ -46,3 +46,12 @@
 	Reason    string  `json:"reason"`
 	PerSecond float64 `json:"perSecond"`
 }
+
+// InForce tells how far the accepted configuration has come.
+type InForce struct {
+	Accepted uint64   `json:"accepted"` // version
+	Nodes    int      `json:"nodes"`    // members that have not left
+	Current  int      `json:"current"`  // nodes that have the accepted version in force
+	Behind   []string `json:"behind,omitempty"`
+	Silent   []string `json:"silent,omitempty"` // could not be asked
+}
--- a/internal/applog/applog_test.go
+++ b/internal/applog/applog_test.go
@@ -15,6 +15,7 @@
 	"briarworks.example/briarworks/internal/fakes"
 	"briarworks.example/briarworks/internal/record"
 	"briarworks.example/briarworks/internal/record/recpb"
+	"briarworks.example/briarworks/pkg/fleet"
 	"briarworks.example/briarworks/pkg/ident"
 )
 
@@ -69,7 +70,7 @@
 }
 
 func rec(id string) *recpb.Record {
-	r := record.FromLeave(record.Leave{Server: ident.Server(id), Incarnation: 1})
+	r := record.FromMember(fleet.Member{Server: ident.Server(id), Incarnation: 1, Left: true})
 	r.Id = id
 	return r
 }
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"briarworks.example/briarworks/internal/applog"
+	"briarworks.example/briarworks/internal/config"
 	"briarworks.example/briarworks/internal/flight"
 	"briarworks.example/briarworks/internal/front"
 	"briarworks.example/briarworks/internal/peer"
@@ -135,15 +136,9 @@
 	}
 	p.Roster.Changed = n.news
 	p.Policy.Changed = n.onConfig
-	n.members = newStream(p.Client, applog.Members, n.onMember)
-	cr := &configReader{policy: p.Policy}
-	n.config = newStream(p.Client, applog.Config, cr.handle)
-	n.config.tail.Trimmed = cr.trimmed
-	caught := n.config.tail.Caught
-	n.config.tail.Caught = func(next ident.Offset) {
-		cr.caught(next)
-		caught(next)
-	}
+	n.members = newStream(p.Client, applog.Members, applog.NewTail(p.Client, applog.Members, n.onMember))
+	feed := &config.Feed{Start: p.Policy.Start, Next: p.Policy.Next, Read: p.Policy.Read}
+	n.config = newStream(p.Client, applog.Config, config.NewTail(p.Client, feed))
 	return n
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -104,7 +104,7 @@
 		h    http.Handler
 	}{
 		{at.Local, front.Engine(n.Front.Local)},
-		{at.Operator, admin.Handler(n.Stats.Handler, n.status)},
+		{at.Operator, admin.Handler(n.Stats.Handler, n.status, n.inForce)},
 		{at.Callers, front.Engine(n.Front.Callers)},
 	}
 	for _, p := range ports {
--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -9,7 +9,6 @@
 	"go.uber.org/zap"
 
 	"briarworks.example/briarworks/internal/applog"
-	"briarworks.example/briarworks/internal/policy"
 	"briarworks.example/briarworks/internal/record"
 	"briarworks.example/briarworks/pkg/ident"
 	"briarworks.example/briarworks/pkg/order"
@@ -36,12 +35,16 @@
 	caught chan struct{} // closed when the stream was first read to its end
 }
 
-func newStream(c *applog.Client, name applog.Stream, handle func(applog.Entry)) *stream {
-	s := &stream{name: name, caught: make(chan struct{})}
-	s.tail = applog.NewTail(c, name, handle)
-	s.tail.Wait = pollWait
-	s.tail.Caught = func(ident.Offset) { s.once.Do(func() { close(s.caught) }) }
-	s.writer = applog.NewWriter(c, name)
+func newStream(c *applog.Client, name applog.Stream, tail *applog.Tail) *stream {
+	s := &stream{name: name, tail: tail, writer: applog.NewWriter(c, name), caught: make(chan struct{})}
+	tail.Wait = pollWait
+	before := tail.Caught
+	tail.Caught = func(next ident.Offset) {
+		if before != nil {
+			before(next)
+		}
+		s.once.Do(func() { close(s.caught) })
+	}
 	return s
 }
 
@@ -61,54 +64,6 @@
 	}
 }
 
-// configReader gives the fold of configurations every offset of its stream, with the records of one
-// offset together. Offsets without a record of the fold (repeated or undecodable ones) are read as
-// empty, because the fold takes a skipped offset as trimmed.
-type configReader struct {
-	policy  *policy.Policy
-	next    ident.Offset // first offset that was not given to the fold
-	at      ident.Offset // offset of records
-	records []order.Record
-}
-
-func (c *configReader) handle(e applog.Entry) {
-	if e.Offset != c.at {
-		c.flush()
-	}
-	c.at = e.Offset
-	if o, ok := record.ToOrder(e.Record); ok {
-		c.records = append(c.records, o)
-	}
-}
-
-// flush hands over the records collected so far.
-func (c *configReader) flush() {
-	if len(c.records) == 0 {
-		return
-	}
-	c.fill(c.at)
-	c.policy.Read(c.at, c.records...)
-	c.next, c.records = c.at+1, nil
-}
-
-// fill reads the offsets before end as empty.
-func (c *configReader) fill(end ident.Offset) {
-	for ; c.next < end; c.next++ {
-		c.policy.Read(c.next)
-	}
-}
-
-func (c *configReader) caught(next ident.Offset) {
-	c.flush()
-	c.fill(next)
-}
-
-func (c *configReader) trimmed(first ident.Offset) {
-	c.flush()
-	c.next = max(c.next, first)
-	c.policy.Trimmed(first)
-}
-
 // announce tells the fleet of this server at the start and again before its record expires. The start
 // is spread over the members that are known, so that a fleet that starts at once stays within what the
 // log takes.
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -74,6 +74,7 @@
 	c := n.Policy.Current().Accepted
 	reply := &wirepb.SyncReply{
 		Digest: n.Roster.Table().Digest(), ConfigVersion: uint64(c.Version), ConfigThrough: int64(c.Through),
+		InForce: uint64(n.Policy.Version()),
 	}
 	if reply.Digest != m.GetDigest() && !m.GetNews() {
 		reply.Members = n.allMembers()
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -53,13 +53,20 @@
 	return 0
 }
 
-// Trimmed tells that the log keeps nothing before first.
-func (p *Policy) Trimmed(first ident.Offset) {
+// Start tells the first offset that the log keeps.
+func (p *Policy) Start(first ident.Offset) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.fold.Start(first)
 }
 
+// Next returns the offset that the fold reads next.
+func (p *Policy) Next() ident.Offset {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fold.Next()
+}
+
 // Read takes the records at one offset of the log.
 func (p *Policy) Read(at ident.Offset, records ...order.Record) {
 	p.mu.Lock()
--- a/internal/record/config.go
+++ b/internal/record/config.go
@@ -1,6 +1,8 @@
 package record
 
 import (
+	"time"
+
 	"briarworks.example/briarworks/internal/record/recpb"
 	"briarworks.example/briarworks/pkg/ident"
 	"briarworks.example/briarworks/pkg/order"
@@ -26,10 +28,10 @@
 	}
 }
 
-// ToOrder returns what a record means for the order of configurations, and whether it has a usable
-// body. The document is not looked at, so that all software versions fold alike.
-func ToOrder(r *recpb.Record) (o order.Record, ok bool) {
-	at := fromUnixNs(r.GetWrittenUnixNs())
+// ToOrder returns what a record that the log took at the given time means for the order of
+// configurations, and whether it has a usable body. The document is not looked at, so that all software
+// versions fold alike.
+func ToOrder(r *recpb.Record, at time.Time) (o order.Record, ok bool) {
 	switch b := r.GetBody().(type) {
 	case *recpb.Record_Publish:
 		o.Publish = &order.Publish{
--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -35,6 +35,8 @@
 	return func(r *recpb.Record) (any, bool) { return decode(r) }
 }
 
+func toOrder(r *recpb.Record) (order.Record, bool) { return ToOrder(r, at) }
+
 func trips() map[string]trip {
 	announce := fleet.Member{Server: "s", Service: "ledger", DataCentre: "d", Address: "127.0.0.1:1", Incarnation: 7, Slots: 130, Conns: 900, Announced: at}
 	leave := fleet.Member{Server: "s", Incarnation: 7, Left: true, Announced: at}
@@ -49,8 +51,8 @@
 	return map[string]trip{
 		"announce": {announce, FromMember(announce), to(ToMember)},
 		"leave":    {leave, FromMember(leave), to(ToMember)},
-		"publish":  {publish, FromOrder(publish), to(ToOrder)},
-		"carry":    {carry, FromOrder(carry), to(ToOrder)},
+		"publish":  {publish, FromOrder(publish), to(toOrder)},
+		"carry":    {carry, FromOrder(carry), to(toOrder)},
 		"started":  {started, FromStarted(started), to(ToStarted)},
 		"done":     {done, FromDone(done), to(ToDone)},
 		"void":     {void, FromVoid(void), to(ToVoid)},
