strict: bound the nesting of documents

The YAML parser takes time with the square of the nesting: a document of 200 KiB with 200 KiB of open brackets had not been answered after 6 s, and one of that size with a fault in each entry of a list had not either, since each check walked over all faults.

--- a/internal/strict/strict.go
+++ b/internal/strict/strict.go
@@ -11,6 +11,7 @@
 
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/lexer"
 	"github.com/goccy/go-yaml/parser"
 	"github.com/goccy/go-yaml/token"
 )
@@ -18,24 +19,34 @@
 // place is a position in the file, both numbers from 1.
 type place struct{ line, column int }
 
+// maxNesting bounds flow collections, and sequences that begin on one line. The time of the parser
+// grows with the square of this depth, so without a bound a document could stop a node for minutes.
+const maxNesting = 32
+
 // Source is a file that was read, with the places of its fields and the problems found so far.
 type Source struct {
 	file     string
 	places   map[string]place
 	faulty   map[string]bool
+	around   map[string]bool // fields that have a faulty one in them
 	problems Problems
 }
 
 // Read parses text of at most limit bytes into dst, a pointer to a struct. It always returns a source;
 // Err tells whether dst can be used.
 func Read(file string, text []byte, limit int, dst any) *Source {
-	s := &Source{file: file, places: make(map[string]place), faulty: make(map[string]bool)}
+	s := &Source{file: file, places: make(map[string]place), faulty: make(map[string]bool), around: make(map[string]bool)}
 	s.places[""] = place{1, 1}
 	if len(text) > limit {
 		s.Add("", "file has %d bytes, at most %d are allowed", len(text), limit)
 		return s
 	}
-	parsed, err := parser.ParseBytes(text, 0)
+	tokens := lexer.Tokenize(string(text))
+	if tk := tooDeep(tokens); tk != nil {
+		s.at("", tk, "nested deeper than %d levels", maxNesting)
+		return s
+	}
+	parsed, err := parser.Parse(tokens, 0)
 	if err != nil {
 		s.syntax(err)
 		return s
@@ -59,6 +70,28 @@
 	return s
 }
 
+// tooDeep returns the token at which the nesting exceeds the bound, or nil.
+func tooDeep(tokens token.Tokens) *token.Token {
+	flow, entries, line := 0, 0, 0
+	for _, tk := range tokens {
+		if at := position(tk).line; at != line {
+			entries, line = 0, at
+		}
+		switch tk.Type {
+		case token.SequenceStartType, token.MappingStartType:
+			flow++
+		case token.SequenceEndType, token.MappingEndType:
+			flow--
+		case token.SequenceEntryType:
+			entries++
+		}
+		if flow > maxNesting || entries > maxNesting {
+			return tk
+		}
+	}
+	return nil
+}
+
 // Add reports a problem at a field, as in "services[2].slots"; the place is that of the field, or of
 // the nearest one around it that the file has.
 func (s *Source) Add(field, format string, args ...any) {
@@ -77,12 +110,7 @@
 			break
 		}
 	}
-	for f := range s.faulty {
-		if strings.HasPrefix(f, field) && len(f) > len(field) && (f[len(field)] == '.' || f[len(field)] == '[') {
-			return true
-		}
-	}
-	return false
+	return s.around[field]
 }
 
 // Err returns the problems as Problems, or nil when there are none.
@@ -99,6 +127,10 @@
 
 func (s *Source) add(field string, p place, message string) {
 	s.faulty[field] = true
+	for f := field; f != ""; {
+		f = parent(f)
+		s.around[f] = true
+	}
 	s.problems = append(s.problems, Problem{File: s.file, Line: p.line, Column: p.column, Field: field, Message: message})
 }
 
--- a/pkg/rules/rules_test.go
+++ b/pkg/rules/rules_test.go
@@ -134,6 +134,41 @@
 	}
 }
 
+// Guards against a document of allowed size that keeps a node busy: the parser's time grows with the
+// square of the nesting.
+func TestHostileDocuments(t *testing.T) {
+	const size = int(MaxText) - 64
+	fill := func(unit string) string { return strings.Repeat(unit, size/len(unit)) }
+	tests := map[string]string{
+		"nested lists":     fill("["),
+		"nested mappings":  fill("{a: "),
+		"nested entries":   fill("- "),
+		"nested keys":      fill("? "),
+		"closed and open":  fill("[]"),
+		"many faulty":      "kinds:\n" + fill("- {name: 1}\n"),
+		"many unknown":     fill("k: 1\n"),
+		"many anchors":     fill("&a "),
+		"unbalanced close": fill("]"),
+	}
+	for name, text := range tests {
+		t.Run(name, func(t *testing.T) {
+			done := make(chan error, 1)
+			go func() {
+				_, err := Decode("f", []byte(text))
+				done <- err
+			}()
+			select {
+			case err := <-done:
+				if err == nil {
+					t.Errorf("error: got none, want one")
+				}
+			case <-time.After(30 * time.Second):
+				t.Errorf("decode: got no answer within 30 s")
+			}
+		})
+	}
+}
+
 func compiled(t testing.TB, text string) *Snapshot {
 	t.Helper()
 	d, err := Decode("f", []byte(text))
