--- a/internal/relay/onward.go
+++ b/internal/relay/onward.go
@@ -39,9 +39,6 @@
 // place runs a request of the entry on the own server or, when that is full, on another one of the
 // service that has room.
 func (r *Relay) place(ctx context.Context, req *call.Request) call.Result {
-	if !r.Gate.Offer(req, r.Now()) {
-		return r.annotate(req, call.Refuse(reason.Overload), req.Budget)
-	}
 	set := r.Routes(r.Self.Service)
 	if r.Gate.Free() > 0 || set == nil {
 		return r.local(ctx, req)
@@ -64,11 +61,16 @@
 	ratio.Call(r.Now())
 	var avoid route.Avoid
 	for n := 0; ; n++ {
-		res = r.attempt(ctx, req, pool, &avoid)
+		p, ok := r.pick(req.Service, avoid)
+		if !ok {
+			return noServer(res, n)
+		}
+		res = r.attempt(ctx, p, req, pool)
 		why, again := retry.Decide(req, res)
 		if !again || ctx.Err() != nil {
 			return res
 		}
+		avoid.Add(p.Member.Server)
 		wait, fits := retry.Backoff(n, r.Rand(), req.Left(r.Now()))
 		if !fits || !ratio.Allow(r.Now()) {
 			return res
@@ -83,22 +85,27 @@
 	}
 }
 
-// attempt makes a call once, with half of the tokens, and takes back those that were not spent.
-func (r *Relay) attempt(ctx context.Context, req *call.Request, pool *retry.Pool, avoid *route.Avoid) call.Result {
-	set := r.Routes(req.Service)
-	if set == nil {
-		return call.Refuse(reason.NoServer)
+// noServer is the result when no server is left to try: that of the last attempt, if there was one.
+func noServer(last call.Result, attempts int) call.Result {
+	if attempts > 0 {
+		return last
 	}
-	p, ok := set.Pick(r.Now(), *avoid, r.Rand())
-	if !ok {
-		return call.Refuse(reason.NoServer)
+	return call.Refuse(reason.NoServer)
+}
+
+func (r *Relay) pick(service ident.Service, avoid route.Avoid) (*route.Peer, bool) {
+	set := r.Routes(service)
+	if set == nil {
+		return nil, false
 	}
+	return set.Pick(r.Now(), avoid, r.Rand())
+}
+
+// attempt makes a call once, with half of the tokens, and takes back those that were not spent.
+func (r *Relay) attempt(ctx context.Context, p *route.Peer, req *call.Request, pool *retry.Pool) call.Result {
 	req.Budget = pool.Lend()
 	res := r.send(ctx, p, req)
 	pool.Return(min(res.TokensLeft, req.Budget))
-	if res.Outcome != reason.Ran {
-		avoid.Add(p.Member.Server)
-	}
 	return res
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -74,6 +74,9 @@
 	}
 	r.active.Add(1)
 	defer r.active.Add(-1)
+	if !r.Gate.Offer(req, r.Now()) {
+		return r.annotate(req, call.Refuse(reason.Overload), req.Budget)
+	}
 	if req.Once {
 		return r.enterOnce(ctx, req)
 	}
