--- /dev/null
+++ b/internal/keeper/keeper_test.go
@@ -0,0 +1,290 @@
+package keeper
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"briarworks.example/briarworks/internal/applog"
+	"briarworks.example/briarworks/internal/fakes"
+	"briarworks.example/briarworks/internal/record"
+	"briarworks.example/briarworks/pkg/call"
+	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/once"
+	"briarworks.example/briarworks/pkg/reason"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const bound = 20 * time.Second // of every wait in these tests
+
+// fleet is several keepers of the same partition over one log.
+type fleet struct {
+	log  *fakes.Log
+	base string
+	http *http.Transport
+}
+
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	f := &fleet{log: &fakes.Log{Seed: 1}, http: &http.Transport{MaxIdleConnsPerHost: 100}}
+	srv := httptest.NewServer(f.log)
+	f.base = srv.URL
+	t.Cleanup(func() {
+		f.http.CloseIdleConnections()
+		srv.Close()
+	})
+	return f
+}
+
+// keeper starts a keeper; stop ends it.
+func (f *fleet) keeper(t *testing.T, server ident.Server, incarnation ident.Incarnation, tweak func(*Keeper)) (k *Keeper, stop func()) {
+	t.Helper()
+	c := &applog.Client{Base: f.base, HTTP: &http.Client{Transport: f.http}}
+	k = New(c, "ledger", 0, once.Partition{Holder: server, Incarnation: incarnation, Retention: time.Hour})
+	k.Writer.Timeout, k.Writer.Margin = 300*time.Millisecond, 100*time.Millisecond
+	k.Tail.Wait, k.Tail.Grace = 100*time.Millisecond, 200*time.Millisecond
+	if tweak != nil {
+		tweak(k)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { k.Run(ctx) })
+	stop = sync.OnceFunc(func() {
+		cancel()
+		wg.Wait()
+	})
+	t.Cleanup(stop)
+	waitFor(t, "ready", k.Ready)
+	return k, stop
+}
+
+func waitFor(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	end := time.Now().Add(bound)
+	for !ok() {
+		if time.Now().After(end) {
+			t.Fatalf("%s: got no such state in time", what)
+		}
+		<-time.After(time.Millisecond)
+	}
+}
+
+func request(key string, wait time.Duration) *call.Request {
+	return &call.Request{Key: ident.Key(key), Kind: "claim", Caller: "c", Budget: 3, Deadline: time.Now().Add(wait)}
+}
+
+func answer(body string) call.Result {
+	return call.Result{Outcome: reason.Ran, Status: 200, Body: []byte(body), Fraction: 1}
+}
+
+// bodies counts the records of each kind on the log.
+func (f *fleet) bodies(t *testing.T) (started, done, void int) {
+	t.Helper()
+	for _, raw := range f.log.Records("once-ledger-0").Records {
+		recs, err := record.DecodeGroup(raw.Data)
+		if err != nil {
+			t.Fatalf("decode: got %v, want no error", err)
+		}
+		for _, r := range recs {
+			if _, ok := record.ToStarted(r); ok {
+				started++
+			}
+			if _, ok := record.ToDone(r); ok {
+				done++
+			}
+			if _, ok := record.ToVoid(r); ok {
+				void++
+			}
+		}
+	}
+	return started, done, void
+}
+
+// Guards against a second run, and against an arrival that gets another answer than the first one,
+// while the log loses answers and several holders take the same keys.
+func TestDoOnce(t *testing.T) {
+	f := newFleet(t)
+	f.log.SetFaults(fakes.LogFaults{LoseShare: 0.2})
+	var keepers []*Keeper
+	for _, server := range []ident.Server{"a", "b", "c"} {
+		k, _ := f.keeper(t, server, 1, nil)
+		keepers = append(keepers, k)
+	}
+	const keys, arrivals = 20, 5
+	var runs [keys]atomic.Int32
+	var ran [keys]atomic.Int32
+	var wg sync.WaitGroup
+	for i := range keys {
+		for n := range arrivals {
+			wg.Go(func() {
+				res := keepers[(i+n)%len(keepers)].Do(t.Context(), request(strconv.Itoa(i), bound), func(context.Context) call.Result {
+					runs[i].Add(1)
+					return answer(strconv.Itoa(i))
+				})
+				switch {
+				case res.Outcome == reason.Ran && string(res.Body) == strconv.Itoa(i):
+					ran[i].Add(1)
+				case res.Outcome == reason.Ran:
+					t.Errorf("key %d: got answer %q, want its own", i, res.Body)
+				}
+			})
+		}
+	}
+	wg.Wait()
+	for i := range keys {
+		if got := runs[i].Load(); got != 1 {
+			t.Errorf("key %d: got %d runs, want 1", i, got)
+		}
+		if got := ran[i].Load(); got != arrivals {
+			t.Errorf("key %d: got %d answers, want %d", i, got, arrivals)
+		}
+	}
+}
+
+// Guards against a wrong or late answer in each way in which a request can fail before or after it
+// ran, and against a record that is missing then.
+func TestOutcome(t *testing.T) {
+	tests := map[string]struct {
+		faults  fakes.LogFaults
+		down    bool // wait until the keeper has noticed
+		lease   time.Duration
+		run     call.Result
+		outcome reason.Outcome
+		why     reason.Refusal
+		runs    int
+		done    int
+		void    int
+	}{
+		"ran":         {run: answer("x"), outcome: reason.Ran, runs: 1, done: 1},
+		"server shed": {run: call.Refuse(reason.ServerShed), outcome: reason.NotRun, why: reason.ServerShed, runs: 1, void: 1},
+		"in doubt":    {run: call.Doubt(reason.ServerFailed), outcome: reason.Unknown, why: reason.ServerFailed, runs: 1},
+		"log down":    {faults: fakes.LogFaults{Down: true}, down: true, outcome: reason.NotRun, why: reason.LogUnavailable},
+		"log refuses": {faults: fakes.LogFaults{AppendRate: 0.001}, outcome: reason.NotRun, why: reason.LogUnavailable},
+		"lease over":  {lease: time.Nanosecond, outcome: reason.NotRun, why: reason.LeaseLapsed, void: 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			k, _ := f.keeper(t, "a", 1, func(k *Keeper) { k.Partition.Lease = tt.lease })
+			f.log.SetFaults(tt.faults)
+			if tt.down {
+				waitFor(t, "log down", func() bool { return k.Tail.Down(time.Now()) })
+			}
+			runs := 0
+			res := k.Do(t.Context(), request("k", bound), func(context.Context) call.Result {
+				runs++
+				return tt.run
+			})
+			if res.Outcome != tt.outcome || res.Reason != tt.why || runs != tt.runs {
+				t.Errorf("result: got %v for %v after %d runs, want %v for %v after %d", res.Outcome, res.Reason, runs, tt.outcome, tt.why, tt.runs)
+			}
+			if runs == 0 && res.TokensLeft != 3 {
+				t.Errorf("tokens left: got %d, want 3", res.TokensLeft)
+			}
+			waitFor(t, "records", func() bool {
+				_, done, void := f.bodies(t)
+				return done == tt.done && void == tt.void
+			})
+		})
+	}
+}
+
+// Guards against a caller who is told notRun at its deadline while its Started is on its way, and
+// whose attempt then runs or blocks the key for good.
+func TestGiveUp(t *testing.T) {
+	f := newFleet(t)
+	k, _ := f.keeper(t, "a", 1, nil)
+	f.log.SetFaults(fakes.LogFaults{SlowAppend: fakes.Duration(250 * time.Millisecond)})
+	never := func(context.Context) call.Result {
+		t.Errorf("attempt that was given up: got a run, want none")
+		return answer("never")
+	}
+	res := k.Do(t.Context(), request("k", 100*time.Millisecond), never)
+	if res.Outcome != reason.NotRun || res.Reason != reason.DeadlinePassed {
+		t.Fatalf("result: got %v for %v, want %v for %v", res.Outcome, res.Reason, reason.NotRun, reason.DeadlinePassed)
+	}
+	f.log.SetFaults(fakes.LogFaults{})
+	waitFor(t, "a later attempt", func() bool {
+		res = k.Do(t.Context(), request("k", bound), func(context.Context) call.Result { return answer("later") })
+		return res.Outcome == reason.Ran
+	})
+	if got, want := string(res.Body), "later"; got != want {
+		t.Errorf("answer: got %q, want %q", got, want)
+	}
+}
+
+// Guards against a restarted holder that runs a key again, or forgets an answer.
+func TestRestart(t *testing.T) {
+	f := newFleet(t)
+	k, stop := f.keeper(t, "a", 1, nil)
+	k.Do(t.Context(), request("done", bound), func(context.Context) call.Result { return answer("first") })
+	k.Do(t.Context(), request("doubt", bound), func(context.Context) call.Result { return call.Doubt(reason.ServerFailed) })
+	stop()
+	if res := k.Do(t.Context(), request("new", bound), nil); res.Outcome != reason.NotRun || res.Reason != reason.Draining {
+		t.Errorf("after the stop: got %v for %v, want %v for %v", res.Outcome, res.Reason, reason.NotRun, reason.Draining)
+	}
+	k, _ = f.keeper(t, "a", 2, nil)
+	if res := k.Do(t.Context(), request("done", bound), nil); res.Outcome != reason.Ran || string(res.Body) != "first" {
+		t.Errorf("done before the restart: got %v %q, want the first answer", res.Outcome, res.Body)
+	}
+	if res := k.Do(t.Context(), request("doubt", bound), nil); res.Outcome != reason.Unknown || res.Reason != reason.KeyUnknown {
+		t.Errorf("in doubt before the restart: got %v for %v, want unknown", res.Outcome, res.Reason)
+	}
+}
+
+// Guards against a repeat that runs beside the first arrival, or that waits past its own deadline.
+func TestRunning(t *testing.T) {
+	f := newFleet(t)
+	a, _ := f.keeper(t, "a", 1, nil)
+	b, _ := f.keeper(t, "b", 1, nil)
+	began, end := make(chan struct{}), make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		a.Do(t.Context(), request("k", bound), func(context.Context) call.Result {
+			close(began)
+			<-end
+			return answer("x")
+		})
+	})
+	<-began
+	for name, k := range map[string]*Keeper{"same holder": a, "other holder": b} {
+		if res := k.Do(t.Context(), request("k", 200*time.Millisecond), nil); res.Outcome != reason.Running || res.Reason != reason.KeyRunning {
+			t.Errorf("%s: got %v for %v, want running", name, res.Outcome, res.Reason)
+		}
+	}
+	close(end)
+	if res := b.Do(t.Context(), request("k", bound), nil); res.Outcome != reason.Ran || string(res.Body) != "x" {
+		t.Errorf("other holder afterwards: got %v %q, want the answer", res.Outcome, res.Body)
+	}
+	wg.Wait()
+}
+
+// Guards against two requests that share a key by accident.
+func TestScope(t *testing.T) {
+	long := make([]byte, 5000)
+	seen := map[ident.Key]string{}
+	for name, req := range map[string]*call.Request{
+		"plain":        {Caller: "a", Kind: "b", Key: "c"},
+		"slash":        {Caller: "a/b", Kind: "", Key: "c"},
+		"other caller": {Caller: "x", Kind: "b", Key: "c"},
+		"other kind":   {Caller: "a", Kind: "x", Key: "c"},
+		"invalid text": {Caller: "a", Kind: "b", Key: "\xff"},
+		"other bytes":  {Caller: "a", Kind: "b", Key: "\xfe"},
+		"long":         {Caller: "a", Kind: "b", Key: ident.Key(long)},
+		"longer":       {Caller: "a", Kind: "b", Key: ident.Key(append(long, 0))},
+	} {
+		k := Scope(req)
+		if other, ok := seen[k]; ok || len(k) > maxKey {
+			t.Errorf("%s: got key %q of %d bytes as for %q, want one of its own", name, k, len(k), other)
+		}
+		seen[k] = name
+	}
+}
--- a/pkg/once/once.go
+++ b/pkg/once/once.go
@@ -470,6 +470,27 @@
 	return due[:min(limit, len(due))]
 }
 
+// Due reports whether the Void of an attempt is due.
+func (p *Partition) Due(attempt ident.Attempt) bool {
+	o := p.own[attempt]
+	return o != nil && o.phase == barred
+}
+
+// Lost reports whether the outcome of a key cannot be learned any more, because the holder of one of
+// its attempts has ended.
+func (p *Partition) Lost(k ident.Key) bool {
+	s := p.keys[k]
+	if s == nil || s.done {
+		return false
+	}
+	for _, o := range s.open {
+		if p.gone(o) {
+			return true
+		}
+	}
+	return false
+}
+
 // Len returns the number of keys in memory.
 func (p *Partition) Len() int { return len(p.keys) }
 
