--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -12,6 +12,7 @@
 	"briarworks.example/briarworks/internal/applog"
 	"briarworks.example/briarworks/internal/config"
 	"briarworks.example/briarworks/internal/flight"
+	"briarworks.example/briarworks/internal/flush"
 	"briarworks.example/briarworks/internal/front"
 	"briarworks.example/briarworks/internal/peer"
 	"briarworks.example/briarworks/internal/policy"
@@ -22,7 +23,6 @@
 	"briarworks.example/briarworks/internal/stats"
 	"briarworks.example/briarworks/pkg/admit"
 	"briarworks.example/briarworks/pkg/audit"
-	"briarworks.example/briarworks/pkg/call"
 	"briarworks.example/briarworks/pkg/fleet"
 	"briarworks.example/briarworks/pkg/ident"
 	"briarworks.example/briarworks/pkg/reason"
@@ -114,14 +114,12 @@
 		Gate: p.Gate, Paths: p.Paths, Book: p.Book, Backend: p.Backend, Ledger: p.Ledger,
 		client: p.Client, spread: make(chan []fleet.Member, maxNews),
 	}
+	n.keepers = &keepers{node: n, kick: make(chan struct{}, 1)}
 	n.Relay = &relay.Relay{
 		Self: p.Self, Now: time.Now, Rand: mrand.Uint64, Token: func() flight.Token { return flight.Token(random()) },
 		Rules: p.Policy.Rules, Routes: p.Roster.Set, Run: p.Backend.Run, Send: p.Book.Call,
 		Seq: p.Ledger.Seq, Retried: p.Stats.Retried, Gate: p.Gate, Paths: p.Paths, Flights: &flight.Table{},
-		Once: func(ctx context.Context, _ *call.Request, run func(context.Context) call.Result) call.Result {
-			return run(ctx)
-		},
-		Home: func(ident.Service, ident.Key) (ident.Address, bool, bool) { return "", true, true },
+		Once: n.keepers.do, Homes: n.homesOf,
 	}
 	n.Front = &front.Front{
 		Service: p.Self.Service, Relay: n.Relay, Rules: p.Policy.Rules, Now: time.Now,
@@ -139,6 +137,11 @@
 	n.members = newStream(p.Client, applog.Members, applog.NewTail(p.Client, applog.Members, n.onMember))
 	feed := &config.Feed{Start: p.Policy.Start, Next: p.Policy.Next, Read: p.Policy.Read}
 	n.config = newStream(p.Client, applog.Config, config.NewTail(p.Client, feed))
+	n.record = applog.NewWriter(p.Client, applog.Refusals)
+	n.flusher = &flush.Flusher{Ledger: p.Ledger, Append: n.record.Append, Failed: func(err error) {
+		n.Stats.Count("refusalsNotWritten")
+		n.Log.Warn("refusalsNotWritten", zap.Error(err))
+	}}
 	return n
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 
 	"briarworks.example/briarworks/internal/admin"
 	"briarworks.example/briarworks/internal/applog"
+	"briarworks.example/briarworks/internal/flush"
 	"briarworks.example/briarworks/internal/front"
 	"briarworks.example/briarworks/internal/peer"
 	"briarworks.example/briarworks/internal/policy"
@@ -47,15 +48,19 @@
 	Backend  *server.Client
 	Ledger   *audit.Ledger
 
-	client  *applog.Client
-	members *stream
-	config  *stream
-	rates   rates
-	spread  chan []fleet.Member // news to tell the peers; full means that a periodic sync carries them
-	peers   net.Listener
-	servers []*http.Server
-	cancel  context.CancelFunc
-	wg      sync.WaitGroup
+	client     *applog.Client
+	members    *stream
+	config     *stream
+	record     *applog.Writer
+	flusher    *flush.Flusher
+	endFlusher func() // writes the rest of the refusal record
+	keepers    *keepers
+	rates      rates
+	spread     chan []fleet.Member // news to tell the peers; full means that a periodic sync carries them
+	peers      net.Listener
+	servers    []*http.Server
+	cancel     context.CancelFunc
+	wg         sync.WaitGroup
 }
 
 // tickPeriod is how often the gate ends waits and rolls its windows.
@@ -79,6 +84,9 @@
 	n.config.start(ctx, n)
 	n.run(func() { n.announce(ctx) })
 	n.run(func() { n.carry(ctx) })
+	n.run(func() { n.keepers.run(ctx) })
+	n.run(func() { n.record.Run(ctx) })
+	n.startFlusher()
 	n.Log.Info("nodeStarted",
 		zap.String("incarnation", n.Self.Incarnation.String()), zap.String("callers", string(n.Settings.Listen.Callers)),
 		zap.String("peers", string(n.Settings.Listen.Peers)))
@@ -133,6 +141,7 @@
 	idle := n.Relay.Idle(ctx)
 	n.leave(ctx)
 	err = n.shut(ctx)
+	n.endFlusher()
 	n.cancel()
 	err = errors.Join(err, n.peers.Close())
 	n.Book.Close()
@@ -142,6 +151,21 @@
 	return errors.Join(err, n.Stats.Close())
 }
 
+// startFlusher runs the writer of the refusal record under a context of its own, which ends after the last
+// refusal was told and before the writer of the log.
+func (n *Node) startFlusher() {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		n.flusher.Run(ctx)
+	}()
+	n.endFlusher = func() {
+		cancel()
+		<-done
+	}
+}
+
 // tellTimeout bounds the time to tell peers of a leave; those that do not answer find out by refusals.
 const tellTimeout = time.Second
 
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -135,6 +135,7 @@
 	addr ident.Address
 	mu   sync.Mutex // held while dialling, so that one dial serves all who wait
 	cur  atomic.Pointer[session]
+	miss atomic.Int64 // time of the last dial that failed, ns; 0 after one that succeeded
 }
 
 // session returns the live session, dialling one if needed.
@@ -148,12 +149,27 @@
 		return s, nil
 	}
 	if s, err = b.dial(ctx, l.addr); err != nil {
+		l.miss.Store(b.Now().UnixNano())
 		return nil, err
 	}
+	l.miss.Store(0)
 	l.cur.Store(s)
 	return s, nil
 }
 
+// unreachableFor is how long an address counts as unreachable after a dial that failed.
+const unreachableFor = 2 * time.Second
+
+// Unreachable reports whether a dial to the address failed just now.
+func (b *Book) Unreachable(addr ident.Address, now time.Time) bool {
+	l, ok := b.links.Load(addr)
+	if !ok {
+		return false
+	}
+	miss := l.(*Link).miss.Load()
+	return miss != 0 && now.UnixNano()-miss < int64(unreachableFor)
+}
+
 func (l *Link) live() *session {
 	if s := l.cur.Load(); s != nil && !s.IsClosed() {
 		return s
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -29,7 +29,7 @@
 	Run     func(ctx context.Context, req *call.Request, token flight.Token, now time.Time) call.Result     // own backend server
 	Send    func(ctx context.Context, addr ident.Address, req *call.Request) call.Result                    // another node
 	Once    func(ctx context.Context, req *call.Request, run func(context.Context) call.Result) call.Result // at-most-once keeper
-	Home    func(service ident.Service, key ident.Key) (addr ident.Address, self, ok bool)                  // home node of a key
+	Homes   func(req *call.Request) []Home                                                                  // where at-most-once work may run, the home of its key first
 	Seq     func() ident.Seq                                                                                // last refusal number of this node
 	Retried func(reason.Retry)                                                                              // counts a retry
 	Gate    *admit.Gate
@@ -99,16 +99,46 @@
 	return r.local(ctx, req)
 }
 
-// enterOnce brings at-most-once work to the home node of its key.
-func (r *Relay) enterOnce(ctx context.Context, req *call.Request) call.Result {
-	addr, self, ok := r.Home(req.Service, req.Key)
-	switch {
-	case !ok:
-		return call.Refuse(reason.NoServer)
-	case self:
-		return r.keep(ctx, req)
+// Home is a node that may run at-most-once work for a key.
+type Home struct {
+	Addr ident.Address
+	Self bool
+}
+
+// enterOnce brings at-most-once work to the home node of its key. The next one is tried only after
+// proof that the one before did not run the request; each further try is a retry of the request.
+func (r *Relay) enterOnce(ctx context.Context, req *call.Request) (res call.Result) {
+	res = call.Refuse(reason.NoServer)
+	for i, h := range r.Homes(req) {
+		if i > 0 {
+			if req.Budget <= 0 {
+				return res
+			}
+			req.Budget--
+			r.Retried(reason.RetryUnreachable)
+		}
+		if h.Self {
+			res = r.keep(ctx, req)
+		} else {
+			res = r.Send(ctx, h.Addr, req)
+		}
+		if !elsewhere(res) || ctx.Err() != nil {
+			return res
+		}
+	}
+	return res
+}
+
+// elsewhere tells whether the result proves that the request did not run and another home may run it.
+func elsewhere(res call.Result) bool {
+	if res.Outcome != reason.NotRun {
+		return false
+	}
+	switch res.Reason {
+	case reason.NoServer, reason.Starting, reason.Draining, reason.ServerDown, reason.ConnectionLost, reason.ConnectionSilent:
+		return true
 	}
-	return r.Send(ctx, addr, req)
+	return false
 }
 
 func (r *Relay) keep(ctx context.Context, req *call.Request) call.Result {
