--- a/internal/applog/tail.go
+++ b/internal/applog/tail.go
@@ -109,6 +109,7 @@
 func (t *Tail) Run(ctx context.Context, from ident.Offset) {
 	t.init()
 	t.next.Store(int64(from))
+	t.logNext.Store(-1) // not known yet
 	t.health.Store(&health{answered: t.Now()})
 	backoff := firstBackoff
 	for ctx.Err() == nil {
@@ -128,7 +129,13 @@
 func (t *Tail) poll(ctx context.Context) (Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, t.Wait+readTimeout)
 	defer cancel()
-	return t.Read(ctx, t.Next(), t.Page, t.Wait)
+	// The first read does not wait: an empty stream would otherwise hold up everything that needs to
+	// have read it to its end once.
+	wait := t.Wait
+	if t.logNext.Load() < 0 {
+		wait = 0
+	}
+	return t.Read(ctx, t.Next(), t.Page, wait)
 }
 
 // jitter returns between half of d and d.
