applog: encode records before they are queued

A record with text that is no UTF-8 failed the whole group of other callers, and one in a Done or a batch would have been tried for ever. Header lines and callers' texts are made valid; anything else is refused to its own caller. The keeper lets its records wait for others and saves the writer a read.

--- a/internal/applog/applog_test.go
+++ b/internal/applog/applog_test.go
@@ -42,6 +42,7 @@
 	if tweak != nil {
 		tweak(b.writer)
 	}
+	b.writer.init()
 	b.tail = NewTail(b.client, "s", func(e Entry) { b.got <- e })
 	b.tail.Wait, b.tail.Grace = 50*time.Millisecond, 100*time.Millisecond
 	ctx, cancel := context.WithCancel(t.Context())
@@ -241,6 +242,9 @@
 	if got, most := b.log.Stats().Appends["s"], int64(60); got > most {
 		t.Errorf("appends: got %d, want at most %d", got, most)
 	}
+	if _, err := b.writer.Append(t.Context(), rec("\xff")); !errors.Is(err, ErrNotWritten) {
+		t.Errorf("record that cannot be encoded: got %v, want %v", err, ErrNotWritten)
+	}
 	full := Writer{Queue: 1}
 	go func() { _, _ = full.Append(t.Context(), rec("x")) }()
 	full.init()
--- a/internal/applog/writer.go
+++ b/internal/applog/writer.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/samber/oops"
-	"google.golang.org/protobuf/proto"
 
 	"briarworks.example/briarworks/internal/record"
 	"briarworks.example/briarworks/internal/record/recpb"
@@ -48,6 +47,9 @@
 	Send func(ctx context.Context, data []byte) (ident.Offset, error)
 	// Read reads the stream back; it has the contract of Client.Read.
 	Read func(ctx context.Context, from ident.Offset, limit int, wait time.Duration) (Page, error)
+	// Known returns an offset that no later append is below, such as that of a reader of the stream, and
+	// whether it is recent; it saves a read before an append after a quiet time. It may be nil.
+	Known func() (next ident.Offset, ok bool)
 	// Lookup is told after each lost answer whether the append was found; it may be nil.
 	Lookup func(found bool)
 	// Now reads the clock; time.Now when nil.
@@ -94,8 +96,8 @@
 
 type pending struct {
 	ctx   context.Context
-	recs  []*recpb.Record
-	size  ident.Bytes
+	ids   []string
+	data  []byte // the records as a group; groups in a row are one group
 	state atomic.Int32
 	done  chan receipt // takes one receipt without blocking
 }
@@ -132,11 +134,15 @@
 // Append writes the records in one group, in order, and waits until they are on the log. Without an
 // error it returns the offset of the group. Else the error is ErrNotWritten when no record was
 // written or ever will be, and ErrUnknown when that cannot be told before ctx ends. A full queue
-// is refused at once. Records without an id or time get them here.
+// is refused at once, and so are records that cannot be encoded. Records without an id or time get
+// them here.
 func (w *Writer) Append(ctx context.Context, recs ...*recpb.Record) (at ident.Offset, err error) {
 	defer func() { err = oops.Wrapf(err, "applog: append") }()
 	w.init()
-	p := w.pend(ctx, recs)
+	p, err := w.pend(ctx, recs)
+	if err != nil {
+		return 0, errors.Join(ErrNotWritten, err)
+	}
 	select {
 	case w.queue <- p:
 	default:
@@ -152,8 +158,10 @@
 	}
 }
 
-func (w *Writer) pend(ctx context.Context, recs []*recpb.Record) *pending {
-	p := &pending{ctx: ctx, recs: recs, done: make(chan receipt, 1)}
+// pend encodes the records before they are queued, so that one that cannot be encoded does not fail
+// the group of other callers.
+func (w *Writer) pend(ctx context.Context, recs []*recpb.Record) (p *pending, err error) {
+	p = &pending{ctx: ctx, done: make(chan receipt, 1)}
 	for _, r := range recs {
 		if r.Id == "" {
 			r.Id = rand.Text()
@@ -161,11 +169,14 @@
 		if r.WrittenUnixNs == 0 {
 			r.WrittenUnixNs = w.Now().UnixNano()
 		}
-		p.size += ident.Bytes(proto.Size(r))
+		p.ids = append(p.ids, r.Id)
 	}
-	return p
+	p.data, err = record.EncodeGroup(recs)
+	return p, err
 }
 
+func (p *pending) size() ident.Bytes { return ident.Bytes(len(p.data)) }
+
 // withdraw ends the wait of a caller. Only an append that the writer has not taken yet is sure never
 // to be written.
 func (p *pending) withdraw(cause error) (ident.Offset, error) {
@@ -209,7 +220,7 @@
 // collect adds to the group what is queued already and what arrives within the linger time.
 func (w *Writer) collect(ctx context.Context, first *pending) (group []*pending) {
 	group = append(group, first)
-	size := first.size
+	size := first.size()
 	var linger <-chan time.Time
 	if w.Linger > 0 {
 		t := time.NewTimer(w.Linger)
@@ -232,12 +243,12 @@
 				return group
 			}
 		}
-		if size+p.size > w.Group {
+		if size+p.size() > w.Group {
 			w.over = p
 			return group
 		}
 		group = append(group, p)
-		size += p.size
+		size += p.size()
 	}
 	return group
 }
@@ -289,9 +300,15 @@
 	if !w.knownAt.IsZero() && w.Now().Sub(w.knownAt) < boundsAge {
 		return nil
 	}
+	at := w.Now()
+	if w.Known != nil {
+		if next, ok := w.Known(); ok {
+			w.learn(next, at)
+			return nil
+		}
+	}
 	ctx, cancel := context.WithTimeout(ctx, w.Timeout)
 	defer cancel()
-	at := w.Now()
 	page, err := w.Read(ctx, 0, 0, 0)
 	if err != nil {
 		return err
@@ -311,13 +328,13 @@
 // try makes one append and finds out what became of it. The error is errAbsent when it is known not
 // to have taken effect after its answer was lost.
 func (w *Writer) try(ctx context.Context, group []*pending) (ident.Offset, error) {
-	var recs []*recpb.Record
+	var data []byte
+	ids := map[string]bool{}
 	for _, p := range group {
-		recs = append(recs, p.recs...)
-	}
-	data, err := record.EncodeGroup(recs)
-	if err != nil {
-		return 0, errors.Join(ErrNotWritten, err)
+		data = append(data, p.data...)
+		for _, id := range p.ids {
+			ids[id] = true
+		}
 	}
 	at, err := w.send(ctx, data)
 	switch {
@@ -327,7 +344,7 @@
 	case errors.Is(err, ErrNotWritten):
 		return 0, err
 	}
-	return w.lookup(ctx, idsOf(recs), w.Now().Add(w.Timeout+w.Margin))
+	return w.lookup(ctx, ids, w.Now().Add(w.Timeout+w.Margin))
 }
 
 func (w *Writer) send(ctx context.Context, data []byte) (ident.Offset, error) {
@@ -336,14 +353,6 @@
 	return w.Send(ctx, data)
 }
 
-func idsOf(recs []*recpb.Record) map[string]bool {
-	ids := make(map[string]bool, len(recs))
-	for _, r := range recs {
-		ids[r.GetId()] = true
-	}
-	return ids
-}
-
 // lookup reads the stream from the offset known before the append. The append is absent only when a
 // read that began after settled, the last moment at which it could take effect, reached the end
 // without its ids.
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -35,6 +35,10 @@
 	dueTimeout = 3 * time.Second
 	// dueBackoff is the pause after an append of due records that failed.
 	dueBackoff = 250 * time.Millisecond
+	// defaultLinger is how long a Started waits for others; the whole fleet has 300 appends a second.
+	defaultLinger = 20 * time.Millisecond
+	// defaultDue is how long Done and Void records wait for others. Nobody but a repeat waits for them.
+	defaultDue = 100 * time.Millisecond
 	// maxVoids is how many Void records are looked through for some that the log has not taken.
 	maxVoids = 4096
 	// maxKey is the longest key that is kept readable on the log.
@@ -69,6 +73,8 @@
 	Now func() time.Time
 	// NewAttempt returns a unique attempt; random when nil.
 	NewAttempt func() ident.Attempt
+	// DueLinger is how long Done and Void records wait for others; 100 ms when 0.
+	DueLinger time.Duration
 	// Ignored is told of a record that has no usable body for this stream; it may be nil.
 	Ignored func(applog.Entry)
 
@@ -93,7 +99,9 @@
 // New returns a keeper for one partition of a service over the client's log.
 func New(c *applog.Client, service ident.Service, partition int, p once.Partition) *Keeper {
 	stream := applog.OnceStream(service, partition)
-	return &Keeper{Partition: p, Writer: applog.NewWriter(c, stream), Tail: applog.NewTail(c, stream, nil)}
+	w := applog.NewWriter(c, stream)
+	w.Linger = defaultLinger
+	return &Keeper{Partition: p, Writer: w, Tail: applog.NewTail(c, stream, nil)}
 }
 
 func (k *Keeper) init() {
@@ -104,6 +112,9 @@
 		if k.NewAttempt == nil {
 			k.NewAttempt = func() ident.Attempt { return ident.Attempt(rand.Text()) }
 		}
+		if k.DueLinger == 0 {
+			k.DueLinger = defaultDue
+		}
 		k.cmds = make(chan func(), commands)
 		k.stopped = make(chan struct{})
 		k.due = make(chan struct{}, 1)
@@ -122,6 +133,9 @@
 	late, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	var wg, due sync.WaitGroup
 	k.Partition.Down = k.Tail.Down
+	k.Writer.Known = func() (ident.Offset, bool) {
+		return k.Tail.Next(), k.Ready() && !k.Tail.Down(k.Now())
+	}
 	k.Tail.Handle = func(e applog.Entry) { k.post(late, func() { k.fold(e) }) }
 	k.Tail.Caught = func(ident.Offset) { k.post(late, func() { k.ready.Store(true) }) }
 	wg.Go(func() { k.own(late) })
@@ -461,6 +475,7 @@
 		case <-k.due:
 		case <-ctx.Done():
 		}
+		pause(ctx, k.DueLinger)
 		for ctx.Err() == nil {
 			more, err := k.appendSome(ctx)
 			if err != nil {
--- a/internal/record/group.go
+++ b/internal/record/group.go
@@ -17,10 +17,14 @@
 	errTooMany   = errors.New("record: too many records in a group")
 )
 
-// EncodeGroup returns the bytes of one append.
+// EncodeGroup returns the bytes of one append. The bytes of several groups in a row are one group of
+// all their records.
 func EncodeGroup(recs []*recpb.Record) (data []byte, err error) {
 	defer func() { err = oops.Wrapf(err, "record: encode group") }()
-	if len(recs) > MaxGroup {
+	switch {
+	case len(recs) == 0:
+		return nil, errNoRecords
+	case len(recs) > MaxGroup:
 		return nil, errTooMany
 	}
 	return proto.Marshal(&recpb.Group{Records: recs})
--- a/internal/record/once.go
+++ b/internal/record/once.go
@@ -1,6 +1,8 @@
 package record
 
 import (
+	"strings"
+
 	"briarworks.example/briarworks/internal/record/recpb"
 	"briarworks.example/briarworks/pkg/call"
 	"briarworks.example/briarworks/pkg/ident"
@@ -23,14 +25,15 @@
 	}, m.GetKey() != "" && m.GetAttempt() != ""
 }
 
-// FromDone returns a record with the body.
+// FromDone returns a record with the body. Bytes of header lines that are no UTF-8, which the record's
+// encoding refuses, are replaced.
 func FromDone(d once.Done) *recpb.Record {
 	m := &recpb.Done{
 		Key: string(d.Key), Attempt: string(d.Attempt), Status: int32(d.Answer.Status),
 		Body: d.Answer.Body, Truncated: d.Answer.Truncated,
 	}
 	for _, h := range d.Answer.Header {
-		m.Header = append(m.Header, &recpb.Header{Name: h.Name, Value: h.Value})
+		m.Header = append(m.Header, &recpb.Header{Name: valid(h.Name), Value: valid(h.Value)})
 	}
 	return &recpb.Record{Body: &recpb.Record_Done{Done: m}}
 }
@@ -46,6 +49,8 @@
 	return d, d.Key != "" && d.Attempt != ""
 }
 
+func valid(s string) string { return strings.ToValidUTF8(s, "\uFFFD") }
+
 // FromVoid returns a record with the body.
 func FromVoid(v once.Void) *recpb.Record {
 	return &recpb.Record{Body: &recpb.Record_Void{Void: &recpb.Void{
--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -95,6 +95,14 @@
 	}
 }
 
+// Guards against an answer that can never be recorded because of one header line.
+func TestInvalidText(t *testing.T) {
+	d := once.Done{Key: "k", Attempt: "a", Answer: once.Answer{Header: []call.Header{{Name: "X", Value: "a\xff"}}}}
+	if _, err := EncodeGroup([]*recpb.Record{FromDone(d)}); err != nil {
+		t.Errorf("encode: got %v, want no error", err)
+	}
+}
+
 // Guards against a panic on bytes that another program wrote to the stream.
 func FuzzDecodeGroup(f *testing.F) {
 	var recs []*recpb.Record
--- a/pkg/audit/audit_test.go
+++ b/pkg/audit/audit_test.go
@@ -5,9 +5,11 @@
 	"os"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
+	"unicode/utf8"
 
 	"pgregory.net/rapid"
 
@@ -288,3 +290,14 @@
 		t.Errorf("refusals: got %d numbered to %d, want %d", got, l.Seq(), want)
 	}
 }
+
+// Guards against a caller's own text that no record can hold, which would block the whole batch.
+func TestText(t *testing.T) {
+	l := &Ledger{Server: "s", Incarnation: 1}
+	l.Note(Entry{Caller: "a\xff", Key: ident.Key("x" + strings.Repeat("é", maxText)), Kind: "guide"}, start)
+	b, _ := l.Flush(start)
+	e := b.Entries[0]
+	if e.Caller != "a?" || len(e.Key) > maxText || !utf8.ValidString(string(e.Key)) {
+		t.Errorf("texts: got %q and %d bytes of key, want valid text of at most %d", e.Caller, len(e.Key), maxText)
+	}
+}
--- a/pkg/audit/ledger.go
+++ b/pkg/audit/ledger.go
@@ -1,6 +1,7 @@
 package audit
 
 import (
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -102,6 +103,7 @@
 func (l *Ledger) Note(e Entry, now time.Time) ident.Seq {
 	e.Count, e.First, e.Last = 1, now, now
 	e.Caller, e.Key, e.Remote = short(e.Caller), short(e.Key), short(e.Remote)
+	e.Kind = short(e.Kind)
 	s := &l.shards[xxhash.Sum64String(string(e.Key))%shards]
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -128,11 +130,12 @@
 	return l.Limit
 }
 
+// short bounds a text and replaces what is no UTF-8, which records cannot hold.
 func short[T ~string](s T) T {
 	if len(s) > maxText {
-		return s[:maxText]
+		s = s[:maxText]
 	}
-	return s
+	return T(strings.ToValidUTF8(string(s), "?"))
 }
 
 func sizeOf(e *Entry) ident.Bytes {
