once: forget keys whose only record was never written

Such keys have no log time and would not expire; in an outage they could fill the partition until new keys are refused.

--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -32,7 +32,7 @@
 	http *http.Transport
 }
 
-func newFleet(t *testing.T) *fleet {
+func newFleet(t testing.TB) *fleet {
 	t.Helper()
 	f := &fleet{log: &fakes.Log{Seed: 1}, http: &http.Transport{MaxIdleConnsPerHost: 100}}
 	srv := httptest.NewServer(f.log)
@@ -45,7 +45,7 @@
 }
 
 // keeper starts a keeper; stop ends it.
-func (f *fleet) keeper(t *testing.T, server ident.Server, incarnation ident.Incarnation, tweak func(*Keeper)) (k *Keeper, stop func()) {
+func (f *fleet) keeper(t testing.TB, server ident.Server, incarnation ident.Incarnation, tweak func(*Keeper)) (k *Keeper, stop func()) {
 	t.Helper()
 	c := &applog.Client{Base: f.base, HTTP: &http.Client{Transport: f.http}}
 	k = New(c, "ledger", 0, once.Partition{Holder: server, Incarnation: incarnation, Retention: time.Hour})
@@ -66,7 +66,7 @@
 	return k, stop
 }
 
-func waitFor(t *testing.T, what string, ok func() bool) {
+func waitFor(t testing.TB, what string, ok func() bool) {
 	t.Helper()
 	end := time.Now().Add(bound)
 	for !ok() {
@@ -288,3 +288,11 @@
 		seen[k] = name
 	}
 }
+
+func BenchmarkDo(b *testing.B) {
+	f := newFleet(b)
+	k, _ := f.keeper(b, "a", 1, func(k *Keeper) { k.Writer.Linger = 0 })
+	for i := 0; b.Loop(); i++ {
+		k.Do(b.Context(), request(strconv.Itoa(i), bound), func(context.Context) call.Result { return answer("x") })
+	}
+}
--- a/pkg/audit/audit_test.go
+++ b/pkg/audit/audit_test.go
@@ -301,3 +301,17 @@
 		t.Errorf("texts: got %q and %d bytes of key, want valid text of at most %d", e.Caller, len(e.Key), maxText)
 	}
 }
+
+func BenchmarkNote(b *testing.B) {
+	l := &Ledger{Server: "s", Incarnation: 1}
+	keys := make([]ident.Key, 4096)
+	for i := range keys {
+		keys[i] = ident.Key("key" + strconv.Itoa(i))
+	}
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for i := 0; pb.Next(); i++ {
+			l.Note(Entry{Caller: "c", Key: keys[i%len(keys)], Kind: "guide", Reason: reason.Overload}, start)
+		}
+	})
+}
--- a/pkg/once/once.go
+++ b/pkg/once/once.go
@@ -105,7 +105,7 @@
 type Partition struct {
 	Holder      ident.Server
 	Incarnation ident.Incarnation
-	Retention   time.Duration // time for which the log keeps records at least
+	Retention   time.Duration // time for which the log keeps records at least; 0 forgets nothing
 	Lease       time.Duration // DefaultLease when 0
 	Keys        int           // DefaultKeys when 0
 	Answers     ident.Bytes   // DefaultAnswers when 0
@@ -130,7 +130,7 @@
 	void   []ident.Attempt // void attempts; a Started of theirs has no effect
 	done   bool
 	answer Answer
-	at     time.Time     // log time of the last record
+	at     time.Time     // log time of the last record; zero when there is none
 	own    ident.Attempt // this holder's attempt in progress; empty when there is none
 }
 
@@ -213,9 +213,8 @@
 	}
 	s := p.keys[k]
 	if s == nil {
-		s = &key{at: p.logTime}
+		s = &key{}
 		p.keys[k] = s
-		p.touched = append(p.touched, touch{k, p.logTime})
 	}
 	s.own = attempt
 	p.own[attempt] = &own{key: k, phase: appending, until: now.Add(p.Lease)}
@@ -374,6 +373,9 @@
 }
 
 func (p *Partition) expire() {
+	if p.Retention <= 0 {
+		return
+	}
 	oldest := p.logTime.Add(-p.Retention)
 	n := 0
 	for ; n < len(p.touched) && p.touched[n].at.Before(oldest); n++ {
@@ -496,7 +498,12 @@
 
 func (p *Partition) drop(attempt ident.Attempt, o *own) {
 	delete(p.own, attempt)
-	if s := p.keys[o.key]; s != nil && s.own == attempt {
-		s.own = ""
+	s := p.keys[o.key]
+	if s == nil || s.own != attempt {
+		return
+	}
+	s.own = ""
+	if s.at.IsZero() {
+		delete(p.keys, o.key) // the log knows nothing of it and will not let it expire
 	}
 }
--- a/pkg/once/once_test.go
+++ b/pkg/once/once_test.go
@@ -429,6 +429,13 @@
 	if got, most := len(p.touched)+len(p.answers), 4*p.Len(); got > most {
 		t.Errorf("list entries: got %d, want at most %d", got, most)
 	}
+	for i := range 2 * DefaultKeys {
+		a := ident.Attempt(fmt.Sprint(i))
+		if got := p.Begin(ident.Key("refused"+a), a, start); got.Verb != Append {
+			t.Fatalf("new key after %d that were not written: got %v, want %v", i, got.Verb, Append)
+		}
+		p.NotWritten(a)
+	}
 	if a := p.Begin("999", "y", start); a.Verb != Reply || len(a.Answer.Body) != int(MaxAnswer) {
 		t.Errorf("newest answer: got %v with %d bytes, want it whole", a.Verb, len(a.Answer.Body))
 	}
