--- a/pkg/admit/admit.go
+++ b/pkg/admit/admit.go
@@ -68,6 +68,7 @@
 	kind     *kindState
 	order    share.Kind
 	born     time.Time
+	begun    bool // entered the graph at another node
 	seq      uint64
 	expire   time.Time // end of the wait
 	start    time.Time // latest start that can meet the deadline; zero without one
--- a/pkg/admit/gate.go
+++ b/pkg/admit/gate.go
@@ -28,9 +28,10 @@
 	pressed  atomic.Bool  // demand exceeds the limit
 	_        [48]byte
 
-	mu    sync.Mutex // guards the queue
-	queue queue
-	waits int // requests that did not find a free slot in this window
+	mu      sync.Mutex // guards the queue
+	queue   queue
+	waits   int // requests that did not find a free slot in this window
+	refused int // begun requests refused in this window for want of a slot
 
 	windowMu sync.Mutex // guards what the end of a window computes; taken before mu
 	limiter  *limit.Limiter
@@ -135,8 +136,8 @@
 // wait puts a request in the queue, unless nothing can come of it.
 func (g *Gate) wait(req *call.Request, t *Ticket, expected time.Duration, now time.Time) Verdict {
 	t.order = share.Kind{Rank: req.Rank, Protected: req.Protected}
-	t.born = req.Born
-	t.expire = now.Add(g.cfg.MaxWait)
+	t.born, t.begun = req.Born, req.Hop > 0
+	t.expire = now.Add(g.longest(req, expected))
 	if !req.Deadline.IsZero() {
 		t.expire = earlier(t.expire, req.Deadline.Add(-expected))
 	}
@@ -146,12 +147,12 @@
 	woken := g.pump(now, nil)
 	if t.queued && req.Hop > 0 && g.pressed.Load() && t.kind.thins(req) {
 		g.queue.remove(t)
-		t.refuse(reason.Overload)
+		g.drop(t, reason.Overload)
 	}
 	if len(g.queue.list) > g.cfg.QueueLen {
 		last := g.queue.last()
 		g.queue.remove(last)
-		last.refuse(reason.QueueFull)
+		g.drop(last, reason.QueueFull)
 		woken = link(last, woken)
 	}
 	if t.queued && !t.expire.After(now) {
@@ -167,6 +168,16 @@
 	return verdict
 }
 
+// longest returns the longest wait. A server with few slots and slow calls frees a slot so seldom that
+// protected requests, which are first in line, would often miss the bound although they alone fit.
+// They may wait for as long as a call takes, within four times the bound.
+func (g *Gate) longest(req *call.Request, expected time.Duration) time.Duration {
+	if !req.Protected {
+		return g.cfg.MaxWait
+	}
+	return max(g.cfg.MaxWait, min(expected, 4*g.cfg.MaxWait))
+}
+
 // pump hands free slots to the first tickets of the queue and returns the tickets to wake, added to
 // woken. The caller holds g.mu.
 func (g *Gate) pump(now time.Time, woken *Ticket) *Ticket {
@@ -184,7 +195,7 @@
 			t.refuse(reason.DeadlineTooShort)
 		case t.expire.Before(now):
 			g.inflight.Add(-1)
-			t.refuse(reason.QueueTimeout)
+			g.drop(t, reason.QueueTimeout)
 		default:
 			t.verdict = Run
 		}
@@ -199,6 +210,14 @@
 	g.mu.Unlock()
 }
 
+// drop refuses a request that got no slot in time. The caller holds g.mu.
+func (g *Gate) drop(t *Ticket, r reason.Refusal) {
+	t.refuse(r)
+	if t.begun {
+		g.refused++
+	}
+}
+
 func link(t, woken *Ticket) *Ticket {
 	t.nextWake = woken
 	return t
@@ -265,7 +284,7 @@
 	var woken *Ticket
 	if len(g.queue.list) > 0 {
 		g.queue.expired(now, func(t *Ticket) {
-			t.refuse(reason.QueueTimeout)
+			g.drop(t, reason.QueueTimeout)
 			if !t.start.IsZero() && t.start.Before(now) {
 				t.refuse(reason.DeadlineTooShort)
 			}
--- a/pkg/admit/window.go
+++ b/pkg/admit/window.go
@@ -13,16 +13,18 @@
 	costCalls     = 20                   // calls that give a measured cost half of the weight
 	demandCalls   = 40                   // arrivals that give a measured demand half of the weight
 	surprise      = 3                    // standard deviations of a count beyond which a demand has changed
-	surpriseCalls = 5                    // arrivals that give such a demand half of the weight
+	fewCalls      = 5                    // arrivals that give half of the weight to a demand that changed
 	callerWeight  = 0.3                  // of the last window in the demand of a bucket of callers
 	heldBelow     = 0.8                  // passed against advertised fraction below which another service is narrower
 	heldRoom      = 1.1                  // growth left to a kind that another service holds back
 	forget        = 0.9                  // expected time kept by a window without finished calls
 	usedTarget    = 0.99                 // part of the limit that should be in use under overload
 	queueTarget   = 5 * time.Millisecond // mean wait under overload
+	queueCalls    = 1.5                  // mean length of the queue that is allowed in any case
 	gainStep      = 0.3                  // gain per window; the loop's delay of about three windows allows 0.5
 	gainMin       = 0.9                  // a queue kept up by the least urgent work must not squeeze the rest
 	gainMax       = 2.0
+	refusedWeight = 0.5  // of the begun work refused; an idle slot loses more than work refused after the entry
 	gainFade      = 0.1  // return to 1 per window while another service is narrower
 	fullUse       = 0.95 // part of the limit in use that counts as full
 )
@@ -31,8 +33,9 @@
 type estimate struct {
 	last    sums
 	cost    float64 // slot time of a call in s, 0 when unknown
-	rate    float64 // outside demand in calls per second
-	visible float64 // part of the outside demand that arrives here or is counted at the entry
+	entry   float64 // new requests at the entry that would come here, per second
+	begun   float64 // outside demand that reaches this server from other nodes, calls per second
+	passed  float64 // part of it that the entry nodes let through
 	through float64 // part of the outside demand that arrives here
 	shown   float64 // fraction that upstream nodes know
 	callers [callerBuckets]float64
@@ -41,18 +44,19 @@
 
 // newKind returns the state of a kind whose demand is taken to arrive unthinned.
 func newKind(kind share.Kind) *kindState {
-	return &kindState{Kind: kind, est: estimate{visible: 1, through: 1, shown: 1}}
+	return &kindState{Kind: kind, est: estimate{passed: 1, through: 1, shown: 1}}
 }
 
 // window is the state of the computation at the end of each window.
 type window struct {
-	began   time.Time
-	samples int
-	used    float64 // sum over samples of the part of the limit in use
-	queued  float64 // sum over samples of the queue's length
-	gain    float64 // correction of the capacity for errors of the estimates
-	demands []share.Demand
-	states  []*kindState
+	began    time.Time
+	samples  int
+	used     float64 // sum over samples of the part of the limit in use
+	queued   float64 // sum over samples of the queue's length
+	gain     float64 // correction of the capacity for errors of the estimates
+	meanTime float64 // mean slot time of a call in s
+	demands  []share.Demand
+	states   []*kindState
 }
 
 // sample reads the use of the limit and ends the window when it is over.
@@ -74,38 +78,43 @@
 func (g *Gate) roll(span time.Duration, now time.Time) {
 	w := &g.window
 	g.mu.Lock()
-	waits := g.waits
-	g.waits = 0
+	waits, refused := g.waits, g.refused
+	g.waits, g.refused = 0, 0
 	g.mu.Unlock()
 
 	used := w.used / float64(w.samples)
 	var s limit.Sample
 	kinds := g.kinds.Load()
 	w.demands, w.states = w.demands[:0], w.states[:0]
+	var total float64
 	for _, k := range kinds.list {
-		d := k.measure(span, &s)
+		d := k.measure(span, &s, &total)
 		w.demands = append(w.demands, d)
 		w.states = append(w.states, k)
 	}
 	s.Span = span
+	if s.Done > 0 {
+		w.meanTime = total / float64(s.Done)
+	}
 	s.Full = used >= fullUse
 	g.limiter.Roll(s, now)
 	g.limit.Store(int32(g.limiter.Limit()))
-	g.divide(used, waits > 0, s, now)
+	g.divide(used, waits > 0, refused, s, now)
 }
 
 // measure updates the estimates of a kind and returns its demand in slots.
-func (k *kindState) measure(span time.Duration, s *limit.Sample) share.Demand {
+func (k *kindState) measure(span time.Duration, s *limit.Sample, slotTime *float64) share.Demand {
 	e := &k.est
 	total := k.read()
 	d := total.minus(&e.last)
 	e.last = total
+	*slotTime += d.total
 	s.Done += int(d.good)
 	s.Shed += int(d.shed)
 	s.Own += time.Duration(d.own * float64(time.Second))
 	k.measureCost(&d)
 	k.measureDemand(&d, span.Seconds())
-	offered := e.rate * e.cost
+	offered := (e.entry + e.begun) * e.cost
 	need := offered
 	if e.through < heldBelow*e.shown {
 		need = offered * min(1, e.through*heldRoom)
@@ -138,29 +147,40 @@
 		local += (min(1, d.entered/d.passed) - local) * d.passed / (d.passed + demandCalls)
 		k.local.store(ident.Fraction(local))
 	}
-	calls := d.offered*local + d.weight
-	seen := d.offered + d.arrived
-	// Few visible calls say little, and none says nothing where less than one was to be expected.
-	weigh := max(seen, e.rate*e.visible*span)
-	if weigh == 0 {
-		return
+	e.entry = follow(e.entry, d.offered*local, d.offered, 1, span)
+	if d.arrived > 0 {
+		// Passed is what the entry applied, not a measurement: it needs little smoothing.
+		e.passed += (d.arrived/d.weight - e.passed) * 0.5
+	}
+	e.begun = follow(e.begun, d.weight, d.arrived, min(e.passed, e.shown), span)
+	if calls := d.offered*local + d.weight; calls > 0 {
+		seen := d.offered + d.arrived
+		e.through += (min(1, (d.entered+d.arrived)/calls) - e.through) * seen / (seen + fewCalls)
 	}
-	weight := weigh / (weigh + demandCalls)
+}
+
+// follow returns the new estimate of a rate per second of which a part is visible: calls is the
+// demand that the seen arrivals stand for. Few arrivals say little, and none says nothing where less
+// than one was to be expected. A change that chance does not explain is followed at once.
+func follow(rate, calls, seen, visible, span float64) float64 {
+	expected := rate * visible * span
+	most := max(seen, expected)
+	if most == 0 {
+		return rate
+	}
+	weight := most / (most + demandCalls)
+	chance := math.Sqrt(expected) / visible
 	if seen > 0 {
-		// A change that chance does not explain is followed at once.
-		if chance := math.Sqrt(seen) * calls / seen; math.Abs(calls-e.rate*span) > surprise*chance {
-			weight = max(weight, seen/(seen+surpriseCalls))
-		}
+		chance = max(chance, calls/math.Sqrt(seen))
 	}
-	e.rate += (calls/span - e.rate) * weight
-	if calls > 0 {
-		e.visible += (min(1, seen/calls) - e.visible) * weight
-		e.through += (min(1, (d.entered+d.arrived)/calls) - e.through) * weight
+	if math.Abs(calls-rate*span) > surprise*chance {
+		weight = max(weight, most/(most+fewCalls))
 	}
+	return rate + (calls/span-rate)*weight
 }
 
 // divide computes the fractions from the demands.
-func (g *Gate) divide(used float64, waited bool, s limit.Sample, now time.Time) {
+func (g *Gate) divide(used float64, waited bool, refused int, s limit.Sample, now time.Time) {
 	w := &g.window
 	slots := float64(g.Limit())
 	// A kind that another service holds back counts with all of its demand here: it could arrive at any
@@ -178,7 +198,7 @@
 		}
 		return
 	}
-	w.adjust(used, s)
+	w.adjust(used, refused, s)
 	// Divide sorts the demands; the states follow by name through the table.
 	share.Divide(slots, w.gain, w.demands)
 	kinds := g.kinds.Load()
@@ -191,13 +211,14 @@
 
 // adjust corrects the capacity for errors of the estimates: up while the limit is not used although
 // work is refused, down while a queue stands.
-func (w *window) adjust(used float64, s limit.Sample) {
+func (w *window) adjust(used float64, refused int, s limit.Sample) {
 	miss := usedTarget - used
 	if s.Done > 0 {
+		miss -= refusedWeight * float64(refused) / float64(refused+s.Done)
 		// By Little's law, the wait is the queue's length over the throughput.
 		throughput := float64(s.Done) / s.Span.Seconds()
 		wait := w.queued / float64(w.samples) / throughput
-		if over := wait - queueTarget.Seconds(); over > 0 {
+		if over := wait - max(queueTarget.Seconds(), queueCalls/throughput); over > 0 {
 			miss -= min(0.1, over/DefaultMaxWait.Seconds()*0.2)
 		}
 	}
@@ -205,7 +226,9 @@
 		w.gain += (1 - w.gain) * gainFade
 		return
 	}
-	w.gain = min(max(w.gain+gainStep*miss, gainMin), gainMax)
+	// Slow calls make the loop slower: the limit fills and empties over their time.
+	step := gainStep / (1 + 0.5*w.meanTime/s.Span.Seconds())
+	w.gain = min(max(w.gain+step*miss, gainMin), gainMax)
 }
 
 // binds reports whether this server is what holds back some kind.
--- a/pkg/limit/limit.go
+++ b/pkg/limit/limit.go
@@ -95,6 +95,7 @@
 
 	own  float64 // smoothed own time in seconds, 0 when unknown
 	base float64 // own time that is not taken for crowding, 0 when unknown
+	seen int     // calls answered, up to 2*baseDone
 	calm int     // calls answered while the limit was not in full use
 
 	span float64 // length of the last window in seconds
@@ -130,7 +131,7 @@
 	slots := l.slots
 	l.reset(now)
 	l.held, l.knee, l.state = false, false, noTrial
-	l.own, l.base, l.coldLast, l.calm = 0, 0, 0, 0
+	l.own, l.base, l.coldLast, l.seen, l.calm = 0, 0, 0, 0, 0
 	l.coldNow = measure{}
 	l.cold = max(1, slots/coldShare)
 	l.coldNext = now.Add(coldStep)
@@ -190,11 +191,11 @@
 		return
 	}
 	mean := s.Own.Seconds() / float64(s.Done)
-	if l.own == 0 {
-		l.own = mean
-	}
-	l.own += (mean - l.own) * float64(s.Done) / float64(s.Done+baseDone)
-	if l.base == 0 || l.own < l.base {
+	l.seen = min(l.seen+s.Done, 2*baseDone)
+	// The first calls to end are the short ones, so the first windows count by their calls only.
+	weight := max(float64(s.Done)/float64(s.Done+baseDone), float64(s.Done)/float64(max(l.seen, s.Done)))
+	l.own += (mean - l.own) * weight
+	if l.seen == 2*baseDone && (l.base == 0 || l.own < l.base) {
 		l.base = l.own
 	}
 	if !s.Full {
@@ -310,7 +311,7 @@
 	if !l.ref.enough() || l.limit <= 2 {
 		return false
 	}
-	return l.ref.ownTime() > risen*l.base || l.calm < baseDone && !l.knee && !now.Before(l.due)
+	return l.base > 0 && l.ref.ownTime() > risen*l.base || l.calm < baseDone && !l.knee && !now.Before(l.due)
 }
 
 func (l *Limiter) begin(t trial, step float64, now time.Time) {
