admit: aim at full use and lower the limit by smaller trials

A trial of lower concurrency takes off a tenth instead of a fifth; the target of use lies just above the limit.

--- a/pkg/admit/window.go
+++ b/pkg/admit/window.go
@@ -18,9 +18,9 @@
 	heldBelow     = 0.8                  // passed against advertised fraction below which another service is narrower
 	heldRoom      = 1.1                  // growth left to a kind that another service holds back
 	forget        = 0.9                  // expected time kept by a window without finished calls
-	usedTarget    = 0.99                 // part of the limit that should be in use under overload
+	usedTarget    = 1.02                 // part of the limit that should be in use under overload
 	queueTarget   = 5 * time.Millisecond // mean wait under overload
-	queueCalls    = 1.5                  // mean length of the queue that is allowed in any case
+	queueCalls    = 3                    // mean length of the queue that is allowed in any case
 	gainStep      = 0.3                  // gain per window; the loop's delay of about three windows allows 0.5
 	gainMin       = 0.9                  // a queue kept up by the least urgent work must not squeeze the rest
 	gainMax       = 2.0
--- a/pkg/limit/limit.go
+++ b/pkg/limit/limit.go
@@ -11,9 +11,10 @@
 const (
 	shedFall       = 0.9                    // limit after a window in which the server shed
 	floodFall      = 0.75                   // the same when it shed more than a third of the calls
-	lowerStep      = 0.8                    // limit during a trial of lower concurrency
+	lowerStep      = 0.1                    // part taken off the limit by a first trial of lower concurrency; it doubles while trials succeed
+	lowerMost      = 0.3                    // largest such part
 	raiseStep      = 1.25                   // limit during a trial of higher concurrency
-	margin         = 0.05                   // by which throughput and own time must differ to accept a trial
+	margin         = 0.03                   // by which throughput and own time must differ to accept a trial
 	risen          = 1.25                   // own time against the base at which a trial is due at once
 	coldShare      = 8                      // divisor of the slots at a cold start
 	coldStep       = time.Second            // time after which a cold limit doubles
@@ -86,6 +87,7 @@
 
 	// Trial.
 	state   trial
+	step    float64 // part that the next trial takes off
 	before  float64 // limit to return to
 	ref     measure // at the limit before the trial
 	try     measure // at the limit of the trial
@@ -108,7 +110,7 @@
 
 // New returns a limiter whose limit is the given number of slots.
 func New(slots ident.Slots) *Limiter {
-	l := &Limiter{}
+	l := &Limiter{step: lowerStep}
 	l.SetSlots(slots)
 	return l
 }
@@ -269,7 +271,7 @@
 	switch {
 	case l.knee:
 		if l.lowerDue(now) {
-			l.begin(lower, lowerStep, now)
+			l.begin(lower, 1-l.step, now)
 		} else if !now.Before(l.until) && l.ref.enough() {
 			l.begin(raise, raiseStep, now)
 		}
@@ -303,7 +305,7 @@
 func (l *Limiter) consider(s Sample, now time.Time) {
 	l.refer(s)
 	if l.cold == 0 && l.lowerDue(now) {
-		l.begin(lower, lowerStep, now)
+		l.begin(lower, 1-l.step, now)
 	}
 }
 
@@ -360,8 +362,10 @@
 		l.retrial = firstRetrial
 		return
 	}
-	// The server is slow and not crowded: its present own time is the new base.
-	l.base = l.ref.ownTime()
+	// The server is slow and not crowded: its present own time is the new base. The reference may date
+	// from when the server was only becoming slow.
+	l.step = lowerStep
+	l.base = max(l.ref.ownTime(), l.try.ownTime())
 	l.retrial = min(2*l.retrial, longestRetrial)
 	l.due = now.Add(l.retrial)
 	l.until = now.Add(l.hold)
