limit: follow the knee down by trials with fresh references, shard the gate's counters by page

A reference that reached back before the change made trials fail, and a failed trial ended the search.

--- a/pkg/admit/gate.go
+++ b/pkg/admit/gate.go
@@ -1,10 +1,10 @@
 package admit
 
 import (
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
+	"unsafe"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -54,7 +54,7 @@
 // its service calls Offer first; otherwise Enter does so. A request that does not pass is refused
 // with reason.Overload.
 func (g *Gate) Offer(req *call.Request, now time.Time) bool {
-	return g.offer(g.kinds.Load().find(req.Kind), shardIndex(), req, now)
+	return g.offer(g.kinds.Load().find(req.Kind), shardOf(req), req, now)
 }
 
 func (g *Gate) offer(k *kindState, shard int, req *call.Request, now time.Time) bool {
@@ -91,7 +91,7 @@
 // Enter decides on a request. After Run the caller must call Leave.
 func (g *Gate) Enter(req *call.Request, t *Ticket, now time.Time) Verdict {
 	k := g.kinds.Load().find(req.Kind)
-	shard := shardIndex()
+	shard := shardOf(t)
 	t.kind = k
 	if req.Hop == 0 && req.Passed == 0 && !g.offer(k, shard, req, now) {
 		return t.refuse(reason.Overload)
@@ -115,17 +115,18 @@
 	return g.wait(req, t, expected, now)
 }
 
-// acquire takes a slot when the limit has room.
+// acquire takes a slot when the limit has room. The addition that does not fit is taken back, which may
+// make another attempt at the same time fail although a slot is free. That is harmless: whoever fails
+// goes on to the queue and hands out free slots there.
 func (g *Gate) acquire() bool {
-	for {
-		n := g.inflight.Load()
-		if n >= g.limit.Load() {
-			return false
-		}
-		if g.inflight.CompareAndSwap(n, n+1) {
-			return true
-		}
+	if g.inflight.Load() >= g.limit.Load() {
+		return false
 	}
+	if g.inflight.Add(1) <= g.limit.Load() {
+		return true
+	}
+	g.inflight.Add(-1)
+	return false
 }
 
 func (t *Ticket) refuse(r reason.Refusal) Verdict {
@@ -243,7 +244,7 @@
 
 // Leave ends a call that ran.
 func (g *Gate) Leave(t *Ticket, u Usage, now time.Time) {
-	t.kind.leave(shardIndex(), u)
+	t.kind.leave(shardOf(t), u)
 	g.inflight.Add(-1)
 	if g.waiting.Load() > 0 {
 		g.release(now)
@@ -344,6 +345,10 @@
 	g.kinds.Store(g.kinds.Load().with(kinds))
 }
 
-// shardIndex picks a shard of the counters. Any choice gives the same sums; a random one spreads
-// processors over the cache lines.
-func shardIndex() int { return int(rand.Uint32() % countShards) }
+// shardOf picks the shard of the counters for an object. Any choice gives the same sums. Go allocates
+// small objects of one processor in blocks of pages, so the page's address mostly keeps a processor on
+// cache lines of its own.
+func shardOf[T any](p *T) int {
+	const pageBits, golden = 13, 0x9E3779B97F4A7C15
+	return int(uint64(uintptr(unsafe.Pointer(p))>>pageBits) * golden >> (64 - countShardBits))
+}
--- a/pkg/admit/kind.go
+++ b/pkg/admit/kind.go
@@ -11,10 +11,11 @@
 )
 
 const (
-	callerBuckets = 64
-	countShards   = 8
-	weightOne     = 1 << 20 // fixed-point 1 of the sum of 1/Passed
-	thinSlack     = 1.2     // excess of begun work over its grant that the queue takes without thinning
+	callerBuckets  = 64
+	countShardBits = 4
+	countShards    = 1 << countShardBits
+	weightOne      = 1 << 20 // fixed-point 1 of the sum of 1/Passed
+	thinSlack      = 1.2     // excess of begun work over its grant that the queue takes without thinning
 )
 
 // fraction is an ident.Fraction that is read and written at the same time. Its zero value is 1.
--- a/pkg/limit/limit.go
+++ b/pkg/limit/limit.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -14,7 +15,7 @@
 	lowerStep      = 0.1                    // part taken off the limit by a first trial of lower concurrency; it doubles while trials succeed
 	lowerMost      = 0.3                    // largest such part
 	raiseStep      = 1.25                   // limit during a trial of higher concurrency
-	margin         = 0.03                   // by which throughput and own time must differ to accept a trial
+	margin         = 0.04                   // by which throughput and own time must differ to judge a trial
 	risen          = 1.25                   // own time against the base at which a trial is due at once
 	coldShare      = 8                      // divisor of the slots at a cold start
 	coldStep       = time.Second            // time after which a cold limit doubles
@@ -24,6 +25,7 @@
 	firstRetrial   = 5 * time.Second        // time between trials when own time has not risen
 	longestRetrial = 30 * time.Second       // the same after several trials without gain
 	enoughDone     = 300                    // answered calls that make a measurement
+	mostRolls      = 15                     // windows after which a trial is judged in any case
 	enoughRolls    = 10                     // windows that make a measurement at a slow server
 	idleRolls      = 5                      // windows without a full limit after which a held limit is released
 	baseDone       = 50                     // answered calls over which own time is smoothed
@@ -86,17 +88,20 @@
 	idle   int
 
 	// Trial.
-	state   trial
-	step    float64 // part that the next trial takes off
-	before  float64 // limit to return to
-	ref     measure // at the limit before the trial
-	try     measure // at the limit of the trial
-	skip    int     // windows to leave out while calls of the last limit end
-	due     time.Time
-	retrial time.Duration
+	state     trial
+	falling   bool    // the last trial of lower concurrency succeeded
+	suspected bool    // the reference was begun for a trial
+	step      float64 // part that the next trial takes off
+	before    float64 // limit to return to
+	ref       measure // at the limit before the trial
+	try       measure // at the limit of the trial
+	skip      int     // windows to leave out while calls of the last limit end
+	due       time.Time
+	retrial   time.Duration
 
 	own  float64 // smoothed own time in seconds, 0 when unknown
 	base float64 // own time that is not taken for crowding, 0 when unknown
+	slow float64 // own time at which a trial of lower concurrency last failed
 	seen int     // calls answered, up to 2*baseDone
 	calm int     // calls answered while the limit was not in full use
 
@@ -132,8 +137,8 @@
 func (l *Limiter) StartCold(now time.Time) {
 	slots := l.slots
 	l.reset(now)
-	l.held, l.knee, l.state = false, false, noTrial
-	l.own, l.base, l.coldLast, l.seen, l.calm = 0, 0, 0, 0, 0
+	l.held, l.knee, l.falling, l.state = false, false, false, noTrial
+	l.own, l.base, l.slow, l.coldLast, l.seen, l.calm = 0, 0, 0, 0, 0, 0
 	l.coldNow = measure{}
 	l.cold = max(1, slots/coldShare)
 	l.coldNext = now.Add(coldStep)
@@ -246,7 +251,7 @@
 	case l.growth > 0:
 		l.hold = min(2*l.hold, longestHold)
 	}
-	l.state, l.held, l.knee, l.growth, l.idle = noTrial, true, false, 0, 0
+	l.state, l.held, l.knee, l.falling, l.growth, l.idle = noTrial, true, false, false, 0, 0
 	l.until = now.Add(l.hold)
 	l.set(fall * float64(l.Limit()))
 	l.reset(now)
@@ -261,7 +266,7 @@
 	if l.idle < idleRolls {
 		return false
 	}
-	l.held, l.hold = false, 0
+	l.held, l.hold, l.falling = false, 0, false
 	return true
 }
 
@@ -309,11 +314,39 @@
 	}
 }
 
+// lowerDue reports whether a trial of lower concurrency should begin. The reference is measured anew
+// after the first suspicion, so that it holds nothing from before the server changed.
 func (l *Limiter) lowerDue(now time.Time) bool {
 	if !l.ref.enough() || l.limit <= 2 {
 		return false
 	}
-	return l.base > 0 && l.ref.ownTime() > risen*l.base || l.calm < baseDone && !l.knee && !now.Before(l.due)
+	if !l.suspicious(now) {
+		l.suspected = false
+		return false
+	}
+	if !l.suspected {
+		l.suspected = true
+		l.ref = measure{}
+		return false
+	}
+	return true
+}
+
+func (l *Limiter) suspicious(now time.Time) bool {
+	if l.falling {
+		return true
+	}
+	own := l.ref.ownTime()
+	known := l.base > 0 && l.calm >= baseDone
+	if known && own <= risen*l.base {
+		l.slow, l.retrial = 0, firstRetrial
+		return false
+	}
+	if l.base > 0 && own > risen*max(l.base, l.slow) {
+		return true
+	}
+	crowded := l.base > 0 && own > risen*l.base
+	return !now.Before(l.due) && (crowded || !l.knee)
 }
 
 func (l *Limiter) begin(t trial, step float64, now time.Time) {
@@ -345,27 +378,31 @@
 	}
 	rate := l.try.rate() / l.ref.rate()
 	own := l.try.ownTime() / l.ref.ownTime()
+	gain := rate - own
+	if math.Abs(gain) < margin && l.try.rolls < mostRolls {
+		return
+	}
 	if l.state == lower {
-		l.judgeLower(rate-own > margin, now)
+		l.judgeLower(gain >= margin, now)
 		return
 	}
-	l.judgeRaise(rate-own > margin, now)
+	l.judgeRaise(gain >= margin, now)
 }
 
 func (l *Limiter) judgeLower(same bool, now time.Time) {
 	l.state = noTrial
 	if same {
-		l.held, l.knee, l.idle = true, true, 0
-		l.hold = firstHold
+		l.held, l.knee, l.falling, l.idle = true, true, true, 0
+		l.step = min(2*l.step, lowerMost)
+		l.hold = longestHold
 		l.until = now.Add(l.hold)
 		l.ref = l.try
 		l.retrial = firstRetrial
 		return
 	}
-	// The server is slow and not crowded: its present own time is the new base. The reference may date
-	// from when the server was only becoming slow.
-	l.step = lowerStep
-	l.base = max(l.ref.ownTime(), l.try.ownTime())
+	// The server is slow and not crowded. The reference may date from when it was only becoming slow.
+	l.slow = max(l.ref.ownTime(), l.try.ownTime())
+	l.falling, l.step = false, lowerStep
 	l.retrial = min(2*l.retrial, longestRetrial)
 	l.due = now.Add(l.retrial)
 	l.until = now.Add(l.hold)
@@ -376,7 +413,7 @@
 func (l *Limiter) judgeRaise(gain bool, now time.Time) {
 	l.state = noTrial
 	if gain {
-		l.held, l.knee, l.hold = false, false, 0
+		l.held, l.knee, l.falling, l.hold, l.slow = false, false, false, 0, 0
 		l.due = now.Add(l.retrial)
 		l.reset(now)
 		return
