--- a/pkg/admit/gate.go
+++ b/pkg/admit/gate.go
@@ -146,6 +146,10 @@
 	g.waits++
 	g.queue.push(t)
 	woken := g.pump(now, nil)
+	if t.queued && !t.expire.After(now) {
+		g.queue.remove(t)
+		t.refuse(reason.DeadlineTooShort)
+	}
 	if t.queued && req.Hop > 0 && g.pressed.Load() && t.kind.thins(req) {
 		g.queue.remove(t)
 		g.drop(t, reason.Overload)
@@ -156,10 +160,6 @@
 		g.drop(last, reason.QueueFull)
 		woken = link(last, woken)
 	}
-	if t.queued && !t.expire.After(now) {
-		g.queue.remove(t)
-		t.refuse(reason.DeadlineTooShort)
-	}
 	verdict := t.verdict
 	if t.queued {
 		verdict = Wait
--- /dev/null
+++ b/pkg/admit/gate_test.go
@@ -0,0 +1,235 @@
+package admit
+
+import (
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"briarworks.example/briarworks/pkg/call"
+	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/reason"
+	"briarworks.example/briarworks/pkg/share"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// member is one request in the model of the gate.
+type member struct {
+	Ticket
+	woken   int
+	verdict Verdict
+}
+
+// model drives a gate and knows what must be true of it.
+type model struct {
+	*rapid.T
+	gate             *Gate
+	now              time.Time
+	running, waiting []*member
+}
+
+func (m *model) enter(t *rapid.T) {
+	k := rapid.SampledFrom(chainKinds).Draw(t, "kind")
+	p := &member{}
+	p.Wake = func(v Verdict, _ time.Time) { m.wake(p, v) }
+	req := &call.Request{
+		Kind: k.Name, Rank: k.Rank, Protected: k.Protected, Hop: 1, Passed: 1,
+		Born:     m.now.Add(-time.Duration(rapid.IntRange(0, 50).Draw(t, "age")) * time.Millisecond),
+		Deadline: m.now.Add(time.Duration(rapid.IntRange(-1, 200).Draw(t, "left")) * time.Millisecond),
+	}
+	// The request is in the model before the decision, since it may be evicted at once.
+	m.waiting = append(m.waiting, p)
+	switch v := m.gate.Enter(req, &p.Ticket, m.now); v {
+	case Run, Refuse:
+		m.wake(p, v)
+		p.woken = 1
+	}
+}
+
+// wake is called for each request that stops waiting.
+func (m *model) wake(p *member, v Verdict) {
+	if p.woken++; p.woken > 1 {
+		m.Fatalf("wakes of one request: got %d, want 1", p.woken)
+	}
+	i := slices.Index(m.waiting, p)
+	if i < 0 {
+		m.Fatalf("woken request is not waiting")
+	}
+	m.waiting = slices.Delete(m.waiting, i, i+1)
+	if v != Run && p.Reason == reason.None {
+		m.Fatalf("refusal without a reason")
+	}
+	for _, q := range m.waiting {
+		if v == Run && q.queued && q.precedes(p) {
+			m.Fatalf("run: got %v born %v, want %v born %v first", p.order, p.born, q.order, q.born)
+		}
+		if p.Reason == reason.QueueFull && q.queued && p.precedes(q) {
+			m.Fatalf("evicted: got %v born %v, want %v born %v", p.order, p.born, q.order, q.born)
+		}
+	}
+	if v != Run {
+		return
+	}
+	m.running = append(m.running, p)
+	if got, want := ident.Slots(len(m.running)), m.gate.Limit(); got > want {
+		m.Fatalf("calls started: got %d running, want at most %d", got, want)
+	}
+}
+
+func (m *model) leave(t *rapid.T) {
+	if len(m.running) == 0 {
+		t.Skip("nothing runs")
+	}
+	i := rapid.IntRange(0, len(m.running)-1).Draw(t, "which")
+	p := m.running[i]
+	m.running = slices.Delete(m.running, i, i+1)
+	u := Usage{Own: 5 * time.Millisecond, Total: 10 * time.Millisecond, Shed: rapid.IntRange(0, 9).Draw(t, "shed") == 0}
+	m.gate.Leave(&p.Ticket, u, m.now)
+}
+
+// precedes reports whether p must run before q: protected first, then by rank, then the older one.
+func (m *member) precedes(q *member) bool {
+	if m.order.Protected != q.order.Protected {
+		return m.order.Protected
+	}
+	if m.order.Rank != q.order.Rank {
+		return m.order.Rank < q.order.Rank
+	}
+	return m.born.Before(q.born)
+}
+
+func (m *model) cancel(t *rapid.T) {
+	if len(m.waiting) == 0 {
+		t.Skip("nothing waits")
+	}
+	p := m.waiting[rapid.IntRange(0, len(m.waiting)-1).Draw(t, "which")]
+	if !m.gate.Cancel(&p.Ticket, m.now) {
+		m.Fatalf("cancel of a waiting request: got false, want true")
+	}
+	if m.gate.Cancel(&p.Ticket, m.now) {
+		m.Fatalf("second cancel: got true, want false")
+	}
+	m.waiting = slices.DeleteFunc(m.waiting, func(q *member) bool { return q == p })
+}
+
+func (m *model) tick(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(1, 30).Draw(t, "ms")) * time.Millisecond)
+	m.gate.Tick(m.now)
+	for _, p := range m.waiting {
+		if !p.expire.After(m.now) {
+			m.Fatalf("end of a wait: got %v, want after %v", p.expire, m.now)
+		}
+	}
+}
+
+func (m *model) slots(t *rapid.T) {
+	m.gate.SetSlots(ident.Slots(rapid.IntRange(1, 6).Draw(t, "slots")))
+	m.gate.Tick(m.now)
+}
+
+func (m *model) check(*rapid.T) {
+	if got, want := m.gate.Inflight(), ident.Slots(len(m.running)); got != want {
+		m.Fatalf("in flight: got %d, want %d", got, want)
+	}
+	if got, want := m.gate.Queued(), len(m.waiting); got != want {
+		m.Fatalf("queued: got %d, want %d", got, want)
+	}
+	if len(m.waiting) > 4 || len(m.waiting) > 0 && m.gate.Free() > 0 {
+		m.Fatalf("waiting: got %d with %d slots free, want at most 4 and no free slot", len(m.waiting), m.gate.Free())
+	}
+}
+
+// Guards against a slot that is lost or used twice, a wake that is lost or doubled, a queue out of
+// order, and requests that wait while a slot is free.
+func TestGateModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &model{T: t, now: start, gate: New(Config{Slots: 3, QueueLen: 4, Kinds: chainKinds})}
+		t.Repeat(map[string]func(*rapid.T){
+			"enter": m.enter, "enter again": m.enter, "enter more": m.enter, "leave": m.leave, "cancel": m.cancel, "tick": m.tick,
+			"slots": m.slots, "": m.check,
+		})
+	})
+}
+
+// Guards against the same faults when processors race; the end must find the gate empty.
+func TestGateRaces(t *testing.T) {
+	const slots, workers, rounds = 4, 16, 2000
+	g := New(Config{Slots: slots, QueueLen: 6, Kinds: chainKinds})
+	var running, ran atomic.Int32
+	var wg sync.WaitGroup
+	for w := range workers {
+		wg.Go(func() {
+			for i := range rounds {
+				got := make(chan Verdict, 2)
+				tk := &Ticket{Wake: func(v Verdict, _ time.Time) { got <- v }}
+				k := chainKinds[(w+i)%len(chainKinds)]
+				v := g.Enter(&call.Request{Kind: k.Name, Rank: k.Rank, Protected: k.Protected, Hop: 1, Born: start}, tk, start)
+				if v == Wait && i%7 == 0 && g.Cancel(tk, start) {
+					continue
+				}
+				if v == Wait {
+					v = <-got
+				}
+				if v != Run {
+					continue
+				}
+				if n := running.Add(1); n > slots {
+					t.Errorf("running at the same time: got %d, want at most %d", n, slots)
+				}
+				ran.Add(1)
+				running.Add(-1)
+				g.Leave(tk, Usage{Total: time.Millisecond}, start)
+			}
+		})
+	}
+	wg.Wait()
+	if g.Inflight() != 0 || g.Queued() != 0 || ran.Load() == 0 {
+		t.Errorf("at the end: got %d in flight, %d queued, %d run; want 0, 0, some", g.Inflight(), g.Queued(), ran.Load())
+	}
+}
+
+// Guards against a caller that floods a kind and takes the share of the others, and against hops that
+// cannot tell the outside demand from what the entry let through.
+func TestEntryCallers(t *testing.T) {
+	paths := &share.Paths{}
+	g := New(Config{Service: "calendar", Slots: 1000, Paths: paths, Kinds: chainKinds})
+	now := start
+	var sent, passed, weight [3]float64 // two modest callers and one that floods
+	for i := range 20000 {
+		now = now.Add(500 * time.Microsecond)
+		paths.Learn("ledger", "pack", 0.25, now)
+		caller := max(i%10, 2) - 2 // 3 of 10 requests are of caller 0
+		caller = [8]int{0, 1, 2, 2, 2, 2, 2, 2}[caller]
+		req := &call.Request{Key: ident.Key(strconv.Itoa(i)), Kind: "pack", Rank: 1, Caller: ident.Caller(strconv.Itoa(caller)), Born: now}
+		ok := g.Offer(req, now)
+		if i%40 == 0 {
+			g.Tick(now)
+		}
+		if i < 4000 {
+			continue
+		}
+		sent[caller]++
+		if ok {
+			passed[caller]++
+			weight[caller] += 1 / float64(req.Passed)
+		}
+	}
+	var all, through float64
+	for c := range sent {
+		all, through = all+sent[c], through+passed[c]
+		if got, want := weight[c], sent[c]; got < 0.9*want || got > 1.1*want {
+			t.Errorf("demand of caller %d from 1/Passed: got %.0f, want about %.0f", c, got, want)
+		}
+	}
+	if got, want := through/all, 0.25; got < want-0.02 || got > want+0.02 {
+		t.Errorf("fraction passed: got %.3f, want %.2f", got, want)
+	}
+	if got := passed[1] / sent[1]; got < 0.75 {
+		t.Errorf("modest caller: got %.2f passed, want its equal share of 0.083 out of 0.1", got)
+	}
+}
