--- a/pkg/admit/chain_test.go
+++ b/pkg/admit/chain_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -21,7 +22,6 @@
 	paths  map[ident.Kind][]*tier
 	sent   []map[ident.Kind]float64 // by second
 	good   []map[ident.Kind]float64
-	late   int // refused after the entry
 }
 
 // station is a node and its server.
@@ -138,7 +138,6 @@
 	c.enter(a, &inner, func(ok bool, leaveInner func(bool)) {
 		node.paths.Learn(path[0].name, req.Kind, a.gate.Advertise(req.Kind, c.time()), c.time())
 		if !ok {
-			c.late++
 			leave(false)
 			return
 		}
@@ -203,66 +202,66 @@
 // Guards against capacity left idle or wasted under overload, important work lost to other work, and
 // overload that outlasts its cause. The bounds are the targets of the design.
 func TestChain(t *testing.T) {
-	const from, to = 3, 8 // seconds of the fault
+	const (
+		from, to = 3, 8 // seconds of the fault
+		slots    = 100  // of each of 3 ledgers, which answer 6000 calls per second
+	)
+	usual := [4]float64{1500, 1250, 1250, 1000} // requests per second, by kind in the order of chainKinds
 	tests := map[string]struct {
-		rates  [4]float64 // per second, by kind in the order of chainKinds
-		flood  [4]float64 // the same during the fault
+		usual  [4]float64
+		fault  [4]float64 // requests per second during the fault
+		calls  int        // to a ledger by each request
 		sort   float64    // own time at a narrow service that packs also use, 0 for none
-		fault  func(ledger *tier)
-		repair func(ledger *tier)
+		slower float64    // factor of the ledgers' own time during the fault
 		ideal  [4]float64 // answers per second during the fault
 	}{
 		"flood of equal rank": {
-			rates: [4]float64{300, 250, 250, 200}, flood: [4]float64{300, 250, 2500, 200},
-			ideal: [4]float64{300, 250, 650, 0},
+			usual: usual, fault: [4]float64{1500, 1250, 12500, 1000}, calls: 1, slower: 1,
+			ideal: [4]float64{1500, 1250, 3250, 0},
 		},
 		"flood of the least urgent": {
-			rates: [4]float64{300, 250, 250, 200}, flood: [4]float64{300, 250, 250, 6000},
-			ideal: [4]float64{300, 250, 250, 400},
+			usual: usual, fault: [4]float64{1500, 1250, 1250, 30000}, calls: 1, slower: 1,
+			ideal: [4]float64{1500, 1250, 1250, 2000},
 		},
 		"flood of the most urgent": {
-			rates: [4]float64{300, 250, 250, 200}, flood: [4]float64{3000, 250, 250, 200},
-			ideal: [4]float64{1200, 0, 0, 0},
+			usual: usual, fault: [4]float64{15000, 1250, 1250, 1000}, calls: 1, slower: 1,
+			ideal: [4]float64{6000, 0, 0, 0},
 		},
-		"slow service": {
-			rates: [4]float64{200, 350, 350, 200}, flood: [4]float64{200, 350, 350, 200},
-			fault:  func(l *tier) { l.slow(4) },
-			repair: func(l *tier) { l.slow(0.25) },
-			ideal:  [4]float64{200, 50, 50, 0},
+		"flood of requests with four calls": {
+			usual: [4]float64{375, 312, 312, 250}, fault: [4]float64{375, 312, 3125, 250}, calls: 4, slower: 1,
+			ideal: [4]float64{375, 312, 813, 0},
 		},
 		"flood held back elsewhere": {
-			rates: [4]float64{200, 250, 100, 0}, flood: [4]float64{200, 3000, 3000, 0}, sort: 0.3,
-			ideal: [4]float64{200, 800, 200, 0},
+			usual: [4]float64{1000, 1250, 500, 0}, fault: [4]float64{1000, 15000, 15000, 0}, calls: 1, sort: 0.3, slower: 1,
+			ideal: [4]float64{1000, 4000, 1000, 0},
+		},
+		"slow service": {
+			usual: [4]float64{1000, 1750, 1750, 1000}, fault: [4]float64{1000, 1750, 1750, 1000}, calls: 1, slower: 4,
+			ideal: [4]float64{1000, 250, 250, 0},
 		},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := newChain()
-			entry := c.add("calendar", 3, 130, 0.02)
-			ledger := c.add("ledger", 3, 20, 0.05) // 1200 calls per second
+			entry := c.add("calendar", 3, 650, 0.02)
+			ledger := c.add("ledger", 3, slots, 0.05)
 			for i, k := range chainKinds {
-				c.paths[k.Name] = []*tier{ledger}
+				c.paths[k.Name] = slices.Repeat([]*tier{ledger}, tc.calls)
 				c.send(entry, k, func(now float64) float64 {
 					if now >= from && now < to {
-						return tc.flood[i]
+						return tc.fault[i]
 					}
-					return tc.rates[i]
+					return tc.usual[i]
 				})
 			}
 			if tc.sort > 0 {
-				c.paths["pack"] = append(c.paths["pack"], c.add("sorting", 3, 20, tc.sort))
-			}
-			if tc.fault != nil {
-				c.after(from, func() { tc.fault(ledger) })
-				c.after(to, func() { tc.repair(ledger) })
-			}
-			c.run(to + 5)
-			for i := range c.sent {
-				t.Log(i, c.sent[i], c.good[i])
+				c.paths["pack"] = append(c.paths["pack"], c.add("sorting", 3, slots, tc.sort))
 			}
-			t.Log("late", c.late)
+			c.after(from, func() { ledger.slow(tc.slower) })
+			c.after(to, func() { ledger.slow(1 / tc.slower) })
+			c.run(to + 4)
 			c.check(t, from+1, to, tc.ideal)
-			c.checkRecovered(t, to+2, to+4)
+			c.checkRecovered(t, to+1, to+3)
 		})
 	}
 }
