--- a/pkg/admit/gate.go
+++ b/pkg/admit/gate.go
@@ -1,10 +1,10 @@
 package admit
 
 import (
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
+	"unsafe"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -28,9 +28,10 @@
 	pressed  atomic.Bool  // demand exceeds the limit
 	_        [48]byte
 
-	mu    sync.Mutex // guards the queue
-	queue queue
-	waits int // requests that did not find a free slot in this window
+	mu      sync.Mutex // guards the queue
+	queue   queue
+	waits   int // requests that did not find a free slot in this window
+	refused int // begun requests refused in this window for want of a slot
 
 	windowMu sync.Mutex // guards what the end of a window computes; taken before mu
 	limiter  *limit.Limiter
@@ -53,7 +54,7 @@
 // its service calls Offer first; otherwise Enter does so. A request that does not pass is refused
 // with reason.Overload.
 func (g *Gate) Offer(req *call.Request, now time.Time) bool {
-	return g.offer(g.kinds.Load().find(req.Kind), shardIndex(), req, now)
+	return g.offer(g.kinds.Load().find(req.Kind), shardOf(req), req, now)
 }
 
 func (g *Gate) offer(k *kindState, shard int, req *call.Request, now time.Time) bool {
@@ -90,7 +91,7 @@
 // Enter decides on a request. After Run the caller must call Leave.
 func (g *Gate) Enter(req *call.Request, t *Ticket, now time.Time) Verdict {
 	k := g.kinds.Load().find(req.Kind)
-	shard := shardIndex()
+	shard := shardOf(t)
 	t.kind = k
 	if req.Hop == 0 && req.Passed == 0 && !g.offer(k, shard, req, now) {
 		return t.refuse(reason.Overload)
@@ -114,17 +115,18 @@
 	return g.wait(req, t, expected, now)
 }
 
-// acquire takes a slot when the limit has room.
+// acquire takes a slot when the limit has room. The addition that does not fit is taken back, which may
+// make another attempt at the same time fail although a slot is free. That is harmless: whoever fails
+// goes on to the queue and hands out free slots there.
 func (g *Gate) acquire() bool {
-	for {
-		n := g.inflight.Load()
-		if n >= g.limit.Load() {
-			return false
-		}
-		if g.inflight.CompareAndSwap(n, n+1) {
-			return true
-		}
+	if g.inflight.Load() >= g.limit.Load() {
+		return false
 	}
+	if g.inflight.Add(1) <= g.limit.Load() {
+		return true
+	}
+	g.inflight.Add(-1)
+	return false
 }
 
 func (t *Ticket) refuse(r reason.Refusal) Verdict {
@@ -135,8 +137,8 @@
 // wait puts a request in the queue, unless nothing can come of it.
 func (g *Gate) wait(req *call.Request, t *Ticket, expected time.Duration, now time.Time) Verdict {
 	t.order = share.Kind{Rank: req.Rank, Protected: req.Protected}
-	t.born = req.Born
-	t.expire = now.Add(g.cfg.MaxWait)
+	t.born, t.begun = req.Born, req.Hop > 0
+	t.expire = now.Add(g.longest(req, expected))
 	if !req.Deadline.IsZero() {
 		t.expire = earlier(t.expire, req.Deadline.Add(-expected))
 	}
@@ -144,20 +146,20 @@
 	g.waits++
 	g.queue.push(t)
 	woken := g.pump(now, nil)
+	if t.queued && !t.expire.After(now) {
+		g.queue.remove(t)
+		t.refuse(reason.DeadlineTooShort)
+	}
 	if t.queued && req.Hop > 0 && g.pressed.Load() && t.kind.thins(req) {
 		g.queue.remove(t)
-		t.refuse(reason.Overload)
+		g.drop(t, reason.Overload)
 	}
 	if len(g.queue.list) > g.cfg.QueueLen {
 		last := g.queue.last()
 		g.queue.remove(last)
-		last.refuse(reason.QueueFull)
+		g.drop(last, reason.QueueFull)
 		woken = link(last, woken)
 	}
-	if t.queued && !t.expire.After(now) {
-		g.queue.remove(t)
-		t.refuse(reason.DeadlineTooShort)
-	}
 	verdict := t.verdict
 	if t.queued {
 		verdict = Wait
@@ -167,6 +169,16 @@
 	return verdict
 }
 
+// longest returns the longest wait. A server with few slots and slow calls frees a slot so seldom that
+// protected requests, which are first in line, would often miss the bound although they alone fit.
+// They may wait for as long as a call takes, within four times the bound.
+func (g *Gate) longest(req *call.Request, expected time.Duration) time.Duration {
+	if !req.Protected {
+		return g.cfg.MaxWait
+	}
+	return max(g.cfg.MaxWait, min(expected, 4*g.cfg.MaxWait))
+}
+
 // pump hands free slots to the first tickets of the queue and returns the tickets to wake, added to
 // woken. The caller holds g.mu.
 func (g *Gate) pump(now time.Time, woken *Ticket) *Ticket {
@@ -184,7 +196,7 @@
 			t.refuse(reason.DeadlineTooShort)
 		case t.expire.Before(now):
 			g.inflight.Add(-1)
-			t.refuse(reason.QueueTimeout)
+			g.drop(t, reason.QueueTimeout)
 		default:
 			t.verdict = Run
 		}
@@ -199,6 +211,14 @@
 	g.mu.Unlock()
 }
 
+// drop refuses a request that got no slot in time. The caller holds g.mu.
+func (g *Gate) drop(t *Ticket, r reason.Refusal) {
+	t.refuse(r)
+	if t.begun {
+		g.refused++
+	}
+}
+
 func link(t, woken *Ticket) *Ticket {
 	t.nextWake = woken
 	return t
@@ -224,7 +244,7 @@
 
 // Leave ends a call that ran.
 func (g *Gate) Leave(t *Ticket, u Usage, now time.Time) {
-	t.kind.leave(shardIndex(), u)
+	t.kind.leave(shardOf(t), u)
 	g.inflight.Add(-1)
 	if g.waiting.Load() > 0 {
 		g.release(now)
@@ -265,7 +285,7 @@
 	var woken *Ticket
 	if len(g.queue.list) > 0 {
 		g.queue.expired(now, func(t *Ticket) {
-			t.refuse(reason.QueueTimeout)
+			g.drop(t, reason.QueueTimeout)
 			if !t.start.IsZero() && t.start.Before(now) {
 				t.refuse(reason.DeadlineTooShort)
 			}
@@ -325,6 +345,10 @@
 	g.kinds.Store(g.kinds.Load().with(kinds))
 }
 
-// shardIndex picks a shard of the counters. Any choice gives the same sums; a random one spreads
-// processors over the cache lines.
-func shardIndex() int { return int(rand.Uint32() % countShards) }
+// shardOf picks the shard of the counters for an object. Any choice gives the same sums. Go allocates
+// small objects of one processor in blocks of pages, so the page's address mostly keeps a processor on
+// cache lines of its own.
+func shardOf[T any](p *T) int {
+	const pageBits, golden = 13, 0x9E3779B97F4A7C15
+	return int(uint64(uintptr(unsafe.Pointer(p))>>pageBits) * golden >> (64 - countShardBits))
+}
--- a/pkg/limit/limit.go
+++ b/pkg/limit/limit.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -11,9 +12,10 @@
 const (
 	shedFall       = 0.9                    // limit after a window in which the server shed
 	floodFall      = 0.75                   // the same when it shed more than a third of the calls
-	lowerStep      = 0.8                    // limit during a trial of lower concurrency
+	lowerStep      = 0.1                    // part taken off the limit by a first trial of lower concurrency; it doubles while trials succeed
+	lowerMost      = 0.3                    // largest such part
 	raiseStep      = 1.25                   // limit during a trial of higher concurrency
-	margin         = 0.05                   // by which throughput and own time must differ to accept a trial
+	margin         = 0.04                   // by which throughput and own time must differ to judge a trial
 	risen          = 1.25                   // own time against the base at which a trial is due at once
 	coldShare      = 8                      // divisor of the slots at a cold start
 	coldStep       = time.Second            // time after which a cold limit doubles
@@ -23,6 +25,7 @@
 	firstRetrial   = 5 * time.Second        // time between trials when own time has not risen
 	longestRetrial = 30 * time.Second       // the same after several trials without gain
 	enoughDone     = 300                    // answered calls that make a measurement
+	mostRolls      = 15                     // windows after which a trial is judged in any case
 	enoughRolls    = 10                     // windows that make a measurement at a slow server
 	idleRolls      = 5                      // windows without a full limit after which a held limit is released
 	baseDone       = 50                     // answered calls over which own time is smoothed
@@ -85,16 +88,21 @@
 	idle   int
 
 	// Trial.
-	state   trial
-	before  float64 // limit to return to
-	ref     measure // at the limit before the trial
-	try     measure // at the limit of the trial
-	skip    int     // windows to leave out while calls of the last limit end
-	due     time.Time
-	retrial time.Duration
+	state     trial
+	falling   bool    // the last trial of lower concurrency succeeded
+	suspected bool    // the reference was begun for a trial
+	step      float64 // part that the next trial takes off
+	before    float64 // limit to return to
+	ref       measure // at the limit before the trial
+	try       measure // at the limit of the trial
+	skip      int     // windows to leave out while calls of the last limit end
+	due       time.Time
+	retrial   time.Duration
 
 	own  float64 // smoothed own time in seconds, 0 when unknown
 	base float64 // own time that is not taken for crowding, 0 when unknown
+	slow float64 // own time at which a trial of lower concurrency last failed
+	seen int     // calls answered, up to 2*baseDone
 	calm int     // calls answered while the limit was not in full use
 
 	span float64 // length of the last window in seconds
@@ -107,7 +115,7 @@
 
 // New returns a limiter whose limit is the given number of slots.
 func New(slots ident.Slots) *Limiter {
-	l := &Limiter{}
+	l := &Limiter{step: lowerStep}
 	l.SetSlots(slots)
 	return l
 }
@@ -129,8 +137,8 @@
 func (l *Limiter) StartCold(now time.Time) {
 	slots := l.slots
 	l.reset(now)
-	l.held, l.knee, l.state = false, false, noTrial
-	l.own, l.base, l.coldLast, l.calm = 0, 0, 0, 0
+	l.held, l.knee, l.falling, l.state = false, false, false, noTrial
+	l.own, l.base, l.slow, l.coldLast, l.seen, l.calm = 0, 0, 0, 0, 0, 0
 	l.coldNow = measure{}
 	l.cold = max(1, slots/coldShare)
 	l.coldNext = now.Add(coldStep)
@@ -190,11 +198,11 @@
 		return
 	}
 	mean := s.Own.Seconds() / float64(s.Done)
-	if l.own == 0 {
-		l.own = mean
-	}
-	l.own += (mean - l.own) * float64(s.Done) / float64(s.Done+baseDone)
-	if l.base == 0 || l.own < l.base {
+	l.seen = min(l.seen+s.Done, 2*baseDone)
+	// The first calls to end are the short ones, so the first windows count by their calls only.
+	weight := max(float64(s.Done)/float64(s.Done+baseDone), float64(s.Done)/float64(max(l.seen, s.Done)))
+	l.own += (mean - l.own) * weight
+	if l.seen == 2*baseDone && (l.base == 0 || l.own < l.base) {
 		l.base = l.own
 	}
 	if !s.Full {
@@ -243,7 +251,7 @@
 	case l.growth > 0:
 		l.hold = min(2*l.hold, longestHold)
 	}
-	l.state, l.held, l.knee, l.growth, l.idle = noTrial, true, false, 0, 0
+	l.state, l.held, l.knee, l.falling, l.growth, l.idle = noTrial, true, false, false, 0, 0
 	l.until = now.Add(l.hold)
 	l.set(fall * float64(l.Limit()))
 	l.reset(now)
@@ -258,7 +266,7 @@
 	if l.idle < idleRolls {
 		return false
 	}
-	l.held, l.hold = false, 0
+	l.held, l.hold, l.falling = false, 0, false
 	return true
 }
 
@@ -268,7 +276,7 @@
 	switch {
 	case l.knee:
 		if l.lowerDue(now) {
-			l.begin(lower, lowerStep, now)
+			l.begin(lower, 1-l.step, now)
 		} else if !now.Before(l.until) && l.ref.enough() {
 			l.begin(raise, raiseStep, now)
 		}
@@ -302,15 +310,43 @@
 func (l *Limiter) consider(s Sample, now time.Time) {
 	l.refer(s)
 	if l.cold == 0 && l.lowerDue(now) {
-		l.begin(lower, lowerStep, now)
+		l.begin(lower, 1-l.step, now)
 	}
 }
 
+// lowerDue reports whether a trial of lower concurrency should begin. The reference is measured anew
+// after the first suspicion, so that it holds nothing from before the server changed.
 func (l *Limiter) lowerDue(now time.Time) bool {
 	if !l.ref.enough() || l.limit <= 2 {
 		return false
 	}
-	return l.ref.ownTime() > risen*l.base || l.calm < baseDone && !l.knee && !now.Before(l.due)
+	if !l.suspicious(now) {
+		l.suspected = false
+		return false
+	}
+	if !l.suspected {
+		l.suspected = true
+		l.ref = measure{}
+		return false
+	}
+	return true
+}
+
+func (l *Limiter) suspicious(now time.Time) bool {
+	if l.falling {
+		return true
+	}
+	own := l.ref.ownTime()
+	known := l.base > 0 && l.calm >= baseDone
+	if known && own <= risen*l.base {
+		l.slow, l.retrial = 0, firstRetrial
+		return false
+	}
+	if l.base > 0 && own > risen*max(l.base, l.slow) {
+		return true
+	}
+	crowded := l.base > 0 && own > risen*l.base
+	return !now.Before(l.due) && (crowded || !l.knee)
 }
 
 func (l *Limiter) begin(t trial, step float64, now time.Time) {
@@ -342,25 +378,31 @@
 	}
 	rate := l.try.rate() / l.ref.rate()
 	own := l.try.ownTime() / l.ref.ownTime()
+	gain := rate - own
+	if math.Abs(gain) < margin && l.try.rolls < mostRolls {
+		return
+	}
 	if l.state == lower {
-		l.judgeLower(rate-own > margin, now)
+		l.judgeLower(gain >= margin, now)
 		return
 	}
-	l.judgeRaise(rate-own > margin, now)
+	l.judgeRaise(gain >= margin, now)
 }
 
 func (l *Limiter) judgeLower(same bool, now time.Time) {
 	l.state = noTrial
 	if same {
-		l.held, l.knee, l.idle = true, true, 0
-		l.hold = firstHold
+		l.held, l.knee, l.falling, l.idle = true, true, true, 0
+		l.step = min(2*l.step, lowerMost)
+		l.hold = longestHold
 		l.until = now.Add(l.hold)
 		l.ref = l.try
 		l.retrial = firstRetrial
 		return
 	}
-	// The server is slow and not crowded: its present own time is the new base.
-	l.base = l.ref.ownTime()
+	// The server is slow and not crowded. The reference may date from when it was only becoming slow.
+	l.slow = max(l.ref.ownTime(), l.try.ownTime())
+	l.falling, l.step = false, lowerStep
 	l.retrial = min(2*l.retrial, longestRetrial)
 	l.due = now.Add(l.retrial)
 	l.until = now.Add(l.hold)
@@ -371,7 +413,7 @@
 func (l *Limiter) judgeRaise(gain bool, now time.Time) {
 	l.state = noTrial
 	if gain {
-		l.held, l.knee, l.hold = false, false, 0
+		l.held, l.knee, l.falling, l.hold, l.slow = false, false, false, 0, 0
 		l.due = now.Add(l.retrial)
 		l.reset(now)
 		return
