relay: advertise the fraction on the keeper's answers, start cold

The keeper's own refusals carried a fraction of 1, which taught the entry that everything is admitted. Answers of a home teach the entry as those of any other peer do. A server is brought up gradually from the first configuration on.

--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -150,6 +150,7 @@
 		kinds = append(kinds, share.Kind{Name: k.Name, Rank: k.Rank, Protected: k.Protected})
 	}
 	n.Gate.Configure(kinds)
+	n.cold.Do(func() { n.Gate.StartCold(time.Now()) })
 	if s, ok := c.Rules.Service(n.Self.Service); ok {
 		n.Gate.SetSlots(s.Slots)
 		n.Backend.Resize(s.Connections)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -56,6 +56,7 @@
 	endFlusher func() // writes the rest of the refusal record
 	keepers    *keepers
 	rates      rates
+	cold       sync.Once // the server is brought up gradually from the first configuration on
 	seen       sightings
 	lost       chan lostPeer       // full means that a loss gets no witness
 	spread     chan []fleet.Member // news to tell the peers; full means that a periodic sync carries them
--- a/internal/relay/onward.go
+++ b/internal/relay/onward.go
@@ -121,8 +121,8 @@
 		if res.Outcome == reason.Ran {
 			fb.Latency = now.Sub(start)
 		}
-		r.Paths.Learn(req.Service, req.Kind, res.Fraction, now)
 	}
+	r.learn(req, res, now)
 	p.Finish(fb, now)
 	if res.Outcome == reason.NotRun && !answered(res) {
 		res.TokensLeft = req.Budget // nothing was sent or run, so nothing was spent
@@ -130,6 +130,13 @@
 	return res
 }
 
+// learn notes the admitted fraction that an answer carries.
+func (r *Relay) learn(req *call.Request, res call.Result, now time.Time) {
+	if answered(res) {
+		r.Paths.Learn(req.Service, req.Kind, res.Fraction, now)
+	}
+}
+
 // failed tells whether the result speaks against the server, as a refusal for load does not.
 func failed(res call.Result) bool {
 	switch res.Reason {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -94,7 +94,10 @@
 	r.active.Add(1)
 	defer r.active.Add(-1)
 	if req.Once && req.Hop == 0 {
-		return r.keep(ctx, req)
+		// The keeper's own answers say nothing of this node's load; the caller would learn from them
+		// that everything is admitted.
+		res := r.keep(ctx, req)
+		return r.annotate(req, res, res.TokensLeft)
 	}
 	return r.local(ctx, req)
 }
@@ -121,6 +124,7 @@
 			res = r.keep(ctx, req)
 		} else {
 			res = r.Send(ctx, h.Addr, req)
+			r.learn(req, res, r.Now())
 		}
 		if !elsewhere(res) || ctx.Err() != nil {
 			return res
