--- a/pkg/admit/doc.go
+++ b/pkg/admit/doc.go
@@ -7,5 +7,11 @@
 //
 // Every window the gate estimates the outside demand of each kind, divides the limit among the kinds
 // and publishes the resulting fractions. The estimate does not depend on what the entry nodes let
-// through, so fractions do not oscillate when they comply.
+// through, so fractions do not oscillate when they comply. A kind that another service holds back
+// further keeps only what it uses, and the rest goes to other kinds. A small correction of the
+// capacity follows the use of the limit and the refusals after the entry.
+//
+// The owner ticks the gate, puts Advertise on each answer and refusal that it sends to another node,
+// and hands what it receives to share.Paths.Learn, also for requests that it handed to other nodes of
+// its own service.
 package admit
