keeper: wait for attempts in progress at a stop

A keeper that moved away while an attempt ran lost the answer, and repeats of the key were told running until the log's retention had passed. New attempts are refused during the stop; repeats are still answered.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -39,6 +39,8 @@
 	defaultLinger = 20 * time.Millisecond
 	// defaultDue is how long Done and Void records wait for others. Nobody but a repeat waits for them.
 	defaultDue = 100 * time.Millisecond
+	// defaultStop is longer than the deadlines of requests, which bound the attempts in progress.
+	defaultStop = 30 * time.Second
 	// maxVoids is how many Void records are looked through for some that the log has not taken.
 	maxVoids = 4096
 	// maxKey is the longest key that is kept readable on the log.
@@ -73,6 +75,8 @@
 	Now func() time.Time
 	// NewAttempt returns a unique attempt; random when nil.
 	NewAttempt func() ident.Attempt
+	// Stop bounds the wait for attempts in progress at a stop; 30 s when 0.
+	Stop time.Duration
 	// DueLinger is how long Done and Void records wait for others; 100 ms when 0.
 	DueLinger time.Duration
 	// Ignored is told of a record that has no usable body for this stream; it may be nil.
@@ -89,6 +93,9 @@
 	waiters  map[ident.Key]*waiter
 	dones    []once.Done             // due and not read back yet
 	sent     map[ident.RecordID]bool // due records that the log has taken
+	attempts int                     // in progress
+	closing  bool                    // no further attempt begins
+	idle     chan struct{}           // closed when closing and without attempts
 }
 
 type waiter struct {
@@ -112,6 +119,9 @@
 		if k.NewAttempt == nil {
 			k.NewAttempt = func() ident.Attempt { return ident.Attempt(rand.Text()) }
 		}
+		if k.Stop == 0 {
+			k.Stop = defaultStop
+		}
 		if k.DueLinger == 0 {
 			k.DueLinger = defaultDue
 		}
@@ -121,32 +131,68 @@
 		k.verdicts = map[ident.Attempt]chan once.Verdict{}
 		k.waiters = map[ident.Key]*waiter{}
 		k.sent = map[ident.RecordID]bool{}
+		k.idle = make(chan struct{})
 	})
 }
 
-// Run owns the partition until ctx ends; then it appends what is due once more and returns. It is
-// called once. Requests in progress should have ended before.
+// Run owns the partition until ctx ends. It then begins no further attempt, waits within the bound
+// Stop for those in progress, appends what is due once more and returns. It is called once.
 func (k *Keeper) Run(ctx context.Context) {
 	k.init()
 	defer close(k.stopped)
-	// The owner and the writer outlive ctx for the last append of due records.
+	// The owner, the writer and the reader outlive ctx for the attempts in progress.
 	late, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	var wg, due sync.WaitGroup
+	defer cancel()
 	k.Partition.Down = k.Tail.Down
 	k.Writer.Known = func() (ident.Offset, bool) {
 		return k.Tail.Next(), k.Ready() && !k.Tail.Down(k.Now())
 	}
 	k.Tail.Handle = func(e applog.Entry) { k.post(late, func() { k.fold(e) }) }
 	k.Tail.Caught = func(ident.Offset) { k.post(late, func() { k.ready.Store(true) }) }
+	var wg, due sync.WaitGroup
 	wg.Go(func() { k.own(late) })
 	wg.Go(func() { k.Writer.Run(late) })
 	wg.Go(func() { k.Tail.Run(late, 0) })
-	due.Go(func() { k.appendDue(ctx, late) })
+	serving, end := context.WithCancel(late)
+	defer end()
+	due.Go(func() { k.appendDue(serving, late) })
+	<-ctx.Done()
+	k.drain()
+	end()
 	due.Wait()
 	cancel()
 	wg.Wait()
 }
 
+// drain lets no further attempt begin and waits for those in progress. Their Done records would be
+// lost otherwise, and repeats of their keys could not be answered.
+func (k *Keeper) drain() {
+	k.command(func() {
+		k.closing = true
+		// Refuses new attempts; repeats of keys in progress or done are still answered.
+		k.Partition.Down = func(time.Time) bool { return true }
+		k.checkIdle()
+	})
+	t := time.NewTimer(k.Stop)
+	defer t.Stop()
+	select {
+	case <-k.idle:
+	case <-t.C:
+	}
+}
+
+// ended counts an attempt of this holder as over.
+func (k *Keeper) ended() {
+	k.attempts--
+	k.checkIdle()
+}
+
+func (k *Keeper) checkIdle() {
+	if k.closing && k.attempts == 0 {
+		close(k.idle) // once: no attempt begins while closing
+	}
+}
+
 // Ready reports whether the log has been read to its end once; requests are refused before.
 func (k *Keeper) Ready() bool { return k.ready.Load() }
 
@@ -311,10 +357,14 @@
 			return
 		}
 		a.Action = k.Partition.Begin(key, attempt, now)
+		if k.closing && a.Verb == once.Refuse {
+			a.Reason = reason.Draining
+		}
 		switch a.Verb {
 		case once.Append:
 			a.verdict = make(chan once.Verdict, 1)
 			k.verdicts[attempt] = a.verdict
+			k.attempts++
 		case once.Join, once.Elsewhere:
 			a.waiter = k.wait(key)
 		}
@@ -378,12 +428,14 @@
 			k.Partition.NotWritten(a.Attempt)
 			delete(k.verdicts, a.Attempt)
 			k.changed(key)
+			k.ended()
 		})
 		return whole(req, call.Refuse(reason.LogUnavailable))
 	}
 	select {
 	case v := <-a.verdict:
 		if v != once.Won {
+			k.command(k.ended)
 			// Its Void is due; this caller gets the answer of the attempt that won.
 			return k.Do(ctx, req, run)
 		}
@@ -402,6 +454,7 @@
 		delete(k.verdicts, a)
 		k.changed(key)
 		k.wake()
+		k.ended()
 	})
 	if ctx.Err() != nil {
 		why = k.why(ctx)
@@ -416,6 +469,7 @@
 		if !may {
 			k.changed(key)
 			k.wake()
+			k.ended()
 		}
 	})
 	if !may {
@@ -438,6 +492,7 @@
 		}
 		k.changed(key)
 		k.wake()
+		k.ended()
 	})
 }
 
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -240,6 +240,40 @@
 	}
 }
 
+// Guards against a stop that loses the answer of an attempt in progress, or begins another one.
+func TestStop(t *testing.T) {
+	f := newFleet(t)
+	k, stop := f.keeper(t, "a", 1, nil)
+	began, end := make(chan struct{}), make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		res := k.Do(t.Context(), request("k", bound), func(context.Context) call.Result {
+			close(began)
+			<-end
+			return answer("x")
+		})
+		if res.Outcome != reason.Ran {
+			t.Errorf("attempt in progress: got %v, want %v", res.Outcome, reason.Ran)
+		}
+	})
+	<-began
+	wg.Go(stop)
+	probes := 0
+	waitFor(t, "closing", func() bool {
+		probes++ // with a key of its own: one that ran is answered also during the stop
+		return k.Do(t.Context(), request("probe"+strconv.Itoa(probes), bound), func(context.Context) call.Result { return answer("y") }).Reason == reason.Draining
+	})
+	if res := k.Do(t.Context(), request("k", 100*time.Millisecond), nil); res.Outcome != reason.Running {
+		t.Errorf("repeat during the stop: got %v, want %v", res.Outcome, reason.Running)
+	}
+	close(end)
+	wg.Wait()
+	k, _ = f.keeper(t, "a", 1, nil)
+	if res := k.Do(t.Context(), request("k", bound), nil); res.Outcome != reason.Ran || string(res.Body) != "x" {
+		t.Errorf("repeat after the stop: got %v %q, want the answer", res.Outcome, res.Body)
+	}
+}
+
 // Guards against a repeat that runs beside the first arrival, or that waits past its own deadline.
 func TestRunning(t *testing.T) {
 	f := newFleet(t)
