relay: join a running call when a caller repeats its key

A caller that repeated its Idempotency-Key while the first request still ran made it run a second time, also for kinds that the at-most-once keeper does not know. A sharded table now holds the running calls by the keys that callers gave. The run lives while one of its callers waits and is cancelled when the last one goes. A repeat with another method, path or body is refused as keyReused (HTTP 422).

A key's scope is now escaped: the caller 'a/k' with the key 'x' had the scope of the caller 'a' with the key 'k/x', and calls of a server had that of an outside caller with the service's name.

A draining node counts a request before it looks whether it is draining: Idle could miss a request that was let in at the same moment.

--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -32,6 +32,7 @@
 	reason.UnknownKind:    http.StatusNotFound,
 	reason.KeyRunning:     http.StatusConflict,
 	reason.KeyUnknown:     http.StatusConflict,
+	reason.KeyReused:      http.StatusUnprocessableEntity,
 	reason.DepthExceeded:  http.StatusLoopDetected,
 	reason.AnswerTooLarge: http.StatusBadGateway,
 	reason.ServerFailed:   http.StatusBadGateway,
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"strings"
 	"time"
 
@@ -117,7 +118,7 @@
 	if !ok {
 		kind = snap.Unlisted()
 	}
-	f.classify(req, kind, snap, key)
+	f.classify(req, kind, snap, callerScope(req.Caller), key)
 	if kind.AtMostOnce && key == "" {
 		return req, reason.KeyMissing
 	}
@@ -126,8 +127,8 @@
 	return req, why
 }
 
-// classify gives the request what the rules say about its kind.
-func (f *Front) classify(req *call.Request, kind *rules.Kind, snap *rules.Snapshot, key string) {
+// classify gives the request what the rules say about its kind, and its key within the scope.
+func (f *Front) classify(req *call.Request, kind *rules.Kind, snap *rules.Snapshot, scope, key string) {
 	req.Kind, req.Rank = kind.Name, kind.Rank
 	req.Protected, req.Idempotent, req.Once = kind.Protected, kind.Idempotent, kind.AtMostOnce
 	req.Deadline = req.Born.Add(kind.Deadline)
@@ -136,10 +137,16 @@
 		req.Key = f.NewKey()
 		return
 	}
-	// The scope keeps one caller from reading another one's answer by using its key.
-	req.Key = ident.Key(string(req.Caller) + "/" + string(kind.Name) + "/" + key)
+	req.Keyed = true
+	req.Key = ident.Key(scope + "/" + string(kind.Name) + "/" + key)
 }
 
+// Scopes keep one caller from reading another one's answer by using its key. They are escaped, since
+// the name "a/k" with the key "x" would otherwise be the name "a" with the key "k/x", and so that no
+// outside caller's scope is that of a server, which has an unescaped colon.
+func callerScope(name ident.Caller) string     { return url.QueryEscape(string(name)) }
+func serverScope(service ident.Service) string { return "server:" + string(service) }
+
 // body reads the whole request body within its bound.
 func body(c *gin.Context) (b []byte, why reason.Refusal) {
 	if c.Request.ContentLength > int64(call.MaxBody) {
@@ -196,7 +203,7 @@
 		Caller: ident.Caller(f.Service), Service: to.Service, Born: now,
 		Method: to.Method, Path: to.Path, Header: to.Header, Body: to.Body,
 	}
-	f.classify(req, kind, snap, key)
+	f.classify(req, kind, snap, serverScope(f.Service), key)
 	return f.Relay.Originate(ctx, req)
 }
 
--- /dev/null
+++ b/internal/relay/join_test.go
@@ -0,0 +1,249 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"briarworks.example/briarworks/internal/flight"
+	"briarworks.example/briarworks/pkg/admit"
+	"briarworks.example/briarworks/pkg/call"
+	"briarworks.example/briarworks/pkg/fleet"
+	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/reason"
+	"briarworks.example/briarworks/pkg/route"
+	"briarworks.example/briarworks/pkg/rules"
+	"briarworks.example/briarworks/pkg/share"
+)
+
+// waitLimit bounds the wait for a condition; it is far above what any of them takes.
+const waitLimit = 10 * time.Second
+
+func newRelay(run func(ctx context.Context, req *call.Request) call.Result) *Relay {
+	var tokens atomic.Int64
+	return &Relay{
+		Self: fleet.Member{Service: "s", Server: "s-1"}, Now: time.Now, Rand: rand.Uint64,
+		Token: func() flight.Token { return flight.Token(fmt.Sprint(tokens.Add(1))) },
+		Rules: func() *rules.Snapshot { return nil }, Routes: func(ident.Service) *route.Set { return nil },
+		Run: func(ctx context.Context, req *call.Request, _ flight.Token, _ time.Time) call.Result {
+			return run(ctx, req)
+		},
+		Once: func(ctx context.Context, _ *call.Request, run func(context.Context) call.Result) call.Result {
+			return run(ctx)
+		},
+		Home:    func(ident.Service, ident.Key) (ident.Address, bool, bool) { return "", true, true },
+		Seq:     func() ident.Seq { return 0 },
+		Retried: func(reason.Retry) {},
+		Gate:    admit.New(admit.Config{Service: "s", Slots: 64, Paths: &share.Paths{}}),
+		Paths:   &share.Paths{}, Flights: &flight.Table{},
+	}
+}
+
+func keyed(key ident.Key, change func(*call.Request)) *call.Request {
+	now := time.Now()
+	req := &call.Request{
+		Key: key, Keyed: true, Kind: "k", Service: "s", Born: now, Deadline: now.Add(waitLimit),
+		Method: "POST", Path: "/x", Body: []byte("body"),
+	}
+	if change != nil {
+		change(req)
+	}
+	return req
+}
+
+// waitFor waits until a condition holds.
+func waitFor(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	tick := time.NewTicker(time.Millisecond)
+	defer tick.Stop()
+	end := time.After(waitLimit)
+	for !holds() {
+		select {
+		case <-tick.C:
+		case <-end:
+			t.Fatalf("after %v: %s does not hold", waitLimit, what)
+		}
+	}
+}
+
+// waiters returns how many callers wait for the call with a key.
+func (r *Relay) waiters(key ident.Key) int {
+	s := r.joins.of(key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c := s.m[key]; c != nil {
+		return c.waiting
+	}
+	return 0
+}
+
+// Guards against a request that runs twice, or for which callers get different answers, when a caller
+// repeats its key during the run; and against two requests being taken for one.
+func TestJoin(t *testing.T) {
+	tests := map[string]struct {
+		change func(*call.Request)
+		runs   int32
+		why    reason.Refusal // told to the second request
+	}{
+		"same request":          {runs: 1},
+		"at-most-once kind":     {change: func(r *call.Request) { r.Once = true }, runs: 1},
+		"other key":             {change: func(r *call.Request) { r.Key = "other" }, runs: 2},
+		"key made by the node":  {change: func(r *call.Request) { r.Keyed = false }, runs: 2},
+		"key with other method": {change: func(r *call.Request) { r.Method = "PUT" }, runs: 1, why: reason.KeyReused},
+		"key with other path":   {change: func(r *call.Request) { r.Path = "/y" }, runs: 1, why: reason.KeyReused},
+		"key with other query":  {change: func(r *call.Request) { r.Path = "/x?a=1" }, runs: 1, why: reason.KeyReused},
+		"key with other body":   {change: func(r *call.Request) { r.Body = nil }, runs: 1, why: reason.KeyReused},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var runs atomic.Int32
+			open := make(chan struct{})
+			r := newRelay(func(context.Context, *call.Request) call.Result {
+				n := runs.Add(1)
+				<-open
+				return call.Result{Status: 200, Body: []byte{byte(n)}}
+			})
+			var wg sync.WaitGroup
+			var first, second call.Result
+			wg.Go(func() { first = r.Enter(t.Context(), keyed("a", nil)) })
+			waitFor(t, "the first request runs", func() bool { return runs.Load() == 1 })
+			if tt.why != reason.None {
+				second = r.Enter(t.Context(), keyed("a", tt.change))
+			} else {
+				wg.Go(func() { second = r.Enter(t.Context(), keyed("a", tt.change)) })
+				waitFor(t, "the second request joined or runs", func() bool {
+					return runs.Load() == tt.runs && (tt.runs == 2 || r.waiters("a") == 2)
+				})
+			}
+			close(open)
+			wg.Wait()
+			if got, want := runs.Load(), tt.runs; got != want {
+				t.Errorf("runs: got %d, want %d", got, want)
+			}
+			if got, want := second.Reason, tt.why; got != want {
+				t.Errorf("reason: got %v, want %v", got, want)
+			}
+			same := string(first.Body) == string(second.Body)
+			if want := tt.runs == 1 && tt.why == reason.None; same != want {
+				t.Errorf("same answer: got %v, want %v", same, want)
+			}
+			if got := r.Active(); got != 0 {
+				t.Errorf("active: got %d, want 0", got)
+			}
+		})
+	}
+}
+
+// Guards against a run that ends with its first caller although others wait, or that goes on after
+// the last one has gone; and against a later request that joins a cancelled run.
+func TestJoinCancel(t *testing.T) {
+	var runs atomic.Int32
+	cancelled := make(chan struct{}, 2)
+	r := newRelay(func(ctx context.Context, _ *call.Request) call.Result {
+		runs.Add(1)
+		<-ctx.Done()
+		cancelled <- struct{}{}
+		return call.Doubt(reason.Cancelled)
+	})
+	leave := make([]context.CancelFunc, 3)
+	left := make(chan call.Result, len(leave))
+	var wg sync.WaitGroup
+	for i := range leave {
+		var ctx context.Context
+		ctx, leave[i] = context.WithCancel(t.Context())
+		wg.Go(func() { left <- r.Enter(ctx, keyed("a", nil)) })
+		waitFor(t, "the caller waits", func() bool { return r.waiters("a") == i+1 })
+	}
+	for i := range 2 {
+		leave[i]()
+		if res := <-left; res.Outcome != reason.Unknown || res.Reason != reason.Cancelled {
+			t.Errorf("caller %d: got %v %v, want unknown cancelled", i, res.Outcome, res.Reason)
+		}
+		select {
+		case <-cancelled:
+			t.Fatalf("the run was cancelled while %d callers wait", 2-i)
+		default:
+		}
+	}
+	leave[2]()
+	<-left
+	<-cancelled
+	ctx, cancel := context.WithCancel(t.Context())
+	wg.Go(func() { left <- r.Enter(ctx, keyed("a", nil)) })
+	waitFor(t, "a later request runs anew", func() bool { return runs.Load() == 2 })
+	r.Drain()
+	again, stop := context.WithCancel(t.Context())
+	wg.Go(func() { left <- r.Enter(again, keyed("a", nil)) })
+	waitFor(t, "a draining node lets a repeated key join", func() bool { return r.waiters("a") == 2 })
+	if got, want := r.Enter(t.Context(), keyed("b", nil)).Reason, reason.Draining; got != want {
+		t.Errorf("new request at a draining node: got %v, want %v", got, want)
+	}
+	cancel()
+	stop()
+	wg.Wait()
+	if got := r.Active(); got != 0 {
+		t.Errorf("active: got %d, want 0", got)
+	}
+}
+
+// Guards against races between callers that join, leave and find the run ended: at any moment at most
+// one run of a key has callers, and nobody waits for ever.
+func TestJoinRace(t *testing.T) {
+	const keys, callers, rounds = 4, 16, 200
+	var mu sync.Mutex
+	live := make(map[ident.Key][]context.Context)
+	r := newRelay(func(ctx context.Context, req *call.Request) call.Result {
+		mu.Lock()
+		live[req.Key] = append(live[req.Key], ctx)
+		n := 0
+		for _, c := range live[req.Key] {
+			if c.Err() == nil { // a cancelled run may still be returning when the next one starts
+				n++
+			}
+		}
+		mu.Unlock()
+		if n > 1 {
+			t.Errorf("runs of key %s that are not cancelled: got %d, want at most 1", req.Key, n)
+		}
+		defer func() {
+			mu.Lock()
+			defer mu.Unlock()
+			live[req.Key] = slices.DeleteFunc(live[req.Key], func(c context.Context) bool { return c == ctx })
+		}()
+		if req.Key == "0" {
+			panic("fault of a run")
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration(rand.IntN(200)) * time.Microsecond):
+		}
+		return call.Result{Status: 200, Body: []byte(req.Key)}
+	})
+	var wg sync.WaitGroup
+	for i := range callers {
+		wg.Go(func() {
+			rng := rand.New(rand.NewPCG(1, uint64(i)))
+			for range rounds {
+				key := ident.Key(fmt.Sprint(rng.IntN(keys)))
+				ctx, cancel := context.WithTimeout(t.Context(), time.Duration(rng.IntN(400))*time.Microsecond)
+				res := r.Enter(ctx, keyed(key, nil))
+				cancel()
+				if res.Outcome == reason.Ran && string(res.Body) != string(key) {
+					t.Errorf("answer: got %q, want %q", res.Body, key)
+				}
+				if key == "0" && res.Outcome == reason.Ran {
+					t.Errorf("run that failed: got %v, want unknown", res.Outcome)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	if got := r.Active(); got != 0 {
+		t.Errorf("active: got %d, want 0", got)
+	}
+}
--- a/internal/relay/onward.go
+++ b/internal/relay/onward.go
@@ -156,15 +156,12 @@
 // Originate makes a call to another service that belongs to no request in flight, as a request of the
 // own server that begins there.
 func (r *Relay) Originate(ctx context.Context, req *call.Request) call.Result {
-	if r.draining.Load() {
-		return call.Refuse(reason.Draining)
-	}
-	r.active.Add(1)
-	defer r.active.Add(-1)
-	if req.Once {
-		return r.enterOnce(ctx, req)
-	}
-	var pool retry.Pool
-	pool.Fill(req.Budget)
-	return r.attempts(ctx, req, &pool)
+	return r.take(ctx, req, func(ctx context.Context, req *call.Request) call.Result {
+		if req.Once {
+			return r.enterOnce(ctx, req)
+		}
+		var pool retry.Pool
+		pool.Fill(req.Budget)
+		return r.attempts(ctx, req, &pool)
+	})
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -39,6 +39,7 @@
 	draining atomic.Bool
 	active   atomic.Int64
 	ratios   sync.Map // ident.Service -> *retry.Ratio
+	joins    joins
 }
 
 // Drain makes the node refuse new work from now on; calls of requests in flight go on.
@@ -69,26 +70,46 @@
 
 // Enter takes a request that a caller brought to this node.
 func (r *Relay) Enter(ctx context.Context, req *call.Request) call.Result {
-	if r.draining.Load() {
-		return call.Refuse(reason.Draining)
+	return r.take(ctx, req, func(ctx context.Context, req *call.Request) call.Result {
+		if req.Once {
+			return r.enterOnce(ctx, req)
+		}
+		return r.place(ctx, req)
+	})
+}
+
+// take runs a new request of this node; a request whose key a caller gave joins the call that already
+// runs under the key.
+func (r *Relay) take(ctx context.Context, req *call.Request, run func(context.Context, *call.Request) call.Result) call.Result {
+	if req.Keyed {
+		return r.join(ctx, req, run)
+	}
+	if why := r.begin(); why != reason.None {
+		return call.Refuse(why)
 	}
-	r.active.Add(1)
 	defer r.active.Add(-1)
-	if req.Once {
-		return r.enterOnce(ctx, req)
+	return run(ctx, req)
+}
+
+// begin counts a request that this node is to carry, or returns why it must not. It counts before it
+// looks whether the node is draining, so that Idle cannot miss a request that was let in.
+func (r *Relay) begin() reason.Refusal {
+	r.active.Add(1)
+	if r.draining.Load() {
+		r.active.Add(-1)
+		return reason.Draining
 	}
-	return r.place(ctx, req)
+	return reason.None
 }
 
 // Serve takes a call that another node made to this one. It is not handed on to a third node.
 func (r *Relay) Serve(ctx context.Context, req *call.Request) call.Result {
-	if r.draining.Load() {
-		return r.annotate(req, call.Refuse(reason.Draining), req.Budget)
-	}
 	if req.Service != r.Self.Service {
 		return r.annotate(req, call.Refuse(reason.NoServer), req.Budget)
 	}
-	r.active.Add(1)
+	if why := r.begin(); why != reason.None {
+		return r.annotate(req, call.Refuse(why), req.Budget)
+	}
 	defer r.active.Add(-1)
 	if req.Once && req.Hop == 0 {
 		return r.keep(ctx, req)
--- a/pkg/call/call.go
+++ b/pkg/call/call.go
@@ -28,6 +28,7 @@
 	Protected  bool           // shed after everything that is not protected
 	Idempotent bool           // may be run again when its outcome is unknown
 	Once       bool           // runs at most once for each key
+	Keyed      bool           // the caller gave the key; known at the node where the request enters only
 	Service    ident.Service  // target of this hop
 	Born       time.Time      // when the entry node accepted it
 	Deadline   time.Time      // when its answer loses its use
--- a/pkg/reason/reason.go
+++ b/pkg/reason/reason.go
@@ -51,6 +51,7 @@
 	DepthExceeded                   // more hops than the rules allow
 	Internal                        // a fault of the node
 	KeyMissing                      // at-most-once work without an Idempotency-Key
+	KeyReused                       // the key is that of another request, which is running
 	refusalCount
 )
 
@@ -59,7 +60,7 @@
 	"starting", "noServer", "serverDown", "serverShed", "serverFailed", "logUnavailable", "leaseLapsed",
 	"keyRunning", "keyUnknown", "badRequest", "bodyTooLarge", "bodyShort", "answerTooLarge",
 	"unknownKind", "budgetSpent", "connectionLost", "connectionSilent", "cancelled", "peerVersion",
-	"depthExceeded", "internal", "keyMissing",
+	"depthExceeded", "internal", "keyMissing", "keyReused",
 }
 
 // String returns the name used in answers, records, logs and metrics.
