wire: carry header values that are not UTF-8

A header value with a byte over 0x7f did not encode, because a protobuf string must be UTF-8: the node that sent the call took the failed write for a broken connection, closed the session to the peer and with it broke every other call on it. Such a value in an answer of a backend server lost the answer. The field is now bytes, which has the same encoding.

--- a/internal/wire/convert.go
+++ b/internal/wire/convert.go
@@ -86,7 +86,7 @@
 func fromHeader(hs []call.Header) []*wirepb.Header {
 	out := make([]*wirepb.Header, len(hs))
 	for i, h := range hs {
-		out[i] = &wirepb.Header{Name: h.Name, Value: h.Value}
+		out[i] = &wirepb.Header{Name: h.Name, Value: []byte(h.Value)}
 	}
 	return out
 }
@@ -94,7 +94,7 @@
 func toHeader(hs []*wirepb.Header) []call.Header {
 	out := make([]call.Header, len(hs))
 	for i, h := range hs {
-		out[i] = call.Header{Name: h.GetName(), Value: h.GetValue()}
+		out[i] = call.Header{Name: h.GetName(), Value: string(h.GetValue())}
 	}
 	return out
 }
