front: refuse bad input with a typed reason and bound what was not bounded

Tests with raw bytes over loopback came first. On the code before, these failed:

- a target such as 'a:@127.0.0.1:1/x' sent the request to the address that the caller named, since the opaque part was put behind the server's address;
- dot segments, empty segments and needless percent-encoding passed as an unlisted kind, so that a claim could reach a backend server that resolves them without its at-most-once record; so did CONNECT, TRACE and methods in another case;
- names, keys and queries that are not UTF-8 passed, which neither a record nor a message can hold;
- what net/http answers by itself (malformed lines, headers over the bound, unknown codings, OPTIONS *) had no typed reason and no record; headers up to 4 KiB over the bound passed;
- a backend server that never answered, or stalled within its answer, kept an outside caller for ever: nothing applied the deadline to the own server's call;
- connections of a port were not bounded (5 of 6 served together with a bound of 2), nor were the requests that a node carries, nor the time in which a caller takes its answer.

A port now puts a typed refusal in place of what net/http answers, bounds its connections and each write, and the relay refuses as nodeFull what is over its bound, an eighth of which is kept for protected kinds. netutil.LimitListener is not used: it hides CloseWrite, without which a caller that is still sending may lose its refusal to a reset. Refusals on the local port that belong to no request are recorded too. Bad input is logged in samples and counted in full. nodeFull is retried on another server like queueFull, and the list in retry's test names it.

In the tests of the server the answers over the bound that announce their length were read on, and a switch of protocols was waited for until the deadline.

--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -25,18 +25,19 @@
 
 // statuses maps reasons to HTTP status codes; the rest is 503.
 var statuses = map[reason.Refusal]int{
-	reason.BadRequest:     http.StatusBadRequest,
-	reason.KeyMissing:     http.StatusBadRequest,
-	reason.BodyShort:      http.StatusBadRequest,
-	reason.BodyTooLarge:   http.StatusRequestEntityTooLarge,
-	reason.UnknownKind:    http.StatusNotFound,
-	reason.KeyRunning:     http.StatusConflict,
-	reason.KeyUnknown:     http.StatusConflict,
-	reason.KeyReused:      http.StatusUnprocessableEntity,
-	reason.DepthExceeded:  http.StatusLoopDetected,
-	reason.AnswerTooLarge: http.StatusBadGateway,
-	reason.ServerFailed:   http.StatusBadGateway,
-	reason.Internal:       http.StatusInternalServerError,
+	reason.BadRequest:      http.StatusBadRequest,
+	reason.KeyMissing:      http.StatusBadRequest,
+	reason.BodyShort:       http.StatusBadRequest,
+	reason.BodyTooLarge:    http.StatusRequestEntityTooLarge,
+	reason.HeadersTooLarge: http.StatusRequestHeaderFieldsTooLarge,
+	reason.UnknownKind:     http.StatusNotFound,
+	reason.KeyRunning:      http.StatusConflict,
+	reason.KeyUnknown:      http.StatusConflict,
+	reason.KeyReused:       http.StatusUnprocessableEntity,
+	reason.DepthExceeded:   http.StatusLoopDetected,
+	reason.AnswerTooLarge:  http.StatusBadGateway,
+	reason.ServerFailed:    http.StatusBadGateway,
+	reason.Internal:        http.StatusInternalServerError,
 }
 
 // status returns the HTTP status of an answer that the system makes itself.
@@ -83,7 +84,7 @@
 func retryAfter(why reason.Refusal, spread float64) time.Duration {
 	switch why {
 	case reason.Overload, reason.QueueFull, reason.QueueTimeout, reason.DeadlineTooShort, reason.NoServer,
-		reason.Starting, reason.Draining, reason.ServerShed, reason.ServerDown, reason.LogUnavailable, reason.KeyRunning:
+		reason.Starting, reason.Draining, reason.NodeFull, reason.ServerShed, reason.ServerDown, reason.LogUnavailable, reason.KeyRunning:
 		return time.Second + time.Duration(spread*float64(time.Second))
 	}
 	return 0
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -9,6 +9,7 @@
 	"net/url"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/gin-gonic/gin"
 
@@ -45,21 +46,10 @@
 	Rules   func() *rules.Snapshot
 	Now     func() time.Time
 	NewKey  func() ident.Key // random key of a request without one
-	Refused func(Told)       // each answer to an outside caller that the system made itself
+	Refused func(Told)       // each answer that the system made itself, but to a call that belongs to a request
 	Served  func(kind ident.Kind, took time.Duration)
 }
 
-// Server returns an HTTP server with the bounds of a node's ports.
-func Server(h http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: headerTimeout,
-		ReadTimeout:       readTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    int(call.MaxHeader),
-	}
-}
-
 // Engine returns a gin engine that runs one handler for every method and path and survives its panics.
 func Engine(handle gin.HandlerFunc) http.Handler {
 	gin.SetMode(gin.ReleaseMode)
@@ -97,6 +87,13 @@
 	write(c, &res)
 }
 
+// Malformed notes the refusal of a request that could not be read.
+func (f *Front) Malformed(remote string, why reason.Refusal) {
+	now := f.Now()
+	res := call.Refuse(why)
+	f.Refused(Told{Request: &call.Request{Service: f.Service, Born: now, Deadline: now}, Result: &res, Remote: remote})
+}
+
 // request reads what an outside caller sent and classifies it by the rules. The request is never nil,
 // so that a refusal can be recorded with what is known.
 func (f *Front) request(c *gin.Context, now time.Time) (req *call.Request, why reason.Refusal) {
@@ -106,10 +103,17 @@
 		Method: c.Request.Method, Path: c.Request.URL.RequestURI(),
 	}
 	key := c.GetHeader(server.HeaderKey)
-	if len(caller) > maxCaller || len(key) > maxKey || len(req.Path) > maxPath {
+	if len(caller) > maxCaller || !utf8.ValidString(caller) {
 		req.Caller = ""
 		return req, reason.BadRequest
 	}
+	if len(key) > maxKey || !utf8.ValidString(key) {
+		return req, reason.BadRequest
+	}
+	if why = check(c.Request); why != reason.None {
+		req.Path = ""
+		return req, why
+	}
 	snap := f.Rules()
 	if snap == nil {
 		return req, reason.Starting
@@ -127,6 +131,39 @@
 	return req, why
 }
 
+// methods are those that the rules can name. A backend server may read others, such as CONNECT or a
+// method in lower case, as one of these or as no request at all.
+var methods = map[string]bool{
+	http.MethodGet: true, http.MethodHead: true, http.MethodPost: true, http.MethodPut: true,
+	http.MethodPatch: true, http.MethodDelete: true, http.MethodOptions: true,
+}
+
+// check refuses what a backend server could read in another way than this node, and what a record or a
+// message cannot hold. A path that is not in normal form could be taken for another kind's, and a
+// target that is no path ("a:@host:port/") would name another server when it is put behind an address.
+func check(r *http.Request) reason.Refusal {
+	uri := r.URL.RequestURI()
+	switch {
+	case !methods[r.Method], r.URL.Opaque != "", len(uri) > maxPath, !utf8.ValidString(uri):
+		return reason.BadRequest
+	case !rules.Normal(r.URL.EscapedPath()):
+		return reason.BadRequest
+	case headerSize(r.Header) > call.MaxHeader:
+		return reason.HeadersTooLarge
+	}
+	return reason.None
+}
+
+// headerSize returns the size of headers on the connection.
+func headerSize(h http.Header) (n ident.Bytes) {
+	for name, values := range h {
+		for _, v := range values {
+			n += ident.Bytes(len(name) + len(": ") + len(v) + len("\r\n"))
+		}
+	}
+	return n
+}
+
 // classify gives the request what the rules say about its kind, and its key within the scope.
 func (f *Front) classify(req *call.Request, kind *rules.Kind, snap *rules.Snapshot, scope, key string) {
 	req.Kind, req.Rank = kind.Name, kind.Rank
@@ -172,48 +209,60 @@
 	if why == reason.None {
 		to.Body, why = body(c)
 	}
-	var res call.Result
 	if why != reason.None {
-		res = call.Refuse(why)
-	} else {
-		res = f.onward(c.Request.Context(), c, to)
+		f.refuse(c, &call.Request{Caller: ident.Caller(f.Service), Service: to.Service, Born: f.Now()}, call.Refuse(why))
+		return
+	}
+	ctx := c.Request.Context()
+	if fl, ok := f.Relay.Flights.Find(flight.Token(c.GetHeader(server.HeaderToken))); ok {
+		res := f.Relay.Onward(ctx, fl, to) // the refusal that the outside caller is told is the one recorded
+		write(c, &res)
+		return
+	}
+	req, res := f.originate(ctx, c, to)
+	if res.Outcome != reason.Ran {
+		f.refuse(c, req, res)
+		return
 	}
 	write(c, &res)
 }
 
-// onward finds the request that the call belongs to by its token; a call without one begins a request.
-func (f *Front) onward(ctx context.Context, c *gin.Context, to relay.Target) call.Result {
-	if fl, ok := f.Relay.Flights.Find(flight.Token(c.GetHeader(server.HeaderToken))); ok {
-		return f.Relay.Onward(ctx, fl, to)
+// originate makes a call that belongs to no request in flight as a new request of the own server.
+func (f *Front) originate(ctx context.Context, c *gin.Context, to relay.Target) (req *call.Request, res call.Result) {
+	now := f.Now()
+	req = &call.Request{
+		Caller: ident.Caller(f.Service), Service: to.Service, Born: now, Deadline: now,
+		Method: to.Method, Path: to.Path, Header: to.Header, Body: to.Body,
 	}
 	snap := f.Rules()
 	if snap == nil {
-		return call.Refuse(reason.Starting)
+		return req, call.Refuse(reason.Starting)
 	}
 	kind, ok := snap.Classify(to.Service, to.Method, strings.SplitN(to.Path, "?", 2)[0])
 	if !ok {
 		kind = snap.Unlisted()
 	}
 	key := c.GetHeader(server.HeaderKey)
-	if kind.AtMostOnce && key == "" {
-		return call.Refuse(reason.KeyMissing)
-	}
-	now := f.Now()
-	req := &call.Request{
-		Caller: ident.Caller(f.Service), Service: to.Service, Born: now,
-		Method: to.Method, Path: to.Path, Header: to.Header, Body: to.Body,
+	if len(key) > maxKey || !utf8.ValidString(key) {
+		return req, call.Refuse(reason.BadRequest)
 	}
 	f.classify(req, kind, snap, serverScope(f.Service), key)
-	return f.Relay.Originate(ctx, req)
+	if kind.AtMostOnce && key == "" {
+		return req, call.Refuse(reason.KeyMissing)
+	}
+	return req, f.Relay.Originate(ctx, req)
 }
 
 // target splits the path of a local call into the service and the path there.
 func target(c *gin.Context) (to relay.Target, why reason.Refusal) {
 	uri := c.Request.URL.RequestURI()
 	service, rest, ok := strings.Cut(strings.TrimPrefix(uri, "/"), "/")
-	if !ok || service == "" || len(uri) > maxPath {
+	if !ok || service == "" || len(uri) > maxPath || !utf8.ValidString(uri) || c.Request.URL.Opaque != "" {
 		return to, reason.BadRequest
 	}
+	if headerSize(c.Request.Header) > call.MaxHeader {
+		return to, reason.HeadersTooLarge
+	}
 	return relay.Target{
 		Service: ident.Service(service), Method: c.Request.Method, Path: "/" + rest,
 		Header: server.Keep(c.Request.Header),
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/fx"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"briarworks.example/briarworks/internal/applog"
 	"briarworks.example/briarworks/internal/flight"
@@ -111,12 +112,12 @@
 	n := &Node{
 		Settings: p.Settings, Log: p.Log, Stats: p.Stats, Self: p.Self, Roster: p.Roster, Policy: p.Policy,
 		Gate: p.Gate, Paths: p.Paths, Book: p.Book, Backend: p.Backend, Ledger: p.Ledger,
-		client: p.Client, spread: make(chan []fleet.Member, maxNews),
+		badInput: sampled(p.Log), client: p.Client, spread: make(chan []fleet.Member, maxNews),
 	}
 	n.Relay = &relay.Relay{
 		Self: p.Self, Now: time.Now, Rand: mrand.Uint64, Token: func() flight.Token { return flight.Token(random()) },
 		Rules: p.Policy.Rules, Routes: p.Roster.Set, Run: p.Backend.Run, Send: p.Book.Call,
-		Seq: p.Ledger.Seq, Retried: p.Stats.Retried, Gate: p.Gate, Paths: p.Paths, Flights: &flight.Table{},
+		Seq: p.Ledger.Seq, Retried: p.Stats.Retried, Gate: p.Gate, Paths: p.Paths, Flights: &flight.Table{}, Bound: maxCarried,
 		Once: func(ctx context.Context, _ *call.Request, run func(context.Context) call.Result) call.Result {
 			return run(ctx)
 		},
@@ -170,8 +171,31 @@
 	}, now)
 	n.Stats.Refused(req.Kind, res.Reason)
 	n.rates.note(req.Kind, res.Reason, now)
-	if req.Protected || res.Outcome != reason.NotRun {
+	switch {
+	case badInput[res.Reason]:
+		n.badInput.Info("badInput", zap.String("remote", t.Remote), zap.String("caller", string(req.Caller)),
+			zap.String("method", req.Method), zap.String("path", req.Path), zap.String("reason", res.Reason.String()))
+	case req.Protected || res.Outcome != reason.NotRun:
 		n.Log.Info("refused", zap.String("kind", string(req.Kind)), zap.String("caller", string(req.Caller)),
 			zap.String("outcome", res.Outcome.String()), zap.String("reason", res.Reason.String()))
 	}
 }
+
+// badInput holds the reasons that speak of what the caller sent and not of the load.
+var badInput = map[reason.Refusal]bool{
+	reason.BadRequest: true, reason.BodyTooLarge: true, reason.BodyShort: true, reason.HeadersTooLarge: true,
+	reason.KeyMissing: true, reason.KeyReused: true,
+}
+
+// Bad input is logged for the first lines of a second and then for one in logEvery, since anyone can
+// send any amount of it; the metrics and the refusal record count all of it.
+const (
+	logFirst = 20
+	logEvery = 1000
+)
+
+func sampled(log *zap.Logger) *zap.Logger {
+	return log.WithOptions(zap.WrapCore(func(c zapcore.Core) zapcore.Core {
+		return zapcore.NewSamplerWithOptions(c, time.Second, logFirst, logEvery)
+	}))
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -47,17 +47,26 @@
 	Backend  *server.Client
 	Ledger   *audit.Ledger
 
-	client  *applog.Client
-	members *stream
-	config  *stream
-	rates   rates
-	spread  chan []fleet.Member // news to tell the peers; full means that a periodic sync carries them
-	peers   net.Listener
-	servers []*http.Server
-	cancel  context.CancelFunc
-	wg      sync.WaitGroup
+	badInput *zap.Logger // sampled
+	client   *applog.Client
+	members  *stream
+	config   *stream
+	rates    rates
+	spread   chan []fleet.Member // news to tell the peers; full means that a periodic sync carries them
+	peers    net.Listener
+	servers  []*http.Server
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
 }
 
+// Bounds of what a node takes at a time. The largest server has about 900 connections and the queue of
+// its node holds requests for 50 ms, so an ordinary overload stays far below them.
+const (
+	maxCarried       = 4096 // requests
+	maxConns         = 4096 // connections to the callers' port, and to the local port
+	maxOperatorConns = 64
+)
+
 // tickPeriod is how often the gate ends waits and rolls its windows.
 const tickPeriod = 20 * time.Millisecond
 
@@ -101,21 +110,20 @@
 	})
 	ports := []struct {
 		addr ident.Address
-		h    http.Handler
+		*front.Port
 	}{
-		{at.Local, front.Engine(n.Front.Local)},
-		{at.Operator, admin.Handler(n.Stats.Handler, n.status)},
-		{at.Callers, front.Engine(n.Front.Callers)},
+		{at.Local, front.NewPort(front.Engine(n.Front.Local), maxConns, n.Front.Malformed)},
+		{at.Operator, front.NewPort(admin.Handler(n.Stats.Handler, n.status), maxOperatorConns, nil)},
+		{at.Callers, front.NewPort(front.Engine(n.Front.Callers), maxConns, n.Front.Malformed)},
 	}
 	for _, p := range ports {
 		ln, err := net.Listen("tcp", string(p.addr))
 		if err != nil {
 			return errors.Join(err, peers.Close(), n.shut(context.Background()))
 		}
-		srv := front.Server(p.h)
-		n.servers = append(n.servers, srv)
+		n.servers = append(n.servers, p.Server)
 		n.run(func() {
-			if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			if err := p.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 				n.Log.Error("portFailed", zap.String("address", string(p.addr)), zap.Error(err))
 			}
 		})
--- a/internal/relay/join.go
+++ b/internal/relay/join.go
@@ -47,7 +47,7 @@
 
 // enter joins the running call with the request's key, or starts one if begin allows it. It returns
 // nil and a reason when the request is refused.
-func (s *joinShard) enter(ctx context.Context, req *call.Request, begin func() reason.Refusal) (c *running, runCtx context.Context, why reason.Refusal) {
+func (s *joinShard) enter(ctx context.Context, req *call.Request, begin func(*call.Request) reason.Refusal) (c *running, runCtx context.Context, why reason.Refusal) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if c = s.m[req.Key]; c != nil {
@@ -57,7 +57,7 @@
 		c.waiting++
 		return c, nil, reason.None
 	}
-	if why = begin(); why != reason.None {
+	if why = begin(req); why != reason.None {
 		return nil, nil, why
 	}
 	if s.m == nil {
--- a/internal/relay/join_test.go
+++ b/internal/relay/join_test.go
@@ -44,7 +44,7 @@
 	}
 }
 
-func keyed(key ident.Key, change func(*call.Request)) *call.Request {
+func request(key ident.Key, change func(*call.Request)) *call.Request {
 	now := time.Now()
 	req := &call.Request{
 		Key: key, Keyed: true, Kind: "k", Service: "s", Born: now, Deadline: now.Add(waitLimit),
@@ -110,12 +110,12 @@
 			})
 			var wg sync.WaitGroup
 			var first, second call.Result
-			wg.Go(func() { first = r.Enter(t.Context(), keyed("a", nil)) })
+			wg.Go(func() { first = r.Enter(t.Context(), request("a", nil)) })
 			waitFor(t, "the first request runs", func() bool { return runs.Load() == 1 })
 			if tt.why != reason.None {
-				second = r.Enter(t.Context(), keyed("a", tt.change))
+				second = r.Enter(t.Context(), request("a", tt.change))
 			} else {
-				wg.Go(func() { second = r.Enter(t.Context(), keyed("a", tt.change)) })
+				wg.Go(func() { second = r.Enter(t.Context(), request("a", tt.change)) })
 				waitFor(t, "the second request joined or runs", func() bool {
 					return runs.Load() == tt.runs && (tt.runs == 2 || r.waiters("a") == 2)
 				})
@@ -156,7 +156,7 @@
 	for i := range leave {
 		var ctx context.Context
 		ctx, leave[i] = context.WithCancel(t.Context())
-		wg.Go(func() { left <- r.Enter(ctx, keyed("a", nil)) })
+		wg.Go(func() { left <- r.Enter(ctx, request("a", nil)) })
 		waitFor(t, "the caller waits", func() bool { return r.waiters("a") == i+1 })
 	}
 	for i := range 2 {
@@ -174,13 +174,13 @@
 	<-left
 	<-cancelled
 	ctx, cancel := context.WithCancel(t.Context())
-	wg.Go(func() { left <- r.Enter(ctx, keyed("a", nil)) })
+	wg.Go(func() { left <- r.Enter(ctx, request("a", nil)) })
 	waitFor(t, "a later request runs anew", func() bool { return runs.Load() == 2 })
 	r.Drain()
 	again, stop := context.WithCancel(t.Context())
-	wg.Go(func() { left <- r.Enter(again, keyed("a", nil)) })
+	wg.Go(func() { left <- r.Enter(again, request("a", nil)) })
 	waitFor(t, "a draining node lets a repeated key join", func() bool { return r.waiters("a") == 2 })
-	if got, want := r.Enter(t.Context(), keyed("b", nil)).Reason, reason.Draining; got != want {
+	if got, want := r.Enter(t.Context(), request("b", nil)).Reason, reason.Draining; got != want {
 		t.Errorf("new request at a draining node: got %v, want %v", got, want)
 	}
 	cancel()
@@ -231,7 +231,7 @@
 			for range rounds {
 				key := ident.Key(fmt.Sprint(rng.IntN(keys)))
 				ctx, cancel := context.WithTimeout(t.Context(), time.Duration(rng.IntN(400))*time.Microsecond)
-				res := r.Enter(ctx, keyed(key, nil))
+				res := r.Enter(ctx, request(key, nil))
 				cancel()
 				if res.Outcome == reason.Ran && string(res.Body) != string(key) {
 					t.Errorf("answer: got %q, want %q", res.Body, key)
@@ -247,3 +247,38 @@
 		t.Errorf("active: got %d, want 0", got)
 	}
 }
+
+// Guards against a node that takes requests without bound, and against a flood of other work that
+// keeps protected kinds out of it.
+func TestBound(t *testing.T) {
+	const bound = 16
+	tests := map[string]struct {
+		carried   int64
+		protected bool
+		why       reason.Refusal
+	}{
+		"room for all":              {carried: bound - bound/reservedPart - 1},
+		"room for protected, other": {carried: bound - bound/reservedPart, why: reason.NodeFull},
+		"room for protected":        {carried: bound - 1, protected: true},
+		"no room":                   {carried: bound, protected: true, why: reason.NodeFull},
+	}
+	for name, tt := range tests {
+		for keyed, entry := range map[bool]string{true: "with a key", false: "without a key"} {
+			t.Run(name+" "+entry, func(t *testing.T) {
+				r := newRelay(func(context.Context, *call.Request) call.Result { return call.Result{Status: 200} })
+				r.Bound = bound
+				r.active.Store(tt.carried)
+				req := request("a", func(req *call.Request) { req.Keyed, req.Protected = keyed, tt.protected })
+				if got := r.Enter(t.Context(), req); got.Reason != tt.why {
+					t.Errorf("caller's request: got %v, want %v", got.Reason, tt.why)
+				}
+				if got := r.Serve(t.Context(), req); got.Reason != tt.why {
+					t.Errorf("peer's request: got %v, want %v", got.Reason, tt.why)
+				}
+				if got, want := r.Active(), tt.carried; got != want {
+					t.Errorf("active: got %d, want %d", got, want)
+				}
+			})
+		}
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -35,6 +35,7 @@
 	Gate    *admit.Gate
 	Paths   *share.Paths
 	Flights *flight.Table
+	Bound   int64 // requests carried at a time; 0 means no bound
 
 	draining atomic.Bool
 	active   atomic.Int64
@@ -84,7 +85,7 @@
 	if req.Keyed {
 		return r.join(ctx, req, run)
 	}
-	if why := r.begin(); why != reason.None {
+	if why := r.begin(req); why != reason.None {
 		return call.Refuse(why)
 	}
 	defer r.active.Add(-1)
@@ -93,13 +94,29 @@
 
 // begin counts a request that this node is to carry, or returns why it must not. It counts before it
 // looks whether the node is draining, so that Idle cannot miss a request that was let in.
-func (r *Relay) begin() reason.Refusal {
-	r.active.Add(1)
-	if r.draining.Load() {
-		r.active.Add(-1)
-		return reason.Draining
+func (r *Relay) begin(req *call.Request) (why reason.Refusal) {
+	n := r.active.Add(1)
+	switch {
+	case r.draining.Load():
+		why = reason.Draining
+	case r.Bound > 0 && n > r.room(req):
+		why = reason.NodeFull
+	default:
+		return reason.None
+	}
+	r.active.Add(-1)
+	return why
+}
+
+// reservedPart is the part of the bound that only protected kinds may use, as one in this many, so that
+// a flood of other work does not keep them out.
+const reservedPart = 8
+
+func (r *Relay) room(req *call.Request) int64 {
+	if req.Protected {
+		return r.Bound
 	}
-	return reason.None
+	return r.Bound - r.Bound/reservedPart
 }
 
 // Serve takes a call that another node made to this one. It is not handed on to a third node.
@@ -107,7 +124,7 @@
 	if req.Service != r.Self.Service {
 		return r.annotate(req, call.Refuse(reason.NoServer), req.Budget)
 	}
-	if why := r.begin(); why != reason.None {
+	if why := r.begin(req); why != reason.None {
 		return r.annotate(req, call.Refuse(why), req.Budget)
 	}
 	defer r.active.Add(-1)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -85,6 +85,8 @@
 	if req.Left(now) <= 0 {
 		return call.Refuse(reason.DeadlinePassed)
 	}
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
 	var wrote atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		WroteHeaderField: func(string, []string) { wrote.Store(true) },
@@ -98,6 +100,12 @@
 		return failed(ctx, err, wrote.Load())
 	}
 	defer func() { _ = resp.Body.Close() }()
+	switch {
+	case resp.ContentLength > int64(call.MaxAnswer):
+		return call.Doubt(reason.AnswerTooLarge)
+	case resp.StatusCode == http.StatusSwitchingProtocols:
+		return call.Doubt(reason.ServerFailed) // nobody asked for it, and what follows is no answer
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(call.MaxAnswer)+1))
 	if err != nil {
 		return failed(ctx, err, true)
@@ -112,6 +120,9 @@
 // would otherwise repeat a GET, or any request with an Idempotency-Key, on its own.
 func (c *Client) request(ctx context.Context, req *call.Request, token flight.Token, now time.Time) (hr *http.Request, err error) {
 	defer func() { err = oops.Wrapf(err, "server: build request") }()
+	if !strings.HasPrefix(req.Path, "/") {
+		return nil, oops.Errorf("target %q is no path", req.Path) // behind the address it could name another one
+	}
 	hr, err = http.NewRequestWithContext(ctx, req.Method, "http://"+string(c.Addr)+req.Path, nil)
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/server/server_test.go
@@ -0,0 +1,224 @@
+package server
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"briarworks.example/briarworks/pkg/call"
+	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/reason"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const (
+	enough = 10 * time.Second       // deadline of calls that must end before it
+	soon   = 200 * time.Millisecond // deadline of calls that end by it
+)
+
+// raw is a backend server that reads each request whole and then does what script says.
+type raw struct {
+	addr ident.Address
+	reqs chan *http.Request
+}
+
+// answer returns a script that writes text and closes the connection.
+func answer(text string) func(net.Conn) {
+	return func(c net.Conn) { _, _ = io.WriteString(c, text) }
+}
+
+// hold writes text and keeps the connection open until the node closes it.
+func hold(text string) func(net.Conn) {
+	return func(c net.Conn) {
+		_, _ = io.WriteString(c, text)
+		_, _ = io.Copy(io.Discard, c)
+	}
+}
+
+// flood writes head and then repeats text for as long as the node reads.
+func flood(head, text string) func(net.Conn) {
+	return func(c net.Conn) {
+		_, err := io.WriteString(c, head)
+		for err == nil {
+			_, err = io.WriteString(c, text)
+		}
+	}
+}
+
+func newRaw(t *testing.T, script func(net.Conn)) *raw {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &raw{addr: ident.Address(ln.Addr().String()), reqs: make(chan *http.Request, 16)}
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			wg.Go(func() {
+				defer func() { _ = c.Close() }()
+				req, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				s.reqs <- req
+				script(c)
+			})
+		}
+	})
+	t.Cleanup(func() {
+		_ = ln.Close()
+		wg.Wait()
+	})
+	return s
+}
+
+func request(left time.Duration) (*call.Request, time.Time) {
+	now := time.Now()
+	return &call.Request{
+		Key: "k", Kind: "k", Caller: "c", Service: "s", Born: now, Deadline: now.Add(left), Method: "GET", Path: "/x",
+	}, now
+}
+
+// Guards against an answer of a backend server that is passed on in part, held without bound, waited
+// for past the deadline, or taken as proof that the request did not run.
+func TestRunFaults(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\n"
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", 32<<10, strings.Repeat("x", 32<<10))
+	tests := map[string]struct {
+		script  func(net.Conn)
+		left    time.Duration // enough when 0
+		outcome reason.Outcome
+		why     reason.Refusal
+		status  int
+		body    string
+	}{
+		"whole answer":               {script: answer(ok + "Content-Length: 3\r\n\r\nabc"), status: 200, body: "abc"},
+		"whole chunked answer":       {script: answer(ok + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"), status: 200, body: "abc"},
+		"error of the server's own":  {script: answer("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"), status: 503},
+		"not run, said with success": {script: answer(ok + "Briar-Not-Run: true\r\nContent-Length: 0\r\n\r\n"), status: 200},
+		"not run, said with a fault": {script: answer("HTTP/1.1 500 No\r\nBriar-Not-Run: true\r\nContent-Length: 0\r\n\r\n"), status: 500},
+		"shed":                       {script: answer("HTTP/1.1 503 Busy\r\nBriar-Not-Run: true\r\nContent-Length: 0\r\n\r\n"), outcome: reason.NotRun, why: reason.ServerShed},
+		"cannot tell":                {script: answer("HTTP/1.1 502 No\r\nBriar-Outcome: unknown\r\nContent-Length: 0\r\n\r\n"), outcome: reason.Unknown, why: reason.ServerFailed},
+		"short answer":               {script: answer(ok + "Content-Length: 10\r\n\r\nabc"), outcome: reason.Unknown, why: reason.ServerFailed},
+		"short proof of not run":     {script: answer("HTTP/1.1 503 Busy\r\nBriar-Not-Run: true\r\nContent-Length: 10\r\n\r\nabc"), outcome: reason.Unknown, why: reason.ServerFailed},
+		"chunks without an end":      {script: answer(ok + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"), outcome: reason.Unknown, why: reason.ServerFailed},
+		"broken chunk":               {script: answer(ok + "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n"), outcome: reason.Unknown, why: reason.ServerFailed},
+		"closes without an answer":   {script: answer(""), outcome: reason.Unknown, why: reason.ServerFailed},
+		"closes within the headers":  {script: answer(ok + "Content-Le"), outcome: reason.Unknown, why: reason.ServerFailed},
+		"malformed status line":      {script: answer("NONSENSE\r\n\r\n"), outcome: reason.Unknown, why: reason.ServerFailed},
+		"two lengths":                {script: answer(ok + "Content-Length: 1\r\nContent-Length: 3\r\n\r\nabc"), outcome: reason.Unknown, why: reason.ServerFailed},
+		"switches protocols":         {script: hold("HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n"), outcome: reason.Unknown, why: reason.ServerFailed},
+		"headers over the bound":     {script: flood(ok, "X: "+strings.Repeat("x", 1<<10)+"\r\n"), outcome: reason.Unknown, why: reason.ServerFailed},
+		"endless interim answers":    {script: flood("", "HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n"), outcome: reason.Unknown, why: reason.ServerFailed},
+		"announced over the bound":   {script: hold(ok + "Content-Length: 999999999\r\n\r\nabc"), outcome: reason.Unknown, why: reason.AnswerTooLarge},
+		"endless chunks":             {script: flood(ok+"Transfer-Encoding: chunked\r\n\r\n", chunk), outcome: reason.Unknown, why: reason.AnswerTooLarge},
+		"endless without a length":   {script: flood(ok+"\r\n", chunk), outcome: reason.Unknown, why: reason.AnswerTooLarge},
+		"never answers":              {script: hold(""), left: soon, outcome: reason.Unknown, why: reason.DeadlinePassed},
+		"stalls within the headers":  {script: hold(ok + "X: y\r\n"), left: soon, outcome: reason.Unknown, why: reason.DeadlinePassed},
+		"stalls within the answer":   {script: hold(ok + "Content-Length: 10\r\n\r\nabc"), left: soon, outcome: reason.Unknown, why: reason.DeadlinePassed},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := New(newRaw(t, tt.script).addr, 4)
+			defer c.Close()
+			left := tt.left
+			if left == 0 {
+				left = enough
+			}
+			req, now := request(left)
+			res := c.Run(t.Context(), req, "token", now)
+			if res.Outcome != tt.outcome || res.Reason != tt.why || res.Status != tt.status || string(res.Body) != tt.body {
+				t.Errorf("got %v %v status %d body %.20q, want %v %v status %d body %q",
+					res.Outcome, res.Reason, res.Status, res.Body, tt.outcome, tt.why, tt.status, tt.body)
+			}
+			if took := time.Since(now); took > enough/2 {
+				t.Errorf("took %v, want an end long before %v", took, enough)
+			}
+		})
+	}
+}
+
+// Guards against a request that counts as possibly run although nothing was sent, or that is sent to
+// another address than the server's.
+func TestRunNothingSent(t *testing.T) {
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed := ident.Address(free.Addr().String())
+	_ = free.Close()
+	other := newRaw(t, answer("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+	tests := map[string]struct {
+		path   string
+		left   time.Duration
+		cancel bool
+		why    reason.Refusal
+	}{
+		"connection refused": {path: "/x", left: enough, why: reason.ServerDown},
+		"deadline passed":    {path: "/x", left: -time.Second, why: reason.DeadlinePassed},
+		"cancelled":          {path: "/x", left: enough, cancel: true, why: reason.Cancelled},
+		"names other server": {path: "@" + string(other.addr) + "/x", left: enough, why: reason.BadRequest},
+		"no path":            {path: "", left: enough, why: reason.BadRequest},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := New(closed, 4)
+			defer c.Close()
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			if tt.cancel {
+				cancel()
+			}
+			req, now := request(tt.left)
+			req.Path = tt.path
+			res := c.Run(ctx, req, "token", now)
+			if res.Outcome != reason.NotRun || res.Reason != tt.why {
+				t.Errorf("got %v %v, want notRun %v", res.Outcome, res.Reason, tt.why)
+			}
+			if got := len(other.reqs); got != 0 {
+				t.Errorf("requests at another server: got %d, want 0", got)
+			}
+		})
+	}
+}
+
+// Guards against headers of the inner protocol or of one connection that pass from the server to the
+// caller, and against those of the caller that take the place of the node's.
+func TestRunHeaders(t *testing.T) {
+	s := newRaw(t, answer("HTTP/1.1 200 OK\r\nBriar-Token: t\r\nBriar-Outcome: notRun\r\nBriar-Anything: x\r\nIdempotency-Key: k\r\n"+
+		"Connection: X-Hop\r\nX-Hop: 1\r\nKeep-Alive: 5\r\nTrailer: X-Late\r\nX-Kept: yes\r\nTransfer-Encoding: chunked\r\n\r\n"+
+		"2\r\nok\r\n0\r\nX-Late: 1\r\nBriar-Late: 1\r\n\r\n"))
+	c := New(s.addr, 4)
+	defer c.Close()
+	req, now := request(enough)
+	req.Header = []call.Header{{Name: HeaderToken, Value: "forged"}, {Name: "X-Own", Value: "1"}}
+	res := c.Run(t.Context(), req, "token", now)
+	want := []call.Header{{Name: "X-Kept", Value: "yes"}}
+	if res.Outcome != reason.Ran || !slices.Equal(res.Header, want) || string(res.Body) != "ok" {
+		t.Errorf("got %v %q %q, want ran %q ok", res.Outcome, res.Header, res.Body, want)
+	}
+	got := <-s.reqs
+	if values := got.Header.Values(HeaderToken); !slices.Equal(values, []string{"token"}) {
+		t.Errorf("token at the server: got %q, want the node's alone", values)
+	}
+	if got.Header.Get("X-Own") != "1" {
+		t.Error("header of the caller: got none, want it passed on")
+	}
+}
--- a/pkg/reason/reason.go
+++ b/pkg/reason/reason.go
@@ -52,6 +52,8 @@
 	Internal                        // a fault of the node
 	KeyMissing                      // at-most-once work without an Idempotency-Key
 	KeyReused                       // the key is that of another request, which is running
+	HeadersTooLarge                 // headers over the bound
+	NodeFull                        // the node carries as many requests as it may
 	refusalCount
 )
 
@@ -61,6 +63,7 @@
 	"keyRunning", "keyUnknown", "badRequest", "bodyTooLarge", "bodyShort", "answerTooLarge",
 	"unknownKind", "budgetSpent", "connectionLost", "connectionSilent", "cancelled", "peerVersion",
 	"depthExceeded", "internal", "keyMissing", "keyReused",
+	"headersTooLarge", "nodeFull",
 }
 
 // String returns the name used in answers, records, logs and metrics.
--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -52,7 +52,7 @@
 func decideNotRun(r reason.Refusal) (reason.Retry, bool) {
 	switch r {
 	case reason.QueueFull, reason.QueueTimeout, reason.Draining, reason.Starting, reason.ServerDown,
-		reason.PeerVersion, reason.Internal:
+		reason.NodeFull, reason.PeerVersion, reason.Internal:
 		return reason.RetryPeerRefused, true
 	case reason.ServerShed:
 		return reason.RetryServerShed, true
--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -212,6 +212,7 @@
 		reason.ServerDown:       reason.RetryPeerRefused,
 		reason.PeerVersion:      reason.RetryPeerRefused,
 		reason.Internal:         reason.RetryPeerRefused,
+		reason.NodeFull:         reason.RetryPeerRefused,
 		reason.ServerShed:       reason.RetryServerShed,
 		reason.NoServer:         reason.RetryUnreachable,
 		reason.ConnectionLost:   reason.RetryNeverRan,
--- a/pkg/rules/path.go
+++ b/pkg/rules/path.go
@@ -16,6 +16,14 @@
 	return path[:max(strings.LastIndexByte(path[:n], '/'), 0)]
 }
 
+// Normal reports whether a path is in normal form, so that every server reads it in the same way: absolute,
+// without empty or dot segments, backslashes, or percent-encoding of a slash or of a character that
+// needs none.
+func Normal(path string) bool {
+	_, ok := normal(path)
+	return ok
+}
+
 // normal removes the query and the slash at the end of a path, and reports whether the rest is in
 // normal form: absolute, without empty or dot segments, and without percent-encoding of a slash or of
 // a character that needs none (RFC 3986, section 2.3).
