once: scope keys in one place

The front and the keeper both scoped a key, so the log and the backend server saw the caller and the kind twice.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/url"
 	"strings"
 	"time"
 	"unicode/utf8"
@@ -18,6 +17,7 @@
 	"briarworks.example/briarworks/internal/server"
 	"briarworks.example/briarworks/pkg/call"
 	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/once"
 	"briarworks.example/briarworks/pkg/reason"
 	"briarworks.example/briarworks/pkg/rules"
 )
@@ -122,7 +122,7 @@
 	if !ok {
 		kind = snap.Unlisted()
 	}
-	f.classify(req, kind, snap, callerScope(req.Caller), key)
+	f.classify(req, kind, snap, once.CallerScope(req.Caller), key)
 	if kind.AtMostOnce && key == "" {
 		return req, reason.KeyMissing
 	}
@@ -165,7 +165,7 @@
 }
 
 // classify gives the request what the rules say about its kind, and its key within the scope.
-func (f *Front) classify(req *call.Request, kind *rules.Kind, snap *rules.Snapshot, scope, key string) {
+func (f *Front) classify(req *call.Request, kind *rules.Kind, snap *rules.Snapshot, scope once.Scope, key string) {
 	req.Kind, req.Rank = kind.Name, kind.Rank
 	req.Protected, req.Idempotent, req.Once = kind.Protected, kind.Idempotent, kind.AtMostOnce
 	req.Deadline = req.Born.Add(kind.Deadline)
@@ -175,15 +175,9 @@
 		return
 	}
 	req.Keyed = true
-	req.Key = ident.Key(scope + "/" + string(kind.Name) + "/" + key)
+	req.Key = scope.Key(kind.Name, key)
 }
 
-// Scopes keep one caller from reading another one's answer by using its key. They are escaped, since
-// the name "a/k" with the key "x" would otherwise be the name "a" with the key "k/x", and so that no
-// outside caller's scope is that of a server, which has an unescaped colon.
-func callerScope(name ident.Caller) string     { return url.QueryEscape(string(name)) }
-func serverScope(service ident.Service) string { return "server:" + string(service) }
-
 // body reads the whole request body within its bound.
 func body(c *gin.Context) (b []byte, why reason.Refusal) {
 	if c.Request.ContentLength > int64(call.MaxBody) {
@@ -246,7 +240,7 @@
 	if len(key) > maxKey || !utf8.ValidString(key) {
 		return req, call.Refuse(reason.BadRequest)
 	}
-	f.classify(req, kind, snap, serverScope(f.Service), key)
+	f.classify(req, kind, snap, once.ServiceScope(f.Service), key)
 	if kind.AtMostOnce && key == "" {
 		return req, call.Refuse(reason.KeyMissing)
 	}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -3,10 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
-	"crypto/sha256"
-	"encoding/hex"
 	"errors"
-	"net/url"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,24 +40,12 @@
 	defaultStop = 30 * time.Second
 	// maxVoids is how many Void records are looked through for some that the log has not taken.
 	maxVoids = 4096
-	// maxKey is the longest key that is kept readable on the log.
-	maxKey = 200
 )
 
 // Partitions is the number of partitions of a service's keys.
 const Partitions = 4
 
-// Scope returns the key under which a request is known: the caller's key, scoped by caller and kind.
-func Scope(req *call.Request) ident.Key {
-	k := url.QueryEscape(string(req.Caller)) + "/" + url.QueryEscape(string(req.Kind)) + "/" + url.QueryEscape(string(req.Key))
-	if len(k) <= maxKey {
-		return ident.Key(k)
-	}
-	sum := sha256.Sum256([]byte(k))
-	return ident.Key("sha256:" + hex.EncodeToString(sum[:]))
-}
-
-// PartitionOf returns the partition of a scoped key.
+// PartitionOf returns the partition of a key.
 func PartitionOf(k ident.Key) int {
 	return int(xxhash.Sum64String(string(k)) % Partitions)
 }
@@ -323,7 +308,7 @@
 	k.init()
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
-	key := Scope(req)
+	key := req.Key
 	for {
 		a, ok := k.begin(ctx, key)
 		if !ok {
--- a/internal/node/homes.go
+++ b/internal/node/homes.go
@@ -147,7 +147,7 @@
 // do runs a request at most once; a partition that is not kept here is for another node to run.
 func (k *keepers) do(ctx context.Context, req *call.Request, run func(context.Context) call.Result) call.Result {
 	if m := k.now.Load(); m != nil {
-		if kp := (*m)[keeper.PartitionOf(keeper.Scope(req))]; kp != nil {
+		if kp := (*m)[keeper.PartitionOf(req.Key)]; kp != nil {
 			return kp.Do(ctx, req, run)
 		}
 	}
@@ -159,7 +159,7 @@
 func (n *Node) homesOf(req *call.Request) (first []relay.Home) {
 	now := time.Now()
 	var last []relay.Home
-	for _, m := range n.Roster.Homes(req.Service, keeper.PartitionOf(keeper.Scope(req)), homes) {
+	for _, m := range n.Roster.Homes(req.Service, keeper.PartitionOf(req.Key), homes) {
 		h := relay.Home{Addr: m.Address, Self: m.Server == n.Self.Server}
 		if !h.Self && n.Book.Unreachable(m.Address, now) {
 			last = append(last, h)
