node: tell the peers of a server that cannot announce itself on the log

A node that started by a seed while the log was out had the configuration and the members, but nobody learned of it: it entered its own member list only after its announcement was on the log. A failed announcement now enters it once, so that it spreads by Sync; the append is still tried again.

--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -141,6 +141,10 @@
 	_, err := n.members.writer.Append(ctx, record.FromMember(m))
 	if err != nil {
 		n.Log.Warn("announceFailed", zap.Error(err))
+		// Without the log the peers learn of this server by Sync; once is enough.
+		if known, ok := n.Roster.Table().Member(m.Server); !ok || known.Incarnation < m.Incarnation {
+			n.Roster.Apply(now, m)
+		}
 		return false
 	}
 	n.Roster.Apply(now, m)
