--- a/internal/fakes/backend.go
+++ b/internal/fakes/backend.go
@@ -37,6 +37,7 @@
 	Shed      bool     `json:"shed"`      // refuses everything before running it
 	Draining  bool     `json:"draining"`  // refuses new requests, finishes those that run
 	Queue     int      `json:"queue"`     // requests that wait for a slot before the server sheds
+	Heedless  bool     `json:"heedless"`  // goes on with a request after it was cancelled
 	HealthLag Duration `json:"healthLag"` // age of what the health endpoint tells
 }
 
@@ -246,10 +247,14 @@
 	}
 	t := time.NewTimer(d)
 	defer t.Stop()
+	cancelled := ctx.Done()
+	if v.Heedless {
+		cancelled = nil
+	}
 	select {
 	case <-t.C:
 		return true
-	case <-ctx.Done():
+	case <-cancelled:
 		return false
 	}
 }
