--- a/Makefile
+++ b/Makefile
@@ -20,3 +20,8 @@
 
 demo: build
 	./scripts/demo
+
+# Measures how costs grow with size; takes under 4 minutes. See docs/CAPACITY.md.
+capacity: build
+	$(GO) build -o bin/capac ./internal/capac
+	./bin/capac -out docs/capacity.csv -dir out/capacity
--- /dev/null
+++ b/internal/capac/idle.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+)
+
+const (
+	settleTime = 6 * time.Second // the announcement waits up to 5 ms for each member
+	idleTime   = 10 * time.Second
+)
+
+// idle measures node processes that carry nothing, by the members they know.
+func idle(ctx context.Context, t *table, dir string) (err error) {
+	p := &procs{dir: dir}
+	defer p.stop()
+	sizes := []int{60, 240, 480, 960}
+	var pids []int
+	for i, n := range sizes {
+		address, c, err := p.log(ctx, i)
+		if err != nil {
+			return err
+		}
+		if err = seed(ctx, c, n); err != nil {
+			return err
+		}
+		if err = publish(ctx, c, 0, document(services)); err != nil {
+			return err
+		}
+		o, err := p.node(i, fmt.Sprintf("idle-%d", n), string(service(0)), address)
+		if err != nil {
+			return err
+		}
+		pids = append(pids, o.pid)
+	}
+	wait(ctx, settleTime)
+	all, err := observe(pids, idleFor(ctx, idleTime))
+	for i, s := range all {
+		x, by := float64(sizes[i]), "members"
+		t.add("resident memory", "bytes", by, x, s.rss)
+		t.add("processor time", "cores", by, x, s.cores)
+		t.add("bytes read", "bytes/s", by, x, s.read/s.seconds)
+		t.add("bytes written", "bytes/s", by, x, s.written/s.seconds)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/capac/members.go
@@ -0,0 +1,136 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"briarworks.example/briarworks/internal/record"
+	"briarworks.example/briarworks/internal/record/recpb"
+	"briarworks.example/briarworks/internal/roster"
+	"briarworks.example/briarworks/internal/wire"
+	"briarworks.example/briarworks/internal/wire/wirepb"
+	"briarworks.example/briarworks/pkg/fleet"
+	"briarworks.example/briarworks/pkg/ident"
+)
+
+const (
+	services    = 27
+	dataCentres = 8
+	setsInUse   = 3 // the own service and two that it calls
+	retention   = 48 * time.Hour
+	changes     = 100 // changes that a time is averaged over
+	warmUps     = 10
+	perSecond   = float64(time.Second)
+	micro       = 1e6
+)
+
+// member describes one server of a fleet spread over services and data centres.
+func member(i int, now time.Time) fleet.Member {
+	return fleet.Member{
+		Server:  ident.Server(fmt.Sprintf("service-%02d-%04d", i%services, i)),
+		Service: service(i % services), DataCentre: ident.DataCentre(fmt.Sprintf("centre-%d", i/services%dataCentres)),
+		Address:     ident.Address(fmt.Sprintf("10.%d.%d.%d:7003", i%8, i/250, i%250+1)),
+		Incarnation: ident.Incarnation(now.UnixNano()), Slots: 100, Conns: 700, Announced: now,
+	}
+}
+
+func service(i int) ident.Service { return ident.Service(fmt.Sprintf("service-%02d", i)) }
+
+// members measures the member list and the peer sets of one node.
+func members(ctx context.Context, t *table) error {
+	for _, n := range []int{60, 240, 480, 960} {
+		if err := ctx.Err(); err != nil {
+			return err
+		}
+		membersOf(t, n)
+	}
+	return nil
+}
+
+func membersOf(t *table, n int) {
+	now := time.Now()
+	x, by := float64(n), "members"
+	before := heap()
+	r := &roster.Roster{Self: member(0, now), Retention: retention}
+	all := make([]fleet.Member, 0, n)
+	for i := range n {
+		all = append(all, member(i, now))
+	}
+	r.Apply(now, all...)
+	all = nil
+	for i := range setsInUse {
+		r.Set(service(i))
+	}
+	t.add("memory of roster and sets", "bytes", by, x, heap()-before)
+
+	other := 1 // a server of a service whose set is in use
+	t.add("repeated announcement", "us", by, x, timed(changes, func(i int) {
+		m := member(other, now)
+		m.Announced = now.Add(time.Duration(i + 1))
+		r.Apply(now, m)
+	}))
+	t.add("restart with rebuilt set", "us", by, x, timed(changes, func(i int) {
+		r.Apply(now, member(other, now.Add(time.Duration(i+1)*time.Second)))
+	}))
+
+	list := wireList(r.Table())
+	full := &wirepb.Envelope{Body: &wirepb.Envelope_Sync{Sync: &wirepb.Sync{Digest: r.Table().Digest(), ConfigVersion: 1, From: "service-00-0000", FromIncarnation: uint64(now.UnixNano()), Members: list}}}
+	t.add("sync with all members", "bytes", by, x, float64(proto.Size(full)))
+	news := &wirepb.Envelope{Body: &wirepb.Envelope_Sync{Sync: &wirepb.Sync{Digest: r.Table().Digest(), ConfigVersion: 1, From: "service-00-0000", FromIncarnation: uint64(now.UnixNano()), Members: list[:1], News: true}}}
+	t.add("news of one member", "bytes", by, x, float64(proto.Size(news)))
+	t.add("make and encode full sync", "us", by, x, timed(changes, func(int) {
+		full.GetSync().Members = wireList(r.Table())
+		_, _ = proto.Marshal(full)
+	}))
+	data, _ := proto.Marshal(full)
+	t.add("decode and apply known full sync", "us", by, x, timed(changes, func(int) {
+		var env wirepb.Envelope
+		_ = proto.Unmarshal(data, &env)
+		r.Apply(now, fromWire(env.GetSync().GetMembers())...)
+	}))
+	announce := record.FromMember(member(other, now))
+	announce.Id = sampleID
+	t.add("announce record", "bytes", by, x, groupSize(announce))
+	runtime.KeepAlive(r)
+}
+
+// sampleID has the length of the ids that the writer makes.
+const sampleID = "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+
+func groupSize(recs ...*recpb.Record) float64 {
+	data, err := record.EncodeGroup(recs)
+	if err != nil {
+		return -1
+	}
+	return float64(len(data))
+}
+
+func wireList(table *fleet.Table) (out []*wirepb.Member) {
+	for _, m := range table.All() {
+		out = append(out, wire.FromMember(m))
+	}
+	return out
+}
+
+func fromWire(ms []*wirepb.Member) (out []fleet.Member) {
+	for _, m := range ms {
+		out = append(out, wire.ToMember(m))
+	}
+	return out
+}
+
+// timed returns the mean time of one call of f in microseconds of one core, after some warm-up calls.
+func timed(n int, f func(i int)) float64 {
+	for i := range warmUps {
+		f(i - warmUps)
+	}
+	start := time.Now()
+	for i := range n {
+		f(i)
+	}
+	return time.Since(start).Seconds() * micro / float64(n)
+}
--- /dev/null
+++ b/internal/capac/refusals.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"time"
+
+	"briarworks.example/briarworks/internal/record"
+	"briarworks.example/briarworks/pkg/audit"
+	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/reason"
+)
+
+const (
+	recordTime = time.Minute      // simulated time of refusals with the log up
+	outageTime = 30 * time.Minute // simulated outage of the log
+	cutTick    = time.Second      // time between two looks at the ledger
+	callers    = 50
+	kindsNoted = 27
+)
+
+// refusals measures one node's ledger by refusals a second.
+func refusals(ctx context.Context, t *table) error {
+	for _, rate := range []int{1, 10, 100, 1000, 5000} {
+		for _, protected := range []bool{true, false} {
+			if err := ctx.Err(); err != nil {
+				return err
+			}
+			recordAt(t, rate, protected)
+			if rate <= 1000 {
+				outageAt(t, rate, protected)
+			}
+		}
+	}
+	return nil
+}
+
+func refusal(i int, protected bool) audit.Entry {
+	return audit.Entry{
+		Caller: ident.Caller(fmt.Sprintf("office-%02d", i%callers)), Remote: "10.20.30.40", Key: ident.Key(fmt.Sprintf("office-%02d/kind/%026d", i%callers, i)),
+		Kind: ident.Kind(fmt.Sprintf("kind%03d", i%kindsNoted)), Rank: 3, Protected: protected,
+		Reason: reason.Overload, Outcome: reason.NotRun, Version: 7,
+	}
+}
+
+func name(protected bool, metric string) string {
+	if protected {
+		return metric + ", protected"
+	}
+	return metric + ", unprotected"
+}
+
+// recordAt notes refusals for a minute of simulated time and writes what is due each second.
+func recordAt(t *table, rate int, protected bool) {
+	l := &audit.Ledger{Server: "service-00-0000", Incarnation: 1, Service: "service-00", DataCentre: "centre-0"}
+	now := time.Unix(1_700_000_000, 0)
+	var spent time.Duration
+	var appends, size, most float64
+	for sec := range int(recordTime / cutTick) {
+		batch := make([]audit.Entry, rate)
+		for i := range batch {
+			batch[i] = refusal(sec*rate+i, protected)
+		}
+		start := time.Now()
+		for _, e := range batch {
+			l.Note(e, now)
+		}
+		now = now.Add(cutTick)
+		most = max(most, float64(l.Size()))
+		if b, ok := l.Cut(now); ok {
+			appends++
+			size += groupSize(record.FromBatch(b))
+			l.Written()
+		}
+		spent += time.Since(start)
+	}
+	seconds := recordTime.Seconds()
+	x, by := float64(rate), "refusals/s"
+	t.add(name(protected, "bytes to the log"), "bytes/s", by, x, size/seconds)
+	t.add(name(protected, "appends"), "1/s", by, x, appends/seconds)
+	t.add(name(protected, "processor time"), "cores", by, x, spent.Seconds()/seconds)
+	t.add(name(protected, "ledger at most"), "bytes", by, x, most)
+}
+
+// outageAt notes refusals for a simulated outage and then writes all of them.
+func outageAt(t *table, rate int, protected bool) {
+	before := heap()
+	l := &audit.Ledger{Server: "service-00-0000", Incarnation: 1, Service: "service-00", DataCentre: "centre-0"}
+	now := time.Unix(1_700_000_000, 0)
+	n := rate * int(outageTime/time.Second)
+	for i := range n {
+		l.Note(refusal(i, protected), now.Add(time.Duration(i)*time.Second/time.Duration(rate)))
+	}
+	x, by := float64(rate), "refusals/s"
+	t.add(name(protected, "ledger after 30 min without log"), "bytes", by, x, float64(l.Size()))
+	t.add(name(protected, "heap after 30 min without log"), "bytes", by, x, heap()-before)
+	var size, appends, counted, entries float64
+	for b, ok := l.Flush(now); ok; b, ok = l.Flush(now) {
+		size += groupSize(record.FromBatch(b))
+		appends++
+		counted += float64(b.Last-b.First) + 1
+		entries += float64(len(b.Entries))
+		l.Written()
+	}
+	t.add(name(protected, "appends after the outage"), "1", by, x, appends)
+	t.add(name(protected, "bytes to the log after the outage"), "bytes", by, x, size)
+	t.add(name(protected, "share of refusals counted"), "1", by, x, counted/float64(n))
+	t.add(name(protected, "entries for each refusal"), "1", by, x, entries/float64(n))
+	runtime.KeepAlive(l)
+}
--- /dev/null
+++ b/internal/capac/sessions.go
@@ -0,0 +1,210 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"briarworks.example/briarworks/internal/applog"
+	"briarworks.example/briarworks/internal/peer"
+	"briarworks.example/briarworks/internal/record"
+	"briarworks.example/briarworks/internal/wire/wirepb"
+	"briarworks.example/briarworks/pkg/ident"
+)
+
+const (
+	fleetSize   = 960
+	centreSize  = fleetSize / dataCentres
+	syncPeriod  = 5 * time.Second // a node chooses one peer in this time, so each is chosen as often on average
+	stormTime   = 5 * time.Second // startSpread of a node times the design size, rounded
+	stormEnd    = 3 * time.Second
+	configGap   = 2500 * time.Millisecond
+	configCount = 4
+)
+
+// crowd is the peers of one node process. They hold what the node holds.
+type crowd struct {
+	books    []*peer.Book
+	node     ident.Address
+	digest   atomic.Uint64
+	version  atomic.Uint64
+	told     atomic.Int64 // Sync messages from the node
+	toldMany atomic.Int64 // members in them
+}
+
+// join connects n peers to a node.
+func (c *crowd) join(ctx context.Context, n int) error {
+	for i := range n {
+		b := &peer.Book{
+			Server: ident.Server(fmt.Sprintf("peer-%04d", i)), Incarnation: 1, Now: time.Now,
+			Event: func(peer.Event) {}, OnLeave: func(ident.Server, ident.Incarnation) {}, OnSync: c.onSync,
+			Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+				return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+			},
+		}
+		c.books = append(c.books, b)
+		// News without members only asks for the node's digest.
+		_, r, err := b.SyncTo(ctx, c.node, &wirepb.Sync{From: string(b.Server), News: true})
+		if err != nil {
+			return err
+		}
+		c.learn(r.GetDigest(), r.GetConfigVersion())
+	}
+	return nil
+}
+
+func (c *crowd) learn(digest, version uint64) {
+	c.digest.Store(digest)
+	c.version.Store(version)
+}
+
+// onSync answers that this peer holds the same, as one that reads the same log does.
+func (c *crowd) onSync(_ ident.Server, m *wirepb.Sync) *wirepb.SyncReply {
+	c.told.Add(1)
+	c.toldMany.Add(int64(len(m.GetMembers())))
+	c.learn(m.GetDigest(), m.GetConfigVersion())
+	return &wirepb.SyncReply{Digest: m.GetDigest(), ConfigVersion: m.GetConfigVersion(), ConfigThrough: m.GetConfigThrough(), InForce: m.GetConfigVersion()}
+}
+
+// exchange lets one peer at a time compare its state with the node's until ctx ends.
+func (c *crowd) exchange(ctx context.Context) {
+	for wait(ctx, syncPeriod) {
+		b := c.books[rand.IntN(len(c.books))]
+		m := &wirepb.Sync{Digest: c.digest.Load(), ConfigVersion: c.version.Load(), From: string(b.Server), FromIncarnation: 1}
+		if _, r, err := b.SyncTo(ctx, c.node, m); err == nil {
+			c.learn(r.GetDigest(), r.GetConfigVersion())
+		}
+	}
+}
+
+func (c *crowd) close() {
+	for _, b := range c.books {
+		b.Close()
+	}
+}
+
+// sessions measures node processes that know the fleet of the design size, by connected peers: at rest,
+// while many servers announce themselves, and while configurations are published.
+func sessions(ctx context.Context, t *table, dir string) (err error) {
+	p := &procs{dir: dir}
+	defer p.stop()
+	address, c, err := p.log(ctx, 0)
+	if err != nil {
+		return err
+	}
+	if err = seed(ctx, c, fleetSize); err != nil {
+		return err
+	}
+	if err = publish(ctx, c, 0, document(services)); err != nil {
+		return err
+	}
+	f := &field{}
+	run, stop := context.WithCancel(ctx)
+	defer f.wg.Wait()
+	defer stop()
+	for i, n := range []int{4, 16, 64, 128} {
+		o, err := p.node(i, fmt.Sprintf("hub-%d", n), string(service(0)), address)
+		if err != nil {
+			return err
+		}
+		f.pids, f.sizes = append(f.pids, o.pid), append(f.sizes, n)
+		f.crowds = append(f.crowds, &crowd{node: ident.Address(o.peers)})
+		if err = waitHTTP(ctx, "http://"+o.operator+"/status"); err != nil {
+			return err
+		}
+	}
+	wait(ctx, settleTime)
+	defer f.close()
+	for i, cr := range f.crowds {
+		if err = cr.join(ctx, f.sizes[i]); err != nil {
+			return err
+		}
+		f.wg.Go(func() { cr.exchange(run) })
+	}
+	wait(ctx, syncPeriod)
+	return f.phases(ctx, t, c)
+}
+
+// field is all hubs.
+type field struct {
+	pids, sizes []int
+	crowds      []*crowd
+	wg          sync.WaitGroup
+}
+
+func (f *field) close() {
+	for _, c := range f.crowds {
+		c.close()
+	}
+}
+
+func (f *field) phases(ctx context.Context, t *table, c *applog.Client) error {
+	if err := f.phase(t, "at rest", idleFor(ctx, idleTime)); err != nil {
+		return err
+	}
+	if err := f.phase(t, "one data centre back", func() error { return storm(ctx, c, centreSize) }); err != nil {
+		return err
+	}
+	if err := f.phase(t, "all servers start", func() error { return storm(ctx, c, fleetSize) }); err != nil {
+		return err
+	}
+	return f.phase(t, fmt.Sprintf("%d configurations", configCount), func() error {
+		for v := range configCount {
+			if err := publish(ctx, c, v+1, document(services)); err != nil {
+				return err
+			}
+			wait(ctx, configGap)
+		}
+		return ctx.Err()
+	})
+}
+
+// phase measures all hubs while run runs.
+func (f *field) phase(t *table, what string, run func() error) error {
+	var told, many []int64
+	for _, c := range f.crowds {
+		told, many = append(told, c.told.Load()), append(many, c.toldMany.Load())
+	}
+	all, err := observe(f.pids, run)
+	for i, s := range all {
+		x, by := float64(f.sizes[i]), "sessions"
+		t.add(what+": resident memory", "bytes", by, x, s.rss)
+		t.add(what+": processor time", "cores", by, x, s.cores)
+		t.add(what+": bytes read", "bytes/s", by, x, s.read/s.seconds)
+		t.add(what+": bytes written", "bytes/s", by, x, s.written/s.seconds)
+		t.add(what+": messages to peers", "1", by, x, float64(f.crowds[i].told.Load()-told[i]))
+		t.add(what+": members told to peers", "1", by, x, float64(f.crowds[i].toldMany.Load()-many[i]))
+		t.add(what+": seconds", "s", by, x, s.seconds)
+	}
+	return err
+}
+
+// storm appends the announcements of n servers that have just started, one by one over stormTime.
+func storm(ctx context.Context, c *applog.Client, n int) error {
+	ctx, cancel := context.WithTimeout(ctx, 4*stormTime)
+	defer cancel()
+	tick := time.NewTicker(stormTime / time.Duration(n))
+	defer tick.Stop()
+	var wg sync.WaitGroup
+	var failed atomic.Int64
+	for i := range n {
+		<-tick.C
+		wg.Go(func() {
+			r := record.FromMember(member(i, time.Now()))
+			r.Id = fmt.Sprintf("start-%d-%d", i, r.GetAnnounce().GetIncarnation())
+			if appendTo(ctx, c, applog.Members, r) != nil {
+				failed.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	if failed.Load() > 0 {
+		return fmt.Errorf("%d announcements failed", failed.Load())
+	}
+	wait(ctx, stormEnd)
+	return ctx.Err()
+}
--- /dev/null
+++ b/internal/capac/table_test.go
@@ -0,0 +1,30 @@
+package main
+
+import (
+	"math"
+	"testing"
+)
+
+// Guards against slopes that are wrong, since every extrapolation rests on them.
+func TestFit(t *testing.T) {
+	tests := map[string]struct {
+		points                  []point
+		slope, intercept, share float64
+	}{
+		"exact line":    {[]point{{0, 1}, {1, 3}, {2, 5}, {10, 21}}, 2, 1, 1},
+		"constant":      {[]point{{1, 4}, {2, 4}, {3, 4}}, 0, 4, 1},
+		"one size only": {[]point{{5, 2}, {5, 4}}, 0, 3, 0},
+		"scattered":     {[]point{{0, 0}, {1, 2}, {2, 1}, {3, 3}}, 0.8, 0.3, 0.64},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			slope, intercept, share := fit(tt.points)
+			got, want := [3]float64{slope, intercept, share}, [3]float64{tt.slope, tt.intercept, tt.share}
+			for i := range got {
+				if math.Abs(got[i]-want[i]) > 1e-9 {
+					t.Errorf("line: got %v, want %v", got, want)
+				}
+			}
+		})
+	}
+}
