--- a/internal/capac/calls.go
+++ b/internal/capac/calls.go
@@ -212,12 +212,14 @@
 			return err
 		}
 		t.add("entry node", "cores", "calls/s", rate, mean(all[:pairs]))
+		t.add("resident memory of an entry node", "bytes", "calls/s", rate, all[0].rss)
 		chain := newLoad(rate*pairs, f.chainURLs()...)
 		all, err = observe(pids, func() error { return chain.run(ctx, f.client, rateTime) })
 		if err != nil {
 			return err
 		}
 		t.add("calling node in the chain", "cores", "calls/s", rate, mean(all[:pairs]))
+		t.add("resident memory of a called node", "bytes", "calls/s", rate, all[pairs].rss)
 		t.add("called node in the chain", "cores", "calls/s", rate, mean(all[pairs:]))
 	}
 	return nil
--- a/internal/capac/config.go
+++ b/internal/capac/config.go
@@ -15,6 +15,11 @@
 	"briarworks.example/briarworks/pkg/rules"
 )
 
+const (
+	rankCount = 4 // the kinds of the first rank are protected
+	compiles  = 5 // that a time is averaged over
+)
+
 // document returns a configuration with n services and n kinds in two regions.
 func document(n int) string {
 	var b strings.Builder
@@ -27,12 +32,12 @@
 		fmt.Fprintf(&b, "  - name: %s\n    slots: 100\n    connections: 700\n    servers: 36\n    dataCentres: [centre-0, centre-1, centre-2, centre-3, centre-4, centre-5, centre-6, centre-7]\n", service(i))
 	}
 	b.WriteString("ranks:\n")
-	for i := range 8 {
+	for i := range rankCount {
 		fmt.Fprintf(&b, "  - name: rank%d\n", i)
 	}
 	b.WriteString("kinds:\n")
 	for i := range n {
-		fmt.Fprintf(&b, "  - name: kind%03d\n    rank: rank%d\n    service: %s\n    method: POST\n    path: /kind-%03d\n    deadline: 2s\n    idempotent: true\n    protected: %t\n    target: Done before the office opens.\n", i, i%8, service(i), i, i%4 == 0)
+		fmt.Fprintf(&b, "  - name: kind%03d\n    rank: rank%d\n    service: %s\n    method: POST\n    path: /kind-%03d\n    deadline: 2s\n    idempotent: true\n    protected: %t\n    target: Done before the office opens.\n", i, i%rankCount, service(i), i, i%rankCount == 0)
 	}
 	b.WriteString("rules:\n  retryBound: 3\n  maxDepth: 22\n  keyWindow: 24h\n  logRetention: 48h\n")
 	return b.String()
@@ -61,7 +66,7 @@
 	before := heap()
 	snap, err := compile(text)
 	t.add("memory of the snapshot", "bytes", by, x, heap()-before)
-	t.add("decode and compile", "us", by, x, timed(changes/5, func(int) { _, _ = compile(text) }))
+	t.add("decode and compile", "us", by, x, timed(compiles, func(int) { _, _ = compile(text) }))
 	p := order.Publish{ID: sampleID, Base: 1, Document: text, Author: "operator", At: time.Now()}
 	t.add("publish record", "bytes", by, x, groupSize(record.FromOrder(order.Record{Publish: &p})))
 	m := &wirepb.SyncReply{Digest: 1, ConfigVersion: 2, Config: &wirepb.Config{Version: 2, Through: 2, Document: text, Author: "operator", RecordId: sampleID}}
--- a/internal/capac/main.go
+++ b/internal/capac/main.go
@@ -20,14 +20,15 @@
 func main() {
 	out := flag.String("out", "docs/capacity.csv", "file for the points and lines")
 	dir := flag.String("dir", "out/capacity", "directory for the output of processes")
+	only := flag.String("only", "", "the one group to measure; all when empty")
 	flag.Parse()
-	if err := measure(*out, *dir); err != nil {
+	if err := measure(*out, *dir, *only); err != nil {
 		fmt.Fprintln(os.Stderr, "capac:", err)
 		os.Exit(1)
 	}
 }
 
-func measure(out, dir string) error {
+func measure(out, dir, only string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), runLimit)
 	defer cancel()
 	if err := os.MkdirAll(dir, 0o755); err != nil {
@@ -44,10 +45,14 @@
 		{"refusals", refusals},
 		{"keys", keys},
 		{"idle", func(ctx context.Context, t *table) error { return idle(ctx, t, dir) }},
+		{"start", func(ctx context.Context, t *table) error { return starts(ctx, t, dir) }},
 		{"sessions", func(ctx context.Context, t *table) error { return sessions(ctx, t, dir) }},
 		{"calls", func(ctx context.Context, t *table) error { return calls(ctx, t, dir) }},
 	}
 	for _, g := range groups {
+		if only != "" && only != g.name {
+			continue
+		}
 		start := time.Now()
 		t.group = g.name
 		if err := g.run(ctx, t); err != nil {
--- a/internal/capac/members.go
+++ b/internal/capac/members.go
@@ -23,7 +23,7 @@
 	setsInUse   = 3 // the own service and two that it calls
 	retention   = 48 * time.Hour
 	changes     = 100 // changes that a time is averaged over
-	warmUps     = 10
+	warmUps     = 3
 	perSecond   = float64(time.Second)
 	micro       = 1e6
 )
--- a/internal/capac/procs.go
+++ b/internal/capac/procs.go
@@ -25,7 +25,8 @@
 	stopLimit   = 12 * time.Second
 	startLimit  = 15 * time.Second
 	startPoll   = 50 * time.Millisecond
-	groupOfSeed = 60 // members written in one append
+	groupOfSeed = 60                    // members written in one append
+	seedPause   = 10 * time.Millisecond // the log takes 400 appends a second
 )
 
 // procs are the processes of one group. They are stopped together, by their ids.
@@ -96,9 +97,9 @@
 }
 
 // log starts a log and waits until it answers.
-func (p *procs) log(ctx context.Context, n int) (address string, c *applog.Client, err error) {
+func (p *procs) log(ctx context.Context, n int, flags ...string) (address string, c *applog.Client, err error) {
 	address = addr(firstPort + n)
-	if _, err = p.start(fmt.Sprintf("log-%d", n), "briarfake", "log", "--listen", address); err != nil {
+	if _, err = p.start(fmt.Sprintf("log-%d", n), "briarfake", append([]string{"log", "--listen", address}, flags...)...); err != nil {
 		return "", nil, err
 	}
 	return address, &applog.Client{Base: "http://" + address}, waitHTTP(ctx, "http://"+address+"/stats")
@@ -140,6 +141,11 @@
 
 // publish appends a document that follows version base.
 func publish(ctx context.Context, c *applog.Client, base int, text string) error {
+	wait(ctx, seedPause)
+	return publishNow(ctx, c, base, text)
+}
+
+func publishNow(ctx context.Context, c *applog.Client, base int, text string) error {
 	return appendTo(ctx, c, applog.Config, record.FromOrder(order.Record{Publish: &order.Publish{
 		ID: ident.RecordID(fmt.Sprintf("publish-%d", base)), Base: ident.Version(base), Document: text, Author: "operator", At: time.Now(),
 	}}))
@@ -154,6 +160,7 @@
 		r.Id = fmt.Sprintf("seed-%d-%d", i, now.UnixNano())
 		recs = append(recs, r)
 		if len(recs) == groupOfSeed || i == n-1 {
+			wait(ctx, seedPause)
 			if err := appendTo(ctx, c, applog.Members, recs...); err != nil {
 				return err
 			}
--- a/internal/capac/refusals.go
+++ b/internal/capac/refusals.go
@@ -22,13 +22,13 @@
 
 // refusals measures one node's ledger by refusals a second.
 func refusals(ctx context.Context, t *table) error {
-	for _, rate := range []int{1, 10, 100, 1000, 5000} {
+	for _, rate := range []int{1, 10, 100, 300, 1000} {
 		for _, protected := range []bool{true, false} {
 			if err := ctx.Err(); err != nil {
 				return err
 			}
 			recordAt(t, rate, protected)
-			if rate <= 1000 {
+			if rate <= 300 {
 				outageAt(t, rate, protected)
 			}
 		}
--- /dev/null
+++ b/internal/capac/start.go
@@ -0,0 +1,108 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"briarworks.example/briarworks/internal/admin"
+	"briarworks.example/briarworks/internal/applog"
+	"briarworks.example/briarworks/internal/record"
+	"briarworks.example/briarworks/pkg/fleet"
+)
+
+const (
+	catchUpLimit  = 30 * time.Second
+	memberRecords = 4 * fleetSize // what the log holds at least of a fleet that announces itself every 12 h to 16 h for 48 h
+)
+
+// starts measures how long a node needs until the newest configuration is in force, by the configurations
+// that the log still holds.
+func starts(ctx context.Context, t *table, dir string) error {
+	p := &procs{dir: dir}
+	defer p.stop()
+	sizes := []int{250, 500, 1000, 2000}
+	logs := make([]string, len(sizes))
+	for i, n := range sizes {
+		address, c, err := p.log(ctx, i, "--appendRate", "0")
+		if err != nil {
+			return err
+		}
+		logs[i] = address
+		if err = history(ctx, c, n); err != nil {
+			return err
+		}
+	}
+	for i, n := range sizes {
+		began := time.Now()
+		o, err := p.node(i, fmt.Sprintf("start-%d", n), string(service(0)), logs[i])
+		if err != nil {
+			return err
+		}
+		took, err := inForce(ctx, "http://"+o.operator+"/status", uint64(n), began)
+		if err != nil {
+			return err
+		}
+		u, err := used(o.pid)
+		if err != nil {
+			return err
+		}
+		peak, err := procValue(fmt.Sprintf("/proc/%d/status", o.pid), "VmHWM")
+		if err != nil {
+			return err
+		}
+		x, by := float64(n), "configurations on the log"
+		t.add("until the newest is in force", "s", by, x, took.Seconds())
+		t.add("processor time", "s", by, x, u.cpu.Seconds())
+		t.add("highest resident memory", "bytes", by, x, peak*1024)
+		t.add("bytes read", "bytes", by, x, u.read)
+	}
+	return nil
+}
+
+// history writes the member records of two days and n configurations, one append each.
+func history(ctx context.Context, c *applog.Client, n int) error {
+	old := time.Now().Add(-retention / 2)
+	for i := range memberRecords {
+		m := member(i%fleetSize, old)
+		m.Announced = old.Add(time.Duration(i) * time.Second)
+		if err := appendOne(ctx, c, i, m); err != nil {
+			return err
+		}
+	}
+	text := document(services)
+	for v := range n {
+		if err := publishNow(ctx, c, v, text); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func appendOne(ctx context.Context, c *applog.Client, i int, m fleet.Member) error {
+	r := record.FromMember(m)
+	r.Id = fmt.Sprintf("history-%d", i)
+	return appendTo(ctx, c, applog.Members, r)
+}
+
+// inForce waits until a node has a configuration version in force and knows the fleet.
+func inForce(ctx context.Context, url string, version uint64, began time.Time) (took time.Duration, err error) {
+	ctx, cancel := context.WithTimeout(ctx, catchUpLimit)
+	defer cancel()
+	for {
+		var s admin.Status
+		resp, err := http.Get(url)
+		if err == nil {
+			err = json.NewDecoder(resp.Body).Decode(&s)
+			_ = resp.Body.Close()
+		}
+		if err == nil && s.ConfigVersion >= version && len(s.Members) >= fleetSize {
+			return time.Since(began), nil
+		}
+		if !wait(ctx, startPoll) {
+			return 0, fmt.Errorf("%s: version %d and %d members after %v, want version %d: %w", url, s.ConfigVersion, len(s.Members), catchUpLimit, version, ctx.Err())
+		}
+	}
+}
