--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -12,6 +12,7 @@
 	"briarworks.example/briarworks/internal/applog"
 	"briarworks.example/briarworks/internal/config"
 	"briarworks.example/briarworks/internal/flight"
+	"briarworks.example/briarworks/internal/flush"
 	"briarworks.example/briarworks/internal/front"
 	"briarworks.example/briarworks/internal/peer"
 	"briarworks.example/briarworks/internal/policy"
@@ -22,7 +23,6 @@
 	"briarworks.example/briarworks/internal/stats"
 	"briarworks.example/briarworks/pkg/admit"
 	"briarworks.example/briarworks/pkg/audit"
-	"briarworks.example/briarworks/pkg/call"
 	"briarworks.example/briarworks/pkg/fleet"
 	"briarworks.example/briarworks/pkg/ident"
 	"briarworks.example/briarworks/pkg/reason"
@@ -76,16 +76,13 @@
 	}
 }
 
-func newBook(self fleet.Member, st *stats.Stats, log *zap.Logger) *peer.Book {
+func newBook(self fleet.Member, st *stats.Stats) *peer.Book {
 	return &peer.Book{
 		Server: self.Server, Incarnation: self.Incarnation, Now: time.Now,
 		Dial: func(ctx context.Context, addr string) (net.Conn, error) {
 			return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
 		},
 		Event: func(e peer.Event) { st.Count(e.String()) },
-		OnLost: func(s ident.Server, inc ident.Incarnation, silent bool) {
-			log.Info("peerLost", zap.String("peer", string(s)), zap.String("incarnation", inc.String()), zap.Bool("silent", silent))
-		},
 	}
 }
 
@@ -112,16 +109,14 @@
 	n := &Node{
 		Settings: p.Settings, Log: p.Log, Stats: p.Stats, Self: p.Self, Roster: p.Roster, Policy: p.Policy,
 		Gate: p.Gate, Paths: p.Paths, Book: p.Book, Backend: p.Backend, Ledger: p.Ledger,
-		client: p.Client, spread: make(chan []fleet.Member, maxNews),
+		client: p.Client, lost: make(chan lostPeer, maxLost), spread: make(chan []fleet.Member, maxNews),
 	}
+	n.keepers = &keepers{node: n, kick: make(chan struct{}, 1)}
 	n.Relay = &relay.Relay{
 		Self: p.Self, Now: time.Now, Rand: mrand.Uint64, Token: func() flight.Token { return flight.Token(random()) },
 		Rules: p.Policy.Rules, Routes: p.Roster.Set, Run: p.Backend.Run, Send: p.Book.Call,
 		Seq: p.Ledger.Seq, Retried: p.Stats.Retried, Gate: p.Gate, Paths: p.Paths, Flights: &flight.Table{},
-		Once: func(ctx context.Context, _ *call.Request, run func(context.Context) call.Result) call.Result {
-			return run(ctx)
-		},
-		Home: func(ident.Service, ident.Key) (ident.Address, bool, bool) { return "", true, true },
+		Once: n.keepers.do, Homes: n.homesOf,
 	}
 	n.Front = &front.Front{
 		Service: p.Self.Service, Relay: n.Relay, Rules: p.Policy.Rules, Now: time.Now,
@@ -129,6 +124,7 @@
 		Refused: n.refused, Served: p.Stats.Served,
 	}
 	p.Book.OnCall = n.Relay.Serve
+	p.Book.OnLost = n.onLost
 	p.Book.OnSync = n.onSync
 	p.Book.OnLeave = func(s ident.Server, inc ident.Incarnation) {
 		n.Log.Info("peerLeaves", zap.String("peer", string(s)))
@@ -139,6 +135,11 @@
 	n.members = newStream(p.Client, applog.Members, applog.NewTail(p.Client, applog.Members, n.onMember))
 	feed := &config.Feed{Start: p.Policy.Start, Next: p.Policy.Next, Read: p.Policy.Read}
 	n.config = newStream(p.Client, applog.Config, config.NewTail(p.Client, feed))
+	n.record = applog.NewWriter(p.Client, applog.Refusals)
+	n.flusher = &flush.Flusher{Ledger: p.Ledger, Append: n.record.Append, Failed: func(err error) {
+		n.Stats.Count("refusalsNotWritten")
+		n.Log.Warn("refusalsNotWritten", zap.Error(err))
+	}}
 	return n
 }
 
