node: compile configurations and build the member list once for each read

A node that started compiled every configuration that the log still held and made a table of the whole fleet for every member record.

A document that cannot be used still leaves the newest usable one in force: what was read is kept, at most 32 versions, until the end of the read.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -58,6 +58,7 @@
 	rates      rates
 	seen       sightings
 	lost       chan lostPeer       // full means that a loss gets no witness
+	joined     []fleet.Member      // read from the log, not joined yet; belongs to the tail's goroutine
 	spread     chan []fleet.Member // news to tell the peers; full means that a periodic sync carries them
 	peers      net.Listener
 	servers    []*http.Server
--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -24,6 +24,7 @@
 	carryCheck     = time.Minute
 	leaveTimeout   = 2 * time.Second
 	firstRead      = 2 * time.Second
+	maxJoined      = 512 // members that are joined together
 )
 
 // stream reads and writes one stream of the log.
@@ -35,7 +36,8 @@
 	caught chan struct{} // closed when the stream was first read to its end
 }
 
-func newStream(c *applog.Client, name applog.Stream, tail *applog.Tail) *stream {
+// newStream returns a stream; settle is called after each read that reached the end.
+func newStream(c *applog.Client, name applog.Stream, tail *applog.Tail, settle func()) *stream {
 	s := &stream{name: name, tail: tail, writer: applog.NewWriter(c, name), caught: make(chan struct{})}
 	tail.Wait = pollWait
 	before := tail.Caught
@@ -43,6 +45,7 @@
 		if before != nil {
 			before(next)
 		}
+		settle()
 		s.once.Do(func() { close(s.caught) })
 	}
 	return s
@@ -57,11 +60,20 @@
 	n.run(func() { s.writer.Run(ctx) })
 }
 
-// onMember joins one record of the members stream.
+// onMember takes one record of the members stream. Records are joined together, because each change of
+// the list makes a new table of the whole fleet.
 func (n *Node) onMember(e applog.Entry) {
 	if m, ok := record.ToMember(e.Record); ok {
-		n.Roster.Apply(time.Now(), m)
+		n.joined = append(n.joined, m)
 	}
+	if len(n.joined) >= maxJoined {
+		n.joinRead()
+	}
+}
+
+func (n *Node) joinRead() {
+	n.Roster.Apply(time.Now(), n.joined...)
+	n.joined = nil
 }
 
 // announce tells the fleet of this server at the start and again before its record expires. The start
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -151,7 +151,8 @@
 	if c.Fault != "" {
 		n.Stats.Count("configUnusable")
 		n.Log.Error("configUnusable", zap.Uint64("version", uint64(c.Accepted.Version)), zap.String("fault", c.Fault))
-	} else {
+	}
+	if c.Rules != nil {
 		n.configure(c)
 		n.Log.Info("configInForce", zap.Uint64("version", uint64(c.Version)), zap.String("author", c.Accepted.Author))
 	}
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,8 +25,9 @@
 	Changed   func(InForce)        // called without the lock after each newly accepted version; may be nil
 	Decided   func(order.Decision) // called without the lock; may be nil
 
-	mu   sync.Mutex // guards fold
+	mu   sync.Mutex // guards fold and read
 	fold order.Fold
+	read []order.Accepted // accepted since the last version was put in force, in order
 	now  atomic.Pointer[InForce]
 }
 
@@ -67,11 +69,30 @@
 	return p.fold.Next()
 }
 
-// Read takes the records at one offset of the log.
+// maxRead bounds the versions that wait for Settle, and so the memory of their documents.
+const maxRead = 32
+
+// Read takes the records at one offset of the log. What they change is in force after the next Settle:
+// to compile a document takes milliseconds, and a node that starts reads thousands of them.
 func (p *Policy) Read(at ident.Offset, records ...order.Record) {
 	p.mu.Lock()
+	before := p.fold.Current().Version
 	decisions := p.fold.Read(at, records...)
-	p.finish(decisions)
+	if a := p.fold.Current(); a.Version > before {
+		p.read = append(p.read, a)
+	}
+	if len(p.read) >= maxRead {
+		p.finish(decisions)
+		return
+	}
+	p.mu.Unlock()
+	p.decided(decisions)
+}
+
+// Settle puts in force what was read. It is called at the end of the log.
+func (p *Policy) Settle() {
+	p.mu.Lock()
+	p.finish(nil)
 }
 
 // Adopt takes the state of a peer.
@@ -85,14 +106,18 @@
 func (p *Policy) finish(decisions []order.Decision) {
 	next, changed := p.publish()
 	p.mu.Unlock()
+	p.decided(decisions)
+	if changed && p.Changed != nil {
+		p.Changed(next)
+	}
+}
+
+func (p *Policy) decided(decisions []order.Decision) {
 	for _, d := range decisions {
 		if p.Decided != nil {
 			p.Decided(d)
 		}
 	}
-	if changed && p.Changed != nil {
-		p.Changed(next)
-	}
 }
 
 func (p *Policy) publish() (next InForce, changed bool) {
@@ -101,25 +126,39 @@
 	next.Accepted = p.fold.Current()
 	changed = next.Accepted.Version > old.Accepted.Version
 	if changed {
-		next.use()
+		next.use(p.read)
 	}
+	p.read = nil
 	p.now.Store(&next)
 	return next, changed
 }
 
-// use compiles the accepted document; when that fails the rules in force stay.
-func (f *InForce) use() {
-	d, err := rules.Decode("configuration", []byte(f.Accepted.Document))
-	if err != nil {
-		f.Fault = err.Error()
+// use puts the accepted document in force, or, when it cannot be used, the newest usable one of those
+// that were read before it. When there is none the rules in force stay.
+func (f *InForce) use(read []order.Accepted) {
+	f.Fault = f.try(f.Accepted)
+	if f.Fault == "" {
 		return
 	}
+	for _, a := range slices.Backward(read) {
+		if a.Version > f.Version && a.Version < f.Accepted.Version && f.try(a) == "" {
+			return
+		}
+	}
+}
+
+// try puts a document in force and returns why it cannot be used; empty when it is in force.
+func (f *InForce) try(a order.Accepted) (fault string) {
+	d, err := rules.Decode("configuration", []byte(a.Document))
+	if err != nil {
+		return err.Error()
+	}
 	snap, err := rules.Compile(d)
 	if err != nil {
-		f.Fault = err.Error()
-		return
+		return err.Error()
 	}
-	f.Rules, f.Version, f.Fault = snap, f.Accepted.Version, ""
+	f.Rules, f.Version = snap, a.Version
+	return ""
 }
 
 // Due returns the record that carries the accepted version on, and whether it is due.
--- /dev/null
+++ b/internal/policy/policy_test.go
@@ -0,0 +1,69 @@
+package policy
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/order"
+)
+
+const usable = `fleet: test
+dataCentres:
+  - {name: here, region: here}
+services:
+  - {name: front, slots: 10, connections: 10, servers: 1, dataCentres: [here]}
+ranks:
+  - {name: only}
+kinds:
+  - {name: work, rank: only, service: front, method: GET, path: /work, deadline: 1s}
+`
+
+// Guards against a node that starts without rules, or with older ones than it has to, because the
+// newest document that it reads cannot be used.
+func TestSettle(t *testing.T) {
+	tests := map[string]struct {
+		usable  []bool // of versions 1, 2, ...
+		inForce ident.Version
+		fault   bool
+		compile int // changes told
+	}{
+		"newest usable":        {[]bool{true, true, true}, 3, false, 1},
+		"newest unusable":      {[]bool{true, true, false}, 2, true, 1},
+		"two newest unusable":  {[]bool{true, false, false}, 1, true, 1},
+		"none usable":          {[]bool{false, false}, 0, true, 1},
+		"more than are held":   {append(make([]bool, 2*maxRead), true), 2*maxRead + 1, false, 3},
+		"usable long ago only": {append([]bool{true}, make([]bool, 2*maxRead)...), 1, true, 3},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			told := 0
+			p := &Policy{Retention: time.Hour, Changed: func(InForce) { told++ }}
+			p.Start(0)
+			for i, ok := range tt.usable {
+				doc := "not a document"
+				if ok {
+					doc = usable
+				}
+				p.Read(ident.Offset(i), order.Record{Publish: &order.Publish{
+					ID: ident.RecordID(strconv.Itoa(i)), Base: ident.Version(i), Document: doc, At: time.Unix(int64(i), 0),
+				}})
+			}
+			p.Settle()
+			c := p.Current()
+			if got, want := c.Version, tt.inForce; got != want {
+				t.Errorf("version in force: got %d, want %d", got, want)
+			}
+			if got, want := c.Accepted.Version, ident.Version(len(tt.usable)); got != want {
+				t.Errorf("version accepted: got %d, want %d", got, want)
+			}
+			if got := c.Fault != ""; got != tt.fault {
+				t.Errorf("fault: got %q, want one: %v", c.Fault, tt.fault)
+			}
+			if told != tt.compile {
+				t.Errorf("changes told: got %d, want %d", told, tt.compile)
+			}
+		})
+	}
+}
