node: leave members that the log carries out of the news to peers

Each node told each member that it read from the log to each of its peers, although they read the same log.

What a peer tells, such as a leave, is still told on at once. The members stream is read at most every 200 ms, so that many starts make few reads and few new tables.

--- a/internal/applog/tail.go
+++ b/internal/applog/tail.go
@@ -58,6 +58,7 @@
 	Rand func() float64
 
 	Wait  time.Duration // duration of a long poll; 1 s when 0
+	Gap   time.Duration // pause after a read that brought records and reached the end; 0 reads again at once
 	Page  int           // appends read at a time; 512 when 0
 	Grace time.Duration // duration of failure after which the log counts as down; 1 s when 0
 	IDs   int           // record ids remembered to drop repeated ones; 65536 when 0
@@ -123,6 +124,9 @@
 		backoff = firstBackoff
 		t.take(page)
 		t.health.Store(&health{answered: t.Now()})
+		if t.Gap > 0 && len(page.Records) > 0 && t.Lag() == 0 {
+			pause(ctx, t.Gap)
+		}
 	}
 }
 
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -132,7 +132,9 @@
 	}
 	p.Roster.Changed = n.news
 	p.Policy.Changed = n.onConfig
-	n.members = newStream(p.Client, applog.Members, applog.NewTail(p.Client, applog.Members, n.onMember), n.joinRead)
+	members := applog.NewTail(p.Client, applog.Members, n.onMember)
+	members.Gap = memberGap
+	n.members = newStream(p.Client, applog.Members, members, n.joinRead)
 	feed := &config.Feed{Start: p.Policy.Start, Next: p.Policy.Next, Read: p.Policy.Read}
 	n.config = newStream(p.Client, applog.Config, config.NewTail(p.Client, feed), p.Policy.Settle)
 	n.record = applog.NewWriter(p.Client, applog.Refusals)
--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -24,7 +24,8 @@
 	carryCheck     = time.Minute
 	leaveTimeout   = 2 * time.Second
 	firstRead      = 2 * time.Second
-	maxJoined      = 512 // members that are joined together
+	maxJoined      = 512                    // members that are joined together
+	memberGap      = 200 * time.Millisecond // between two reads of members, so that many starts are few reads
 )
 
 // stream reads and writes one stream of the log.
@@ -72,7 +73,7 @@
 }
 
 func (n *Node) joinRead() {
-	n.Roster.Apply(time.Now(), n.joined...)
+	n.Roster.Learn(time.Now(), n.joined...)
 	n.joined = nil
 }
 
@@ -110,7 +111,7 @@
 		n.Log.Warn("announceFailed", zap.Error(err))
 		return false
 	}
-	n.Roster.Apply(now, m)
+	n.Roster.Learn(now, m)
 	n.Log.Info("announced", zap.String("address", string(m.Address)))
 	return true
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -30,18 +30,25 @@
 
 // Apply joins members into the list.
 func (r *Roster) Apply(now time.Time, members ...fleet.Member) {
+	news := r.Learn(now, members...)
+	if len(news) > 0 && r.Changed != nil {
+		r.Changed(news)
+	}
+}
+
+// Learn joins members that the log carries, and returns those that were news. Changed is not told of
+// them: the peers read the same log, and to tell them of each start in a fleet that starts at once would
+// take hundreds of kilobytes a second at each node.
+func (r *Roster) Learn(now time.Time, members ...fleet.Member) (news []fleet.Member) {
 	r.mu.Lock()
-	var news []fleet.Member
+	defer r.mu.Unlock()
 	for _, m := range members {
 		if r.join(m, now) {
 			news = append(news, m)
 		}
 	}
 	r.publish(len(news) > 0)
-	r.mu.Unlock()
-	if len(news) > 0 && r.Changed != nil {
-		r.Changed(news)
-	}
+	return news
 }
 
 // join applies one member; a leave mark without a description keeps what is known of the member.
