--- a/internal/capac/keys.go
+++ b/internal/capac/keys.go
@@ -9,9 +9,13 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"briarworks.example/briarworks/internal/applog"
 	"briarworks.example/briarworks/internal/fakes"
+	"briarworks.example/briarworks/internal/keeper"
 	"briarworks.example/briarworks/internal/record"
+	"briarworks.example/briarworks/pkg/call"
 	"briarworks.example/briarworks/pkg/ident"
 	"briarworks.example/briarworks/pkg/once"
 	"briarworks.example/briarworks/pkg/reason"
@@ -20,7 +24,7 @@
 const (
 	answerBytes = 200
 	writeTime   = 2 * time.Second
-	linger      = 20 * time.Millisecond // that of a holder's Started records
+	keyDeadline = 4 * time.Second
 )
 
 // keys measures one partition of at-most-once keys and the batches of its writer.
@@ -80,27 +84,32 @@
 	runtime.KeepAlive(p)
 }
 
-// writeKeys appends Started records from n requests at a time through one writer.
+// writeKeys runs new keys through one keeper, n at a time.
 func writeKeys(ctx context.Context, t *table, n int) error {
 	log := &fakes.Log{}
 	srv := httptest.NewServer(log)
 	defer srv.Close()
-	w := applog.NewWriter(&applog.Client{Base: srv.URL}, applog.OnceStream("service-00", 0))
-	w.Linger = linger
+	k := keeper.New(&applog.Client{Base: srv.URL}, service(0), 0, once.Partition{Holder: "service-00-0000", Incarnation: 1, Retention: retention, Keys: 1 << 20})
 	run, stop := context.WithCancel(ctx)
-	var wg sync.WaitGroup
-	wg.Go(func() { w.Run(run) })
-	var written, failed atomic.Int64
+	var wg, askers sync.WaitGroup
+	wg.Go(func() { k.Run(run) })
+	for !k.Ready() && wait(ctx, startPoll) {
+	}
+	hist := hdrhistogram.New(1, longestUs, 3)
+	var mu sync.Mutex
+	var failed atomic.Int64
 	end := time.Now().Add(writeTime)
-	var askers sync.WaitGroup
 	for i := range n {
 		askers.Go(func() {
-			for time.Now().Before(end) {
-				if _, err := w.Append(run, record.FromStarted(startedOf("office-01/creditClaim/0123456789abcdef01234567", i))); err != nil {
+			for j := 0; time.Now().Before(end); j++ {
+				began := time.Now()
+				if res := k.Do(run, claim(i, j), ran); res.Outcome != reason.Ran {
 					failed.Add(1)
 					return
 				}
-				written.Add(1)
+				mu.Lock()
+				_ = hist.RecordValue(time.Since(began).Microseconds())
+				mu.Unlock()
 			}
 		})
 	}
@@ -108,12 +117,22 @@
 	stop()
 	wg.Wait()
 	if failed.Load() > 0 {
-		return fmt.Errorf("%d appends failed", failed.Load())
+		return fmt.Errorf("%d keys did not run", failed.Load())
 	}
-	appends := float64(log.Stats().Appends[string(applog.OnceStream("service-00", 0))])
+	ran, appends := float64(hist.TotalCount()), float64(log.Stats().Appends[string(applog.OnceStream(service(0), 0))])
 	x, by, s := float64(n), "requests at a time", writeTime.Seconds()
-	t.add("records written by one writer", "1/s", by, x, float64(written.Load())/s)
-	t.add("appends of one writer", "1/s", by, x, appends/s)
-	t.add("records in an append", "1", by, x, float64(written.Load())/appends)
+	t.add("keys run by one holder", "1/s", by, x, ran/s)
+	t.add("appends of one holder", "1/s", by, x, appends/s)
+	t.add("keys for each append", "1", by, x, ran/appends)
+	t.add("time of a key at the median", "ms", by, x, float64(hist.ValueAtQuantile(50))/1000)
+	t.add("time of a key for 99 in 100", "ms", by, x, float64(hist.ValueAtQuantile(99))/1000)
 	return nil
 }
+
+func claim(i, j int) *call.Request {
+	return &call.Request{Key: ident.Key(fmt.Sprintf("%013d%013d", i, j)), Kind: "creditClaim", Caller: "office-01", Once: true, Deadline: time.Now().Add(keyDeadline)}
+}
+
+func ran(context.Context) call.Result {
+	return call.Result{Outcome: reason.Ran, Status: 201, Body: make([]byte, answerBytes), Fraction: 1}
+}
--- a/internal/capac/refusals.go
+++ b/internal/capac/refusals.go
@@ -17,42 +17,50 @@
 	outageTime = 30 * time.Minute // simulated outage of the log
 	cutTick    = time.Second      // time between two looks at the ledger
 	callers    = 50
-	kindsNoted = 27
+	outageRate = 300 // refusals a second up to which an outage is measured
 )
 
 // refusals measures one node's ledger by refusals a second.
 func refusals(ctx context.Context, t *table) error {
 	for _, rate := range []int{1, 10, 100, 300, 1000} {
-		for _, protected := range []bool{true, false} {
+		for _, m := range mixes {
 			if err := ctx.Err(); err != nil {
 				return err
 			}
-			recordAt(t, rate, protected)
-			if rate <= 300 {
-				outageAt(t, rate, protected)
+			recordAt(t, rate, m)
+			if rate <= outageRate {
+				outageAt(t, rate, m)
 			}
 		}
 	}
 	return nil
 }
 
-func refusal(i int, protected bool) audit.Entry {
+// mix is who is refused.
+type mix struct {
+	name      string
+	protected bool
+	kinds     int
+}
+
+var mixes = []mix{
+	{"protected, 27 kinds", true, services},
+	{"unprotected, one kind", false, 1},
+	{"unprotected, 27 kinds", false, services},
+}
+
+func refusal(i int, m mix) audit.Entry {
 	return audit.Entry{
 		Caller: ident.Caller(fmt.Sprintf("office-%02d", i%callers)), Remote: "10.20.30.40", Key: ident.Key(fmt.Sprintf("office-%02d/kind/%026d", i%callers, i)),
-		Kind: ident.Kind(fmt.Sprintf("kind%03d", i%kindsNoted)), Rank: 3, Protected: protected,
+		Kind: ident.Kind(fmt.Sprintf("kind%03d", i%m.kinds)), Rank: 3, Protected: m.protected,
 		Reason: reason.Overload, Outcome: reason.NotRun, Version: 7,
 	}
 }
 
-func name(protected bool, metric string) string {
-	if protected {
-		return metric + ", protected"
-	}
-	return metric + ", unprotected"
-}
+func (m mix) metric(name string) string { return name + "; " + m.name }
 
 // recordAt notes refusals for a minute of simulated time and writes what is due each second.
-func recordAt(t *table, rate int, protected bool) {
+func recordAt(t *table, rate int, m mix) {
 	l := &audit.Ledger{Server: "service-00-0000", Incarnation: 1, Service: "service-00", DataCentre: "centre-0"}
 	now := time.Unix(1_700_000_000, 0)
 	var spent time.Duration
@@ -60,7 +68,7 @@
 	for sec := range int(recordTime / cutTick) {
 		batch := make([]audit.Entry, rate)
 		for i := range batch {
-			batch[i] = refusal(sec*rate+i, protected)
+			batch[i] = refusal(sec*rate+i, m)
 		}
 		start := time.Now()
 		for _, e := range batch {
@@ -77,24 +85,24 @@
 	}
 	seconds := recordTime.Seconds()
 	x, by := float64(rate), "refusals/s"
-	t.add(name(protected, "bytes to the log"), "bytes/s", by, x, size/seconds)
-	t.add(name(protected, "appends"), "1/s", by, x, appends/seconds)
-	t.add(name(protected, "processor time"), "cores", by, x, spent.Seconds()/seconds)
-	t.add(name(protected, "ledger at most"), "bytes", by, x, most)
+	t.add(m.metric("bytes to the log"), "bytes/s", by, x, size/seconds)
+	t.add(m.metric("appends"), "1/s", by, x, appends/seconds)
+	t.add(m.metric("processor time"), "cores", by, x, spent.Seconds()/seconds)
+	t.add(m.metric("ledger at most"), "bytes", by, x, most)
 }
 
 // outageAt notes refusals for a simulated outage and then writes all of them.
-func outageAt(t *table, rate int, protected bool) {
+func outageAt(t *table, rate int, m mix) {
 	before := heap()
 	l := &audit.Ledger{Server: "service-00-0000", Incarnation: 1, Service: "service-00", DataCentre: "centre-0"}
 	now := time.Unix(1_700_000_000, 0)
 	n := rate * int(outageTime/time.Second)
 	for i := range n {
-		l.Note(refusal(i, protected), now.Add(time.Duration(i)*time.Second/time.Duration(rate)))
+		l.Note(refusal(i, m), now.Add(time.Duration(i)*time.Second/time.Duration(rate)))
 	}
 	x, by := float64(rate), "refusals/s"
-	t.add(name(protected, "ledger after 30 min without log"), "bytes", by, x, float64(l.Size()))
-	t.add(name(protected, "heap after 30 min without log"), "bytes", by, x, heap()-before)
+	t.add(m.metric("ledger after 30 min without log"), "bytes", by, x, float64(l.Size()))
+	t.add(m.metric("heap after 30 min without log"), "bytes", by, x, heap()-before)
 	var size, appends, counted, entries float64
 	for b, ok := l.Flush(now); ok; b, ok = l.Flush(now) {
 		size += groupSize(record.FromBatch(b))
@@ -103,9 +111,9 @@
 		entries += float64(len(b.Entries))
 		l.Written()
 	}
-	t.add(name(protected, "appends after the outage"), "1", by, x, appends)
-	t.add(name(protected, "bytes to the log after the outage"), "bytes", by, x, size)
-	t.add(name(protected, "share of refusals counted"), "1", by, x, counted/float64(n))
-	t.add(name(protected, "entries for each refusal"), "1", by, x, entries/float64(n))
+	t.add(m.metric("appends after the outage"), "1", by, x, appends)
+	t.add(m.metric("bytes to the log after the outage"), "bytes", by, x, size)
+	t.add(m.metric("share of refusals counted"), "1", by, x, counted/float64(n))
+	t.add(m.metric("entries for each refusal"), "1", by, x, entries/float64(n))
 	runtime.KeepAlive(l)
 }
