--- /dev/null
+++ b/internal/capac/keys.go
@@ -0,0 +1,138 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"briarworks.example/briarworks/internal/applog"
+	"briarworks.example/briarworks/internal/fakes"
+	"briarworks.example/briarworks/internal/keeper"
+	"briarworks.example/briarworks/internal/record"
+	"briarworks.example/briarworks/pkg/call"
+	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/once"
+	"briarworks.example/briarworks/pkg/reason"
+)
+
+const (
+	answerBytes = 200
+	writeTime   = 2 * time.Second
+	keyDeadline = 4 * time.Second
+)
+
+// keys measures one partition of at-most-once keys and the batches of its writer.
+func keys(ctx context.Context, t *table) error {
+	for _, n := range []int{1000, 4000, 16000, 64000} {
+		keysOf(t, n)
+	}
+	key := ident.Key("office-01/creditClaim/0123456789abcdef01234567")
+	started := record.FromStarted(startedOf(key, 1))
+	started.Id = sampleID
+	done := record.FromDone(once.Done{Key: key, Attempt: attempt(1), Answer: answer()})
+	done.Id = sampleID
+	for _, n := range []int{1, 4, 16, 64} {
+		t.add("started records in a group", "bytes", "records", float64(n), groupSize(repeat(started, n)...))
+		t.add("done records in a group, 200 B answers", "bytes", "records", float64(n), groupSize(repeat(done, n)...))
+	}
+	for _, n := range []int{16, 64, 256, 1000} {
+		if err := writeKeys(ctx, t, n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func repeat[T any](v T, n int) (out []T) {
+	for range n {
+		out = append(out, v)
+	}
+	return out
+}
+
+func attempt(i int) ident.Attempt { return ident.Attempt(fmt.Sprintf("%032d", i)) }
+
+func answer() once.Answer { return once.Answer{Status: 201, Body: make([]byte, answerBytes)} }
+
+func startedOf(k ident.Key, i int) once.Started {
+	return once.Started{Key: k, Attempt: attempt(i), Holder: "service-00-0000", Incarnation: 1}
+}
+
+// keysOf runs n keys through a partition.
+func keysOf(t *table, n int) {
+	now := time.Unix(1_700_000_000, 0)
+	before := heap()
+	p := &once.Partition{Holder: "service-00-0000", Incarnation: 1, Retention: retention}
+	start := time.Now()
+	for i := range n {
+		k := ident.Key(fmt.Sprintf("office-%02d/creditClaim/%026d", i%callers, i))
+		p.Begin(k, attempt(i), now)
+		p.Started(startedOf(k, i), now)
+		p.MayRun(attempt(i), now)
+		if d, ok := p.Finished(attempt(i), reason.Ran, answer()); ok {
+			p.Done(d, now)
+		}
+	}
+	t.add("decide one key", "us", "keys", float64(n), time.Since(start).Seconds()*micro/float64(n))
+	t.add("memory of a partition, 200 B answers", "bytes", "keys", float64(n), heap()-before)
+	runtime.KeepAlive(p)
+}
+
+// writeKeys runs new keys through one keeper, n at a time.
+func writeKeys(ctx context.Context, t *table, n int) error {
+	log := &fakes.Log{}
+	srv := httptest.NewServer(log)
+	defer srv.Close()
+	k := keeper.New(&applog.Client{Base: srv.URL}, service(0), 0, once.Partition{Holder: "service-00-0000", Incarnation: 1, Retention: retention, Keys: 1 << 20})
+	run, stop := context.WithCancel(ctx)
+	var wg, askers sync.WaitGroup
+	wg.Go(func() { k.Run(run) })
+	for !k.Ready() && wait(ctx, startPoll) {
+	}
+	hist := hdrhistogram.New(1, longestUs, 3)
+	var mu sync.Mutex
+	var failed atomic.Int64
+	end := time.Now().Add(writeTime)
+	for i := range n {
+		askers.Go(func() {
+			for j := 0; time.Now().Before(end); j++ {
+				began := time.Now()
+				if res := k.Do(run, claim(i, j), ran); res.Outcome != reason.Ran {
+					failed.Add(1)
+					return
+				}
+				mu.Lock()
+				_ = hist.RecordValue(time.Since(began).Microseconds())
+				mu.Unlock()
+			}
+		})
+	}
+	askers.Wait()
+	stop()
+	wg.Wait()
+	if failed.Load() > 0 {
+		return fmt.Errorf("%d keys did not run", failed.Load())
+	}
+	ran, appends := float64(hist.TotalCount()), float64(log.Stats().Appends[string(applog.OnceStream(service(0), 0))])
+	x, by, s := float64(n), "requests at a time", writeTime.Seconds()
+	t.add("keys run by one holder", "1/s", by, x, ran/s)
+	t.add("appends of one holder", "1/s", by, x, appends/s)
+	t.add("keys for each append", "1", by, x, ran/appends)
+	t.add("time of a key at the median", "ms", by, x, float64(hist.ValueAtQuantile(50))/1000)
+	t.add("time of a key for 99 in 100", "ms", by, x, float64(hist.ValueAtQuantile(99))/1000)
+	return nil
+}
+
+func claim(i, j int) *call.Request {
+	return &call.Request{Key: ident.Key(fmt.Sprintf("%013d%013d", i, j)), Kind: "creditClaim", Caller: "office-01", Once: true, Deadline: time.Now().Add(keyDeadline)}
+}
+
+func ran(context.Context) call.Result {
+	return call.Result{Outcome: reason.Ran, Status: 201, Body: make([]byte, answerBytes), Fraction: 1}
+}
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -133,9 +133,11 @@
 	}
 	p.Roster.Changed = n.news
 	p.Policy.Changed = n.onConfig
-	n.members = newStream(p.Client, applog.Members, applog.NewTail(p.Client, applog.Members, n.onMember))
+	members := applog.NewTail(p.Client, applog.Members, n.onMember)
+	members.Gap = memberGap
+	n.members = newStream(p.Client, applog.Members, members, n.joinRead)
 	feed := &config.Feed{Start: p.Policy.Start, Next: p.Policy.Next, Read: p.Policy.Read}
-	n.config = newStream(p.Client, applog.Config, config.NewTail(p.Client, feed))
+	n.config = newStream(p.Client, applog.Config, config.NewTail(p.Client, feed), p.Policy.Settle)
 	n.record = applog.NewWriter(p.Client, applog.Refusals)
 	n.flusher = &flush.Flusher{Ledger: p.Ledger, Append: n.record.Append, Failed: func(err error) {
 		n.Stats.Count("refusalsNotWritten")
