relay: retry at the entry on the same terms as further down

Cause: a request whose own server was down was refused although another server of the service could run it, and a handed-over request that was refused ran locally without a token. Both are retries now, within the budget of the request.

--- a/internal/relay/onward.go
+++ b/internal/relay/onward.go
@@ -37,76 +37,103 @@
 }
 
 // place runs a request of the entry on the own server or, when that is full, on another one of the
-// service that has room.
-func (r *Relay) place(ctx context.Context, req *call.Request) call.Result {
-	set := r.Routes(r.Self.Service)
-	if r.Gate.Free() > 0 || set == nil {
-		return r.local(ctx, req)
-	}
-	p, ok := set.Pick(r.Now(), route.Avoid{}, r.Rand())
-	if !ok || p.Room(r.Now()) <= 0 {
-		return r.local(ctx, req)
+// service that has room. A second try, here or there, is a retry like any other.
+func (r *Relay) place(ctx context.Context, req *call.Request) (res call.Result) {
+	var pool retry.Pool
+	pool.Fill(req.Budget)
+	t := r.tries(req, &pool)
+	if p, ok := r.roomElsewhere(); ok {
+		res = t.there(ctx, p)
+		if t.again(ctx, res) {
+			res = t.here(ctx)
+		}
+		return res
 	}
-	res := r.send(ctx, p, req)
-	if res.Outcome == reason.NotRun && res.Reason != reason.Overload {
-		return r.local(ctx, req) // the other server refused; the own queue is the last resort
+	res = t.here(ctx)
+	if t.again(ctx, res) {
+		return t.loop(ctx, res)
 	}
 	return res
 }
 
-// attempts makes a call, and makes it again on another server while that is safe, may help and is
-// within the budget of the request and the ratio of the destination.
-func (r *Relay) attempts(ctx context.Context, req *call.Request, pool *retry.Pool) (res call.Result) {
-	ratio := r.ratio(req.Service)
-	ratio.Call(r.Now())
-	var avoid route.Avoid
-	for n := 0; ; n++ {
-		p, ok := r.pick(req.Service, avoid)
+// roomElsewhere returns a server of the own service that has room while the own one has none.
+func (r *Relay) roomElsewhere() (*route.Peer, bool) {
+	if r.Gate.Free() > 0 {
+		return nil, false
+	}
+	p, ok := r.pick(r.Self.Service, route.Avoid{})
+	return p, ok && p.Room(r.Now()) > 0
+}
+
+// attempts makes a call to another service, and makes it again on another server while that is safe,
+// may help and is within the budget of the request and the ratio of the destination.
+func (r *Relay) attempts(ctx context.Context, req *call.Request, pool *retry.Pool) call.Result {
+	return r.tries(req, pool).loop(ctx, call.Refuse(reason.NoServer))
+}
+
+// tries are the attempts at one call.
+type tries struct {
+	relay *Relay
+	req   *call.Request
+	pool  *retry.Pool
+	ratio *retry.Ratio
+	avoid route.Avoid // servers that failed
+	n     int         // retries so far
+}
+
+func (r *Relay) tries(req *call.Request, pool *retry.Pool) *tries {
+	t := &tries{relay: r, req: req, pool: pool, ratio: r.ratio(req.Service)}
+	t.ratio.Call(r.Now())
+	return t
+}
+
+// loop tries one server after the other; last is the result when there is none to try.
+func (t *tries) loop(ctx context.Context, last call.Result) call.Result {
+	for {
+		p, ok := t.relay.pick(t.req.Service, t.avoid)
 		if !ok {
-			return noServer(res, n)
-		}
-		res = r.attempt(ctx, p, req, pool)
-		why, again := retry.Decide(req, res)
-		if !again || ctx.Err() != nil {
-			return res
-		}
-		avoid.Add(p.Member.Server)
-		wait, fits := retry.Backoff(n, r.Rand(), req.Left(r.Now()))
-		if !fits || !ratio.Allow(r.Now()) {
-			return res
+			return last
 		}
-		if !pool.Spend() {
-			return res
-		}
-		r.Retried(why)
-		if !sleep(ctx, wait) {
-			return res
+		last = t.there(ctx, p)
+		if !t.again(ctx, last) {
+			return last
 		}
 	}
 }
 
-// noServer is the result when no server is left to try: that of the last attempt, if there was one.
-func noServer(last call.Result, attempts int) call.Result {
-	if attempts > 0 {
-		return last
+// there makes the call to a peer once, with half of the tokens, and takes back those not spent.
+func (t *tries) there(ctx context.Context, p *route.Peer) call.Result {
+	t.req.Budget = t.pool.Lend()
+	res := t.relay.send(ctx, p, t.req)
+	t.pool.Return(min(res.TokensLeft, t.req.Budget))
+	if res.Outcome != reason.Ran {
+		t.avoid.Add(p.Member.Server)
 	}
-	return call.Refuse(reason.NoServer)
+	return res
 }
 
-func (r *Relay) pick(service ident.Service, avoid route.Avoid) (*route.Peer, bool) {
-	set := r.Routes(service)
-	if set == nil {
-		return nil, false
-	}
-	return set.Pick(r.Now(), avoid, r.Rand())
+// here runs the request on the own server, on the same terms.
+func (t *tries) here(ctx context.Context) call.Result {
+	t.req.Budget = t.pool.Lend()
+	res := t.relay.local(ctx, t.req)
+	t.pool.Return(min(res.TokensLeft, t.req.Budget))
+	return res
 }
 
-// attempt makes a call once, with half of the tokens, and takes back those that were not spent.
-func (r *Relay) attempt(ctx context.Context, p *route.Peer, req *call.Request, pool *retry.Pool) call.Result {
-	req.Budget = pool.Lend()
-	res := r.send(ctx, p, req)
-	pool.Return(min(res.TokensLeft, req.Budget))
-	return res
+// again decides whether to try once more after a result; it spends a token and waits for the back-off.
+func (t *tries) again(ctx context.Context, res call.Result) bool {
+	r := t.relay
+	why, safe := retry.Decide(t.req, res)
+	if !safe || ctx.Err() != nil {
+		return false
+	}
+	wait, fits := retry.Backoff(t.n, r.Rand(), t.req.Left(r.Now()))
+	if !fits || !t.ratio.Allow(r.Now()) || !t.pool.Spend() {
+		return false
+	}
+	t.n++
+	r.Retried(why)
+	return sleep(ctx, wait)
 }
 
 // send makes one call to a peer and learns from what comes back.
@@ -179,3 +206,11 @@
 		return r.attempts(ctx, req, &pool)
 	})
 }
+
+func (r *Relay) pick(service ident.Service, avoid route.Avoid) (*route.Peer, bool) {
+	set := r.Routes(service)
+	if set == nil {
+		return nil, false
+	}
+	return set.Pick(r.Now(), avoid, r.Rand())
+}
