--- a/internal/relay/onward.go
+++ b/internal/relay/onward.go
@@ -112,11 +112,12 @@
 	return res
 }
 
-// here runs the request on the own server, on the same terms.
+// here runs the request on the own server with all tokens: the pool is this call's alone, and what was
+// not spent is known whatever the outcome.
 func (t *tries) here(ctx context.Context) call.Result {
-	t.req.Budget = t.pool.Lend()
+	t.req.Budget = t.pool.Left()
 	res := t.relay.local(ctx, t.req)
-	t.pool.Return(min(res.TokensLeft, t.req.Budget))
+	t.pool.Fill(res.TokensLeft)
 	return res
 }
 
