--- a/Makefile
+++ b/Makefile
@@ -20,3 +20,7 @@
 
 demo: build
 	./scripts/demo
+
+# Runs the tests that internal/matrix names and writes docs/matrix.md.
+matrix:
+	$(GO) run ./internal/matrix/report -out docs/matrix.md
