stats: keep the metrics of a node in a registry of its own

Cause: the reporter used the registry of the process, which takes a metric only once. Before: the second node in one process panicked with "duplicate metrics collector registration attempted". After: several nodes run in one test process. The collectors of the runtime and the process are registered as in the default registry, so an operator sees the same metrics.

--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,7 @@
 # Runs the tests that internal/matrix names and writes docs/matrix.md.
 matrix:
 	$(GO) run ./internal/matrix/report -out docs/matrix.md
+
 # Measures how costs grow with size; takes under 4 minutes. See docs/CAPACITY.md.
 capacity: build
 	$(GO) build -o bin/capac ./internal/capac
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 
@@ -37,7 +39,11 @@
 
 // New returns the metrics of a node; Close ends their reporting.
 func New(server ident.Server, service ident.Service) *Stats {
-	rep := prometheus.NewReporter(prometheus.Options{})
+	// The default registry belongs to the process and takes a metric only once, so that a second node in
+	// one process would fail.
+	reg := prom.NewRegistry()
+	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	rep := prometheus.NewReporter(prometheus.Options{Registerer: reg})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "briarworks", Separator: prometheus.DefaultSeparator,
 		CachedReporter: rep, SanitizeOptions: &prometheus.DefaultSanitizerOpts,
