policy: put nothing in force before the end of the log was read

Cause: a node that starts put the accepted version in force after each 32 versions that it read, to bound the documents held. Before: with 40 versions on the log, a restart of all nodes had versions 32 and 40 in force, in this order, after 40 was in force before; with more versions, more old ones (R8: a version never reverts). After: of the versions read only the newest usable one is kept, and 40 alone is in force. TestSettle now allows one change of the version in force where it expected three, which is stricter.

Found by TestFleet/configuration_after_a_restart of internal/node.

--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -73,7 +73,9 @@
 const maxRead = 32
 
 // Read takes the records at one offset of the log. What they change is in force after the next Settle:
-// to compile a document takes milliseconds, and a node that starts reads thousands of them.
+// to compile a document takes milliseconds, and a node that starts reads thousands of them. None of them
+// is in force before the end of the log was read, because after a restart of the whole fleet that would
+// put versions in force again that were replaced long ago.
 func (p *Policy) Read(at ident.Offset, records ...order.Record) {
 	p.mu.Lock()
 	before := p.fold.Current().Version
@@ -82,13 +84,22 @@
 		p.read = append(p.read, a)
 	}
 	if len(p.read) >= maxRead {
-		p.finish(decisions)
-		return
+		p.read = newestUsable(p.read)
 	}
 	p.mu.Unlock()
 	p.decided(decisions)
 }
 
+// newestUsable keeps of the accepted versions only the newest that can be used, if there is one.
+func newestUsable(read []order.Accepted) []order.Accepted {
+	for i, a := range slices.Backward(read) {
+		if _, err := compile(a); err == nil {
+			return slices.Clone(read[i : i+1])
+		}
+	}
+	return nil
+}
+
 // Settle puts in force what was read. It is called at the end of the log.
 func (p *Policy) Settle() {
 	p.mu.Lock()
@@ -149,11 +160,7 @@
 
 // try puts a document in force and returns why it cannot be used; empty when it is in force.
 func (f *InForce) try(a order.Accepted) (fault string) {
-	d, err := rules.Decode("configuration", []byte(a.Document))
-	if err != nil {
-		return err.Error()
-	}
-	snap, err := rules.Compile(d)
+	snap, err := compile(a)
 	if err != nil {
 		return err.Error()
 	}
@@ -161,6 +168,14 @@
 	return ""
 }
 
+func compile(a order.Accepted) (*rules.Snapshot, error) {
+	d, err := rules.Decode("configuration", []byte(a.Document))
+	if err != nil {
+		return nil, err
+	}
+	return rules.Compile(d)
+}
+
 // Due returns the record that carries the accepted version on, and whether it is due.
 func (p *Policy) Due(now time.Time, jitter ident.Fraction) (c order.Carry, due bool) {
 	p.mu.Lock()
--- a/internal/policy/policy_test.go
+++ b/internal/policy/policy_test.go
@@ -33,8 +33,8 @@
 		"newest unusable":      {[]bool{true, true, false}, 2, true, 1},
 		"two newest unusable":  {[]bool{true, false, false}, 1, true, 1},
 		"none usable":          {[]bool{false, false}, 0, true, 1},
-		"more than are held":   {append(make([]bool, 2*maxRead), true), 2*maxRead + 1, false, 3},
-		"usable long ago only": {append([]bool{true}, make([]bool, 2*maxRead)...), 1, true, 3},
+		"more than are held":   {append(make([]bool, 2*maxRead), true), 2*maxRead + 1, false, 1},
+		"usable long ago only": {append([]bool{true}, make([]bool, 2*maxRead)...), 1, true, 1},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
