peer: credit the budget of a call only when no peer ran it

Cause: the relay took a NotRun for noServer, connectionLost or connectionSilent as proof that nothing was sent, and gave back all tokens of the call. A backend server passes on the reason of a call that it made, so the same answer also came from a peer below which tokens had been spent.

Found by TestFleet/retries_when_the_deep_service_is_gone of internal/node.

--- a/internal/peer/out.go
+++ b/internal/peer/out.go
@@ -26,11 +26,11 @@
 	l := b.Link(addr)
 	s, err := l.session(ctx, b)
 	if err != nil {
-		return call.Refuse(reason.NoServer)
+		return neverRan(req, reason.NoServer)
 	}
 	st, err := s.OpenStream()
 	if err != nil {
-		return call.Refuse(reason.NoServer)
+		return neverRan(req, reason.NoServer)
 	}
 	id := ident.CallID(b.ids.Add(1))
 	ans, err := b.converse(ctx, s, st, id, req)
@@ -45,7 +45,16 @@
 	if s.silent.Load() {
 		why = reason.ConnectionSilent
 	}
-	return b.settle(ctx, l, s, id, why)
+	return b.settle(ctx, l, s, id, req, why)
+}
+
+// neverRan is the result for a call that no peer ran, so that nothing of its budget was spent. The
+// result itself has to say so: a peer can answer with the same reason, which its own server passed on
+// from further down the chain, after tokens were spent there.
+func neverRan(req *call.Request, why reason.Refusal) call.Result {
+	res := call.Refuse(why)
+	res.TokensLeft = req.Budget
+	return res
 }
 
 // gone is the result for a call that its caller stopped waiting for.
@@ -82,7 +91,7 @@
 }
 
 // settle asks the same incarnation of the peer, over another connection, what became of a call.
-func (b *Book) settle(ctx context.Context, l *Link, broken *session, id ident.CallID, why reason.Refusal) call.Result {
+func (b *Book) settle(ctx context.Context, l *Link, broken *session, id ident.CallID, req *call.Request, why reason.Refusal) call.Result {
 	short, cancel := context.WithTimeout(ctx, settleLimit)
 	defer cancel()
 	for {
@@ -93,7 +102,7 @@
 		case err == nil && s.incarnation != broken.incarnation:
 			return call.Doubt(why) // a later incarnation knows nothing of the call
 		case err == nil:
-			if res, ok := b.askState(ctx, s, id, why); ok {
+			if res, ok := b.askState(ctx, s, id, req, why); ok {
 				b.Event(EventSettled)
 				return res
 			}
@@ -120,7 +129,7 @@
 }
 
 // askState asks for the state of one call; the peer replies when a running call has ended.
-func (b *Book) askState(ctx context.Context, s *session, id ident.CallID, why reason.Refusal) (res call.Result, ok bool) {
+func (b *Book) askState(ctx context.Context, s *session, id ident.CallID, req *call.Request, why reason.Refusal) (res call.Result, ok bool) {
 	m := &wirepb.Settle{Incarnation: uint64(b.Incarnation), CallIds: []uint64{uint64(id)}}
 	reply, err := b.ask(ctx, s, &wirepb.Envelope{Body: &wirepb.Envelope_Settle{Settle: m}})
 	if err != nil {
@@ -133,7 +142,7 @@
 	}
 	switch states[0].GetState() {
 	case wirepb.CallState_NEVER_RAN:
-		return call.Refuse(why), true
+		return neverRan(req, why), true
 	case wirepb.CallState_ANSWERED:
 		return wire.ToResult(states[0].GetAnswer()), true
 	}
--- a/internal/relay/onward.go
+++ b/internal/relay/onward.go
@@ -124,9 +124,6 @@
 	}
 	r.learn(req, res, now)
 	p.Finish(fb, now)
-	if res.Outcome == reason.NotRun && !answered(res) {
-		res.TokensLeft = req.Budget // nothing was sent or run, so nothing was spent
-	}
 	return res
 }
 
