--- a/internal/capac/keys.go
+++ b/internal/capac/keys.go
@@ -93,7 +93,10 @@
 	run, stop := context.WithCancel(ctx)
 	var wg, askers sync.WaitGroup
 	wg.Go(func() { k.Run(run) })
-	for !k.Ready() && wait(ctx, startPoll) {
+	for !k.Ready() {
+		if !wait(ctx, startPoll) {
+			break
+		}
 	}
 	hist := hdrhistogram.New(1, longestUs, 3)
 	var mu sync.Mutex
--- a/internal/capac/procs.go
+++ b/internal/capac/procs.go
@@ -20,7 +20,7 @@
 )
 
 const (
-	firstPort   = 23000
+	firstPort   = 29000
 	clockTick   = 10 * time.Millisecond // unit of processor time in /proc
 	stopLimit   = 12 * time.Second
 	startLimit  = 15 * time.Second
