--- a/internal/capac/calls.go
+++ b/internal/capac/calls.go
@@ -246,11 +246,10 @@
 	if err != nil {
 		return err
 	}
-	by := "per cent of calls"
 	for _, q := range []float64{50, 90, 99, 99.9} {
-		t.add(what+": through two nodes", "ms", by, q, through.at(q))
-		t.add(what+": direct", "ms", by, q, direct.at(q))
-		t.add(what+": added", "ms", by, q, through.at(q)-direct.at(q))
+		t.add(what+": through two nodes", "ms", perCent, q, through.at(q))
+		t.add(what+": direct", "ms", perCent, q, direct.at(q))
+		t.add(what+": added", "ms", perCent, q, through.at(q)-direct.at(q))
 	}
 	t.add(what+": calls measured", "1", "calls/s", rate, float64(through.hist.TotalCount()))
 	return nil
--- a/internal/capac/table.go
+++ b/internal/capac/table.go
@@ -67,6 +67,9 @@
 	return slope, intercept, sxy * sxy / (sxx * syy)
 }
 
+// perCent is the size of series that are quantiles of one measurement, which have no line.
+const perCent = "per cent of calls"
+
 // minFit is the number of points from which a line is fitted.
 const minFit = 4
 
@@ -104,7 +107,7 @@
 	for _, p := range ps {
 		row("point", number(p.x), p.y)
 	}
-	if len(ps) >= minFit {
+	if len(ps) >= minFit && s.by != perCent {
 		slope, intercept, r2 := fit(ps)
 		row("slope", "", slope)
 		row("intercept", "", intercept)
