--- a/internal/applog/tail.go
+++ b/internal/applog/tail.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"briarworks.example/briarworks/internal/pause"
 	"briarworks.example/briarworks/internal/record"
 	"briarworks.example/briarworks/internal/record/recpb"
 	"briarworks.example/briarworks/pkg/ident"
@@ -117,7 +118,7 @@
 		page, err := t.poll(ctx)
 		if err != nil {
 			t.failed(t.Now())
-			pause(ctx, jitter(backoff, t.Rand()))
+			pause.For(ctx, jitter(backoff, t.Rand()))
 			backoff = min(2*backoff, maxBackoff)
 			continue
 		}
@@ -125,7 +126,7 @@
 		t.take(page)
 		t.health.Store(&health{answered: t.Now()})
 		if t.Gap > 0 && len(page.Records) > 0 && t.Lag() == 0 {
-			pause(ctx, t.Gap)
+			pause.For(ctx, t.Gap)
 		}
 	}
 }
--- a/internal/applog/writer.go
+++ b/internal/applog/writer.go
@@ -10,6 +10,7 @@
 
 	"github.com/samber/oops"
 
+	"briarworks.example/briarworks/internal/pause"
 	"briarworks.example/briarworks/internal/record"
 	"briarworks.example/briarworks/internal/record/recpb"
 	"briarworks.example/briarworks/pkg/ident"
@@ -365,7 +366,7 @@
 		began := w.Now()
 		page, err := w.readFrom(ctx, from, settled.Sub(began))
 		if err != nil {
-			pause(ctx, lookupPause)
+			pause.For(ctx, lookupPause)
 			continue
 		}
 		if page.First > from {
@@ -412,12 +413,3 @@
 	}
 	return false
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/config/history.go
+++ b/internal/config/history.go
@@ -9,6 +9,7 @@
 	"github.com/samber/oops"
 
 	"briarworks.example/briarworks/internal/applog"
+	"briarworks.example/briarworks/internal/pause"
 	"briarworks.example/briarworks/internal/record"
 	"briarworks.example/briarworks/internal/record/recpb"
 	"briarworks.example/briarworks/pkg/ident"
@@ -169,16 +170,7 @@
 			return order.Decision{Offset: -1, Publish: p, Version: h.Fold.Current().Version}
 		}
 		if err != nil {
-			pause(ctx, pollWait)
+			pause.For(ctx, pollWait)
 		}
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/flush/flush.go
+++ b/internal/flush/flush.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"briarworks.example/briarworks/internal/pause"
 	"briarworks.example/briarworks/internal/record"
 	"briarworks.example/briarworks/internal/record/recpb"
 	"briarworks.example/briarworks/pkg/audit"
@@ -103,7 +104,7 @@
 func (f *Flusher) Run(ctx context.Context) {
 	f.init()
 	defer f.last(ctx)
-	pause(ctx, time.Duration(f.Rand()*float64(f.Spread)))
+	pause.For(ctx, time.Duration(f.Rand()*float64(f.Spread)))
 	backoff := f.Tick
 	for ctx.Err() == nil {
 		if err := f.step(ctx); err != nil {
@@ -112,7 +113,7 @@
 		} else {
 			backoff = f.Tick
 		}
-		pause(ctx, backoff*3/4+time.Duration(f.Rand()*float64(backoff/2)))
+		pause.For(ctx, backoff*3/4+time.Duration(f.Rand()*float64(backoff/2)))
 	}
 }
 
@@ -208,12 +209,3 @@
 		f.Failed(err)
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"briarworks.example/briarworks/internal/applog"
+	"briarworks.example/briarworks/internal/pause"
 	"briarworks.example/briarworks/internal/record"
 	"briarworks.example/briarworks/internal/record/recpb"
 	"briarworks.example/briarworks/pkg/call"
@@ -515,11 +516,11 @@
 		case <-k.due:
 		case <-ctx.Done():
 		}
-		pause(ctx, k.DueLinger)
+		pause.For(ctx, k.DueLinger)
 		for ctx.Err() == nil {
 			more, err := k.appendSome(ctx)
 			if err != nil {
-				pause(ctx, dueBackoff)
+				pause.For(ctx, dueBackoff)
 				continue
 			}
 			if !more {
@@ -590,12 +591,3 @@
 	r.Id = string(id)
 	return append(recs, r)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"briarworks.example/briarworks/internal/applog"
+	"briarworks.example/briarworks/internal/pause"
 	"briarworks.example/briarworks/internal/record"
 	"briarworks.example/briarworks/pkg/ident"
 	"briarworks.example/briarworks/pkg/order"
@@ -90,7 +91,7 @@
 	known := len(n.Roster.Table().All())
 	wait := jitter(min(time.Duration(known)*startSpread, maxStartSpread))
 	for {
-		if !pause(ctx, wait) {
+		if !pause.For(ctx, wait) {
 			return
 		}
 		if n.announceOnce(ctx) {
@@ -148,15 +149,3 @@
 		}
 	})
 }
-
-// pause waits for d and reports whether ctx is still alive.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"briarworks.example/briarworks/internal/pause"
 	"briarworks.example/briarworks/internal/policy"
 	"briarworks.example/briarworks/internal/wire"
 	"briarworks.example/briarworks/internal/wire/wirepb"
@@ -131,7 +132,7 @@
 			n.Log.Info("joinedBySeed", zap.String("seed", string(seed)), zap.String("server", string(from)),
 				zap.Uint64("configVersion", reply.GetConfigVersion()))
 		}
-		if !pause(ctx, seedPeriod) {
+		if !pause.For(ctx, seedPeriod) {
 			return
 		}
 	}
@@ -172,7 +173,7 @@
 		if len(members) == 0 {
 			spread = configSpread
 		}
-		if !pause(ctx, jitter(spread)) {
+		if !pause.For(ctx, jitter(spread)) {
 			return
 		}
 		for more := true; more; {
--- a/internal/node/witness.go
+++ b/internal/node/witness.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"briarworks.example/briarworks/internal/pause"
 	"briarworks.example/briarworks/pkg/audit"
 	"briarworks.example/briarworks/pkg/ident"
 )
@@ -83,7 +84,7 @@
 		case <-ctx.Done():
 			return
 		case l := <-n.lost:
-			if !pause(ctx, lostGrace-time.Since(l.at)) {
+			if !pause.For(ctx, lostGrace-time.Since(l.at)) {
 				return
 			}
 			n.testify(ctx, l)
--- a/internal/peer/out.go
+++ b/internal/peer/out.go
@@ -7,6 +7,7 @@
 
 	"github.com/hashicorp/yamux"
 
+	"briarworks.example/briarworks/internal/pause"
 	"briarworks.example/briarworks/internal/wire"
 	"briarworks.example/briarworks/internal/wire/wirepb"
 	"briarworks.example/briarworks/pkg/call"
@@ -107,7 +108,7 @@
 				return res
 			}
 		}
-		if !pause(short, settlePause) {
+		if !pause.For(short, settlePause) {
 			return call.Doubt(why)
 		}
 	}
@@ -116,18 +117,6 @@
 // settlePause is the time between two attempts to reach a peer for settling.
 const settlePause = 50 * time.Millisecond
 
-// pause waits for d and reports whether ctx is still alive.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // askState asks for the state of one call; the peer replies when a running call has ended.
 func (b *Book) askState(ctx context.Context, s *session, id ident.CallID, req *call.Request, why reason.Refusal) (res call.Result, ok bool) {
 	m := &wirepb.Settle{Incarnation: uint64(b.Incarnation), CallIds: []uint64{uint64(id)}}
--- a/internal/relay/onward.go
+++ b/internal/relay/onward.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"briarworks.example/briarworks/internal/flight"
+	"briarworks.example/briarworks/internal/pause"
 	"briarworks.example/briarworks/pkg/call"
 	"briarworks.example/briarworks/pkg/ident"
 	"briarworks.example/briarworks/pkg/reason"
@@ -134,7 +135,7 @@
 	}
 	t.n++
 	r.Retried(why)
-	return sleep(ctx, wait)
+	return pause.For(ctx, wait)
 }
 
 // send makes one call to a peer and learns from what comes back.
@@ -180,18 +181,6 @@
 	return true
 }
 
-// sleep waits for d and reports whether ctx is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // Originate makes a call to another service that belongs to no request in flight, as a request of the
 // own server that begins there.
 func (r *Relay) Originate(ctx context.Context, req *call.Request) call.Result {
--- a/pkg/route/doc.go
+++ b/pkg/route/doc.go
@@ -6,4 +6,9 @@
 // atomics that survive the swap. A call goes to the better of two random peers by free slots, in the
 // own data centre while there is room. Peers that fail are left out for a while, but never so many
 // that the rest of the set is overrun.
+//
+// Sources: rendezvous hashing, Thaler and Ravishankar, "Using name-based mappings to increase hit
+// rates" (1998); bounded loads, Mirrokni, Thorup and Zadimoghaddam, "Consistent hashing with bounded
+// loads" (2018); two choices, Mitzenmacher, "The power of two choices in randomized load balancing"
+// (2001).
 package route
--- a/pkg/share/doc.go
+++ b/pkg/share/doc.go
@@ -5,4 +5,9 @@
 // kind is the fraction of its outside demand that the server can take. Nodes carry that fraction
 // back on their answers; Paths keeps what a node learned in this way about the services it calls, so
 // that an entry node refuses at once what a service further down would refuse later.
+//
+// Sources: admitting the same requests at every layer by a hash, and telling callers the level on
+// answers, Zhou et al., "Overload control for scaling WeChat microservices" (2018); weighting a sample
+// by the inverse of its probability, Horvitz and Thompson (1952); max-min fair division, Bertsekas and
+// Gallager, "Data Networks" (1992).
 package share
