--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -136,7 +136,9 @@
 	members.Gap = memberGap
 	n.members = newStream(p.Client, applog.Members, members, n.joinRead)
 	feed := &config.Feed{Start: p.Policy.Start, Next: p.Policy.Next, Read: p.Policy.Read}
-	n.config = newStream(p.Client, applog.Config, config.NewTail(p.Client, feed), p.Policy.Settle)
+	configs := config.NewTail(p.Client, feed)
+	configs.Page = configPage
+	n.config = newStream(p.Client, applog.Config, configs, p.Policy.Settle)
 	n.record = applog.NewWriter(p.Client, applog.Refusals)
 	n.flusher = &flush.Flusher{Ledger: p.Ledger, Append: n.record.Append, Failed: func(err error) {
 		n.Stats.Count("refusalsNotWritten")
--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -25,6 +25,7 @@
 	leaveTimeout   = 2 * time.Second
 	firstRead      = 2 * time.Second
 	maxJoined      = 512                    // members that are joined together
+	configPage     = 64                     // configurations read at a time: 512 of 10 KB each took a node that starts over 64 MB
 	memberGap      = 200 * time.Millisecond // between two reads of members, so that many starts are few reads
 )
 
