--- /dev/null
+++ b/internal/bench/base.go
@@ -0,0 +1,113 @@
+package bench
+
+import (
+	"time"
+
+	"briarworks.example/briarworks/pkg/call"
+	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/reason"
+)
+
+// layerTimeout is how long a baseline's server waits for the next service before it tries again.
+const layerTimeout = 500 * time.Millisecond
+
+// line is the first-in first-out queue of a baseline's server.
+type line struct {
+	waiting []func()
+	bound   int // longest queue, negative for none
+	slots   ident.Slots
+	running ident.Slots
+}
+
+// pass runs f when a slot is free; it returns false when the queue is full.
+func (l *line) pass(f func()) bool {
+	if l.running < l.slots {
+		l.running++
+		f()
+		return true
+	}
+	if l.bound >= 0 && len(l.waiting) >= l.bound {
+		return false
+	}
+	l.waiting = append(l.waiting, f)
+	return true
+}
+
+// leave frees a slot for the next in the queue.
+func (l *line) leave() {
+	if len(l.waiting) == 0 {
+		l.running--
+		return
+	}
+	f := l.waiting[0]
+	l.waiting = l.waiting[1:]
+	f()
+}
+
+// noControl runs every request: queues have no bound and each layer tries up to three times more.
+func noControl() policy { return baseline("noControl", -1, 3) }
+
+// fixedLimit has the slots as limit, a queue as long as the slots without ranks, and one retry in
+// each layer.
+func fixedLimit() policy { return baseline("fixedLimit", 0, 1) }
+
+func baseline(name string, bound, retries int) policy {
+	visit := func(n *node, t *trip, r call.Request, re reply) {
+		l := n.line // a restart replaces it
+		ok := l.pass(func() {
+			n.serve(t, r, func(res call.Result) {
+				l.leave()
+				re(res)
+			})
+		})
+		if !ok {
+			re(call.Refuse(reason.QueueFull))
+		}
+	}
+	return policy{
+		name: name,
+		start: func(_ *world, n *node) {
+			n.line = &line{bound: bound, slots: n.svc.slots}
+			if bound >= 0 {
+				n.line.bound = int(n.svc.slots)
+			}
+		},
+		enter: func(n *node, t *trip, r call.Request, re reply) {
+			if r.Once && n.w.log {
+				re(call.Refuse(reason.LogUnavailable))
+				return
+			}
+			visit(n, t, r, re)
+		},
+		child: func(n *node, t *trip, r call.Request, re reply) {
+			layer(n, t, r, retries, visit, re)
+		},
+	}
+}
+
+// layer calls a random server of the next service, and again when it fails or does not answer in
+// time. The server goes on with a call that nobody waits for.
+func layer(n *node, t *trip, r call.Request, left int, visit func(*node, *trip, call.Request, reply), re reply) {
+	w := n.w
+	peers := w.nodes[t.next(r.Hop)]
+	p := peers[w.choose.IntN(len(peers))]
+	next := r
+	next.Hop, next.Service = r.Hop+1, p.svc.name
+	open := true
+	finish := func(res call.Result) {
+		if !open {
+			return
+		}
+		open = false
+		if res.Outcome == reason.Ran || left == 0 {
+			re(res)
+			return
+		}
+		t.retries++
+		layer(n, t, r, left-1, visit, re)
+	}
+	w.after(w.travel(n, p), func() {
+		visit(p, t, next, func(res call.Result) { w.after(w.travel(p, n), func() { finish(res) }) })
+	})
+	w.after(layerTimeout, func() { finish(call.Doubt(reason.ConnectionSilent)) })
+}
--- /dev/null
+++ b/internal/bench/caller.go
@@ -0,0 +1,140 @@
+package bench
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"briarworks.example/briarworks/pkg/call"
+	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/reason"
+)
+
+// Callers of the model.
+const (
+	callersPerKind = 200
+	patience       = 300 * time.Millisecond // time after which a caller that repeats gives up one attempt
+)
+
+// caller is one source of arrivals: one kind, open loop.
+type source struct {
+	kind    int
+	flood   bool
+	rate    func() float64 // arrivals/s at the present time
+	arrive  *rand.Rand     // times and callers, the same for every policy
+	counter int
+}
+
+// arrive starts the sources of the run.
+func (w *world) arrive(seed uint64, end time.Time) {
+	m := newIdeal(w.d, &scenario{})
+	for i := range w.d.kinds {
+		k := &w.d.kinds[i]
+		src := &source{kind: i, arrive: rand.New(rand.NewPCG(seed, uint64(10+i)))}
+		src.rate = func() float64 {
+			if w.faulty() {
+				return k.rate * w.s.surgeFactor()
+			}
+			return k.rate
+		}
+		w.next(src, epoch, end)
+		if w.s.flood != k.name {
+			continue
+		}
+		flood := &source{kind: i, flood: true, arrive: rand.New(rand.NewPCG(seed, uint64(100+i)))}
+		flood.rate = func() float64 { return floodFactor * m.fleetRate(i) }
+		w.next(flood, epoch.Add(calmFor), epoch.Add(calmFor+faultFor))
+	}
+}
+
+// next sets the next arrival of a source between from and end.
+func (w *world) next(src *source, from, end time.Time) {
+	w.set(from, func() { w.step(src, end) })
+}
+
+func (w *world) step(src *source, end time.Time) {
+	gap := time.Duration(src.arrive.ExpFloat64() / src.rate() * float64(time.Second))
+	w.after(gap, func() {
+		if !w.now.Before(end) {
+			return
+		}
+		w.send(src)
+		w.step(src, end)
+	})
+}
+
+// message is one request of a caller over all of its attempts.
+type message struct {
+	src      *source
+	key      ident.Key
+	caller   ident.Caller
+	sent     time.Time
+	attempts int
+	done     bool
+}
+
+func (w *world) send(src *source) {
+	src.counter++
+	k := &w.d.kinds[src.kind]
+	name := string(k.name) + "-" + strconv.Itoa(src.arrive.IntN(callersPerKind))
+	if src.flood {
+		name = string(k.name) + "-flood"
+	}
+	m := &message{
+		src: src, caller: ident.Caller(name), sent: w.now,
+		key: ident.Key(name + "/" + strconv.Itoa(src.counter)),
+	}
+	w.seen.count(src, m.sent).sent++
+	w.attempt(m)
+}
+
+// attempt sends the message once more. The caller counts an answer that comes before its deadline,
+// which runs from the first attempt.
+func (w *world) attempt(m *message) {
+	m.attempts++
+	k := &w.d.kinds[m.src.kind]
+	entry := w.nodes[k.path[0].service]
+	n := entry[w.choose.IntN(len(entry))]
+	t := &trip{kind: k}
+	open := true
+	again := func() {
+		if !open {
+			return
+		}
+		open = false
+		if !m.done && m.attempts <= w.s.repeats && w.faulty() {
+			w.attempt(m)
+		}
+	}
+	if w.s.repeats > 0 && w.faulty() {
+		w.after(patience, again)
+	}
+	w.after(w.d.outside, func() {
+		r := call.Request{
+			Key: m.key, Kind: k.name, Caller: m.caller, Rank: k.rank, Protected: k.protected,
+			Idempotent: !k.once, Once: k.once, Service: k.path[0].service,
+			Born: w.now, Deadline: m.sent.Add(k.deadline - w.d.outside), Budget: retryBound, Passed: 1,
+		}
+		w.p.enter(n, t, r, func(res call.Result) {
+			w.after(w.d.outside, func() {
+				w.answered(m, t, res)
+				again()
+			})
+		})
+	})
+}
+
+func (w *world) answered(m *message, t *trip, res call.Result) {
+	w.seen.retries = max(w.seen.retries, t.retries)
+	c := w.seen.count(m.src, m.sent)
+	if res.Outcome != reason.Ran {
+		c.refused[res.Reason]++
+		return
+	}
+	if m.done || w.now.Sub(m.sent) > w.d.kinds[m.src.kind].deadline {
+		c.late++
+		return
+	}
+	m.done = true
+	c.whole++
+}
--- /dev/null
+++ b/internal/bench/cases.go
@@ -0,0 +1,72 @@
+package bench
+
+import (
+	"time"
+
+	"briarworks.example/briarworks/pkg/ident"
+)
+
+// The phases of every case, from the start of the run.
+const (
+	calmFor  = 2 * time.Second
+	faultFor = 5 * time.Second
+	afterFor = 6 * time.Second
+	bucket   = 100 * time.Millisecond // resolution of the goodput over time
+)
+
+// floodFactor is the flood's rate as a multiple of what the whole fleet can do of the kind.
+const floodFactor = 10
+
+// scenario is what happens between calm and recovery.
+type scenario struct {
+	name    string
+	surge   float64       // factor on all arrivals; 0 counts as 1
+	flood   ident.Kind    // kind that floods, empty for none
+	slow    ident.Service // service whose servers are slower
+	slower  float64       // factor on the slow service's own time
+	repeats int           // times that a caller repeats a refused or late request at once
+	logOut  bool          // the platform's log is out
+	broken  ident.Service // service of which one server breaks off most answers
+	shed    ident.Service // service whose servers shed above part of their slots
+	cold    ident.Service // service of which one server is replaced by a cold one
+}
+
+// Details of the scenarios in which servers misbehave.
+const (
+	brokenShare = 0.8              // answers that a broken server breaks off
+	brokenTime  = time.Millisecond // how fast it does so
+	shedAbove   = 0.6              // share of the slots above which a shedding server sheds
+	coldFor     = 3 * time.Second  // time until a cold server works at full speed
+	coldFactor  = 8.0              // own time of a cold server at the start
+)
+
+func scenarios(d *deployment) []scenario {
+	return []scenario{
+		{name: "calm"},
+		{name: "slowDeep", slow: d.deep, slower: 5},
+		{name: "surge3", surge: 3},
+		{name: "surge10", surge: 10},
+		{name: "retryHard", surge: 3, repeats: 5},
+		{name: "floodLeast", flood: d.least},
+		{name: "floodMost", flood: d.most},
+		{name: "slowAndSurge", slow: d.deep, slower: 5, surge: 3},
+		{name: "logOut", logOut: true},
+		{name: "brokenServer", broken: d.services[1].name},
+		{name: "shedding", surge: 3, shed: d.services[0].name},
+		{name: "coldServer", cold: d.services[0].name},
+	}
+}
+
+func (s *scenario) surgeFactor() float64 {
+	if s.surge == 0 {
+		return 1
+	}
+	return s.surge
+}
+
+func (s *scenario) slowFactor(name ident.Service) float64 {
+	if s.slow == name && s.slower > 0 {
+		return s.slower
+	}
+	return 1
+}
--- /dev/null
+++ b/internal/bench/control.go
@@ -0,0 +1,4 @@
+package bench
+
+// control is the state of one node under the real decisions.
+type control struct{}
--- /dev/null
+++ b/internal/bench/deploy.go
@@ -0,0 +1,148 @@
+package bench
+
+import (
+	"time"
+
+	"briarworks.example/briarworks/pkg/ident"
+)
+
+// retryBound is R, the retries that one request may spend over its whole chain.
+const retryBound ident.Tokens = 3
+
+// step is one service on the path of a kind, with the time that the server spends itself.
+type step struct {
+	service ident.Service
+	own     time.Duration
+}
+
+// kind is one kind of work of a deployment.
+type kind struct {
+	name      ident.Kind
+	rank      ident.Rank
+	protected bool
+	once      bool // runs at most once for each key, not idempotent
+	rate      float64
+	deadline  time.Duration
+	path      []step
+}
+
+// work returns the time that the servers on the path spend on one request when none is slow.
+func (k *kind) work() (sum time.Duration) {
+	for _, s := range k.path {
+		sum += s.own
+	}
+	return sum
+}
+
+// service is one service of a deployment; its servers are spread evenly over the data centres.
+type service struct {
+	name    ident.Service
+	servers int
+	slots   ident.Slots
+}
+
+// deployment is the static description of a fleet and of its work.
+type deployment struct {
+	name        string
+	dataCentres int
+	inside      time.Duration // one way within a data centre
+	apart       time.Duration // one way between data centres
+	outside     time.Duration // one way between callers and the fleet
+	services    []service
+	kinds       []kind
+	deep        ident.Service // the service that the cases slow down
+	least, most ident.Kind    // the kinds that flood
+}
+
+func (d *deployment) kind(name ident.Kind) *kind {
+	for i := range d.kinds {
+		if d.kinds[i].name == name {
+			return &d.kinds[i]
+		}
+	}
+	return nil
+}
+
+func ms(n float64) time.Duration { return time.Duration(n * float64(time.Millisecond)) }
+
+// tokachi has the sizes of the Tokachi deployment. The rates load Calendar and Sorting to about 60%.
+func tokachi() *deployment {
+	return &deployment{
+		name: "tokachi", dataCentres: 3, inside: ms(0.2), apart: ms(1), outside: ms(8),
+		services: []service{
+			{"calendar", 3, 130}, {"ledger", 3, 130}, {"dispatch", 4, 100}, {"sorting", 3, 20},
+		},
+		kinds: []kind{
+			{
+				name: "routeSheet", rank: 0, protected: true, rate: 3000, deadline: time.Second,
+				path: []step{{"calendar", ms(8)}, {"dispatch", ms(15)}},
+			},
+			{
+				name: "creditClaim", rank: 0, protected: true, once: true, rate: 1500, deadline: time.Second,
+				path: []step{{"calendar", ms(8)}, {"ledger", ms(15)}},
+			},
+			{
+				name: "collectionRun", rank: 1, rate: 900, deadline: time.Second,
+				path: []step{{"calendar", ms(8)}, {"ledger", ms(12)}, {"dispatch", ms(10)}, {"sorting", ms(20)}},
+			},
+			{
+				name: "scheduleLookup", rank: 2, rate: 3000, deadline: time.Second,
+				path: []step{{"calendar", ms(5)}, {"dispatch", ms(8)}},
+			},
+			{
+				name: "guideLookup", rank: 3, rate: 1800, deadline: time.Second,
+				path: []step{{"calendar", ms(5)}, {"sorting", ms(10)}},
+			},
+		},
+		deep: "sorting", least: "guideLookup", most: "routeSheet",
+	}
+}
+
+// shikongo has the sizes of the Shikongo deployment. The rates load the Shortlist desk and the
+// Clearance desk to about 60%.
+func shikongo() *deployment {
+	return &deployment{
+		name: "shikongo", dataCentres: 3, inside: ms(0.2), apart: ms(1.5), outside: ms(8),
+		services: []service{
+			{"shortlistDesk", 4, 40}, {"reservationDesk", 3, 50}, {"packRoom", 4, 40}, {"clearanceDesk", 3, 15},
+		},
+		kinds: []kind{
+			{
+				name: "approval", rank: 0, protected: true, once: true, rate: 700, deadline: time.Second,
+				path: []step{{"shortlistDesk", ms(8)}, {"reservationDesk", ms(12)}},
+			},
+			{
+				name: "brandPack", rank: 1, rate: 500, deadline: time.Second,
+				path: []step{{"shortlistDesk", ms(6)}, {"packRoom", ms(25)}},
+			},
+			{
+				name: "filing", rank: 1, rate: 450, deadline: time.Second,
+				path: []step{{"shortlistDesk", ms(5)}, {"packRoom", ms(8)}, {"reservationDesk", ms(10)}, {"clearanceDesk", ms(15)}},
+			},
+			{
+				name: "markCheck", rank: 2, rate: 800, deadline: time.Second,
+				path: []step{{"shortlistDesk", ms(5)}, {"reservationDesk", ms(8)}, {"clearanceDesk", ms(12)}},
+			},
+			{
+				name: "shortlistBrowse", rank: 3, rate: 1200, deadline: time.Second,
+				path: []step{{"shortlistDesk", ms(5)}, {"clearanceDesk", ms(8)}},
+			},
+		},
+		deep: "clearanceDesk", least: "shortlistBrowse", most: "approval",
+	}
+}
+
+// chain is a path of 22 services, for the cost of depth only.
+func chain() *deployment {
+	const depth = 22
+	d := &deployment{name: "chain22", dataCentres: 2, inside: ms(0.2), apart: ms(1), outside: ms(8)}
+	k := kind{name: "walk", rank: 0, rate: 400, deadline: 2 * time.Second}
+	for i := range depth {
+		name := ident.Service("s" + string(rune('a'+i)))
+		d.services = append(d.services, service{name, 4, 60})
+		k.path = append(k.path, step{name, ms(5)})
+	}
+	d.kinds = []kind{k}
+	d.deep, d.least, d.most = d.services[depth-1].name, k.name, k.name
+	return d
+}
--- /dev/null
+++ b/internal/bench/record.go
@@ -0,0 +1,97 @@
+package bench
+
+import (
+	"time"
+
+	"briarworks.example/briarworks/pkg/reason"
+)
+
+// buckets is the number of intervals in which requests are counted by the time they were sent.
+const buckets = int((calmFor + faultFor + afterFor) / bucket)
+
+// counts is what became of the requests that were sent in one interval.
+type counts struct {
+	sent, whole, late int
+	refused           [32]int // by reason
+}
+
+func (c *counts) add(o *counts) {
+	c.sent += o.sent
+	c.whole += o.whole
+	c.late += o.late
+	for i := range c.refused {
+		c.refused[i] += o.refused[i]
+	}
+}
+
+// share returns the part of the sent requests that was answered whole, 1 when none was sent.
+func (c *counts) share() float64 {
+	if c.sent == 0 {
+		return 1
+	}
+	return float64(c.whole) / float64(c.sent)
+}
+
+// record is what one run measured, per kind and interval.
+type record struct {
+	d       *deployment
+	usual   [][buckets]counts // callers of the calm phase
+	flood   [][buckets]counts // callers that flood
+	retries int               // highest number of retries of one request
+}
+
+func newRecord(d *deployment) *record {
+	return &record{d: d, usual: make([][buckets]counts, len(d.kinds)), flood: make([][buckets]counts, len(d.kinds))}
+}
+
+func (r *record) count(src *source, sent time.Time) *counts {
+	i := min(int(sent.Sub(epoch)/bucket), buckets-1)
+	if src.flood {
+		return &r.flood[src.kind][i]
+	}
+	return &r.usual[src.kind][i]
+}
+
+// sum adds up the intervals between two times from the start of the run.
+func sum(c *[buckets]counts, from, to time.Duration) (all counts) {
+	for i := int(from / bucket); i < int(to/bucket); i++ {
+		all.add(&c[i])
+	}
+	return all
+}
+
+// calm returns what the usual callers of a kind had in the second before the fault.
+func (r *record) calm(k int) counts { return sum(&r.usual[k], calmFor-time.Second, calmFor) }
+
+// fault returns the usual callers and the flood during the fault.
+func (r *record) fault(k int) (usual, flood counts) {
+	return sum(&r.usual[k], calmFor, calmFor+faultFor), sum(&r.flood[k], calmFor, calmFor+faultFor)
+}
+
+// recovery returns the time from the fault's end until, from then on, no interval answers fewer than
+// the given share of its requests whole.
+func (r *record) recovery(share float64) time.Duration {
+	for i := buckets - 1; i >= int((calmFor+faultFor)/bucket); i-- {
+		var all counts
+		for k := range r.usual {
+			all.add(&r.usual[k][i])
+		}
+		if all.share() < share {
+			return time.Duration(i+1)*bucket - calmFor - faultFor
+		}
+	}
+	return 0
+}
+
+// reasons adds up the refusals during the fault by reason.
+func (r *record) reasons(k int) map[reason.Refusal]int {
+	usual, flood := r.fault(k)
+	usual.add(&flood)
+	all := map[reason.Refusal]int{}
+	for i, n := range usual.refused {
+		if n > 0 {
+			all[reason.Refusal(i)] = n
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/internal/bench/report.go
@@ -0,0 +1,181 @@
+package bench
+
+import (
+	"encoding/csv"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"briarworks.example/briarworks/pkg/ident"
+)
+
+// Targets of the design page.
+const (
+	goodputTarget   = 0.95
+	protectedTarget = 0.99
+	recoveryTarget  = 2 * time.Second
+	recoveredShare  = 0.95
+)
+
+// row is one line of the table.
+type row struct {
+	deployment, scenario, policy string
+
+	judged    bool
+	goodput   float64       // whole goodput during the fault as a share of the ideal
+	recovery  time.Duration // after the fault's end
+	kinds     []kindRow
+	protected float64 // lowest share of a protected kind
+	fits      bool    // the protected kinds alone would fit
+	kept      float64 // what other work keeps during a flood as a share of its calm goodput, -1 without a flood
+	keptIdeal float64 // the same in the ideal
+	retries   ident.Tokens
+}
+
+// kindRow is the service of one kind during the fault.
+type kindRow struct {
+	name  ident.Kind
+	rank  ident.Rank
+	share float64 // of what was sent, the part that was answered whole
+	ideal float64
+	usual float64 // the same without the callers that flood
+}
+
+// summarize makes a row from the record of a run.
+func summarize(d *deployment, s scenario, p string, rec *record) row {
+	m := newIdeal(d, &s)
+	offered, whole := make(rates, len(d.kinds)), make(rates, len(d.kinds))
+	for k := range d.kinds {
+		usual, flood := rec.fault(k)
+		if s.logOut && d.kinds[k].once {
+			continue
+		}
+		offered[k] = float64(usual.sent+flood.sent) / faultFor.Seconds()
+		whole[k] = float64(usual.whole+flood.whole) / faultFor.Seconds()
+	}
+	best := m.allocate(offered)
+	r := row{
+		deployment: d.name, scenario: s.name, policy: p,
+		goodput: m.worth(whole) / m.worth(best), recovery: rec.recovery(recoveredShare),
+		protected: 1, fits: m.protectedFit(offered), kept: -1, keptIdeal: -1,
+		retries: ident.Tokens(rec.retries),
+	}
+	for k := range d.kinds {
+		r.addKind(rec, &s, k, offered[k], best[k])
+	}
+	if s.flood != "" {
+		r.kept, r.keptIdeal = keeps(m, rec, s.flood, best)
+	}
+	return r
+}
+
+func (r *row) addKind(rec *record, s *scenario, k int, offered, best float64) {
+	kd := &rec.d.kinds[k]
+	usual, flood := rec.fault(k)
+	all := usual
+	all.add(&flood)
+	kr := kindRow{name: kd.name, rank: kd.rank, share: all.share(), usual: usual.share()}
+	if offered > 0 {
+		kr.ideal = best / offered
+	}
+	r.kinds = append(r.kinds, kr)
+	if kd.protected && offered > 0 && s.flood != kd.name {
+		r.protected = min(r.protected, kr.share)
+	}
+}
+
+// keeps compares the work of the kinds that do not flood with the calm phase.
+func keeps(m *ideal, rec *record, flood ident.Kind, best rates) (kept, ideal float64) {
+	calm, during, bound := make(rates, len(best)), make(rates, len(best)), make(rates, len(best))
+	for k := range rec.d.kinds {
+		if rec.d.kinds[k].name == flood {
+			continue
+		}
+		before := rec.calm(k)
+		usual, _ := rec.fault(k)
+		calm[k] = float64(before.whole)
+		during[k] = float64(usual.whole) / faultFor.Seconds()
+		bound[k] = best[k]
+	}
+	return m.worth(during) / m.worth(calm), m.worth(bound) / m.worth(calm)
+}
+
+// missed names the targets that the row misses.
+func (r *row) missed() (all []string) {
+	if r.goodput < goodputTarget {
+		all = append(all, "goodput")
+	}
+	if r.recovery > recoveryTarget {
+		all = append(all, "recovery")
+	}
+	if r.fits && r.protected < protectedTarget {
+		all = append(all, "protected")
+	}
+	if r.retries > retryBound {
+		all = append(all, "retries")
+	}
+	return all
+}
+
+func (r *row) mark() string {
+	if !r.judged {
+		return "-"
+	}
+	if m := r.missed(); len(m) > 0 {
+		return "MISSED " + strings.Join(m, "+")
+	}
+	return "ok"
+}
+
+var header = []string{
+	"deployment", "case", "policy", "goodputOfIdeal", "recoverySeconds", "protectedShare", "protectedFits",
+	"othersKeep", "othersKeepIdeal", "retriesHighest", "retryBound", "serviceByRank", "mark",
+}
+
+func (r *row) fields() []string {
+	var kinds []string
+	for _, k := range r.kinds {
+		kinds = append(kinds, fmt.Sprintf("%d:%s=%.3f/%.3f", k.rank, k.name, k.share, k.ideal))
+	}
+	return []string{
+		r.deployment, r.scenario, r.policy, decimal(r.goodput), fmt.Sprintf("%.1f", r.recovery.Seconds()),
+		decimal(r.protected), strconv.FormatBool(r.fits), decimal(r.kept), decimal(r.keptIdeal),
+		strconv.Itoa(int(r.retries)), strconv.Itoa(int(retryBound)), strings.Join(kinds, " "), r.mark(),
+	}
+}
+
+// decimal prints a share, or "-" for none.
+func decimal(x float64) string {
+	if x < 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.3f", x)
+}
+
+// printTable writes the rows as aligned text.
+func printTable(w io.Writer, rows []row) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, strings.Join(header, "\t"))
+	for i := range rows {
+		fmt.Fprintln(t, strings.Join(rows[i].fields(), "\t"))
+	}
+	return t.Flush()
+}
+
+// writeCSV writes the rows as comma-separated values.
+func writeCSV(w io.Writer, rows []row) error {
+	c := csv.NewWriter(w)
+	if err := c.Write(header); err != nil {
+		return err
+	}
+	for i := range rows {
+		if err := c.Write(rows[i].fields()); err != nil {
+			return err
+		}
+	}
+	c.Flush()
+	return c.Error()
+}
--- /dev/null
+++ b/internal/bench/world.go
@@ -0,0 +1,176 @@
+package bench
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"briarworks.example/briarworks/pkg/call"
+	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/reason"
+)
+
+// epoch is the virtual time at which every run starts.
+var epoch = time.Unix(1_700_000_000, 0)
+
+// reply receives the result of a hop.
+type reply func(res call.Result)
+
+// policy is the way in which nodes handle requests; its functions are the seam between the model and
+// the code under measurement.
+type policy struct {
+	name  string
+	start func(w *world, n *node)                          // makes the node's state
+	run   func(w *world)                                   // starts periodic work, may be nil
+	enter func(n *node, t *trip, r call.Request, re reply) // a request from a caller
+	child func(n *node, t *trip, r call.Request, re reply) // the call that a server makes to the next service
+}
+
+// trip is one request of a caller on its way through the fleet, over all of its hops.
+type trip struct {
+	kind    *kind
+	retries int // retries made by the fleet for this request
+}
+
+// next returns the service after the given hop.
+func (t *trip) next(hop ident.Hop) ident.Service { return t.kind.path[hop+1].service }
+
+// node is one node with its backend server.
+type node struct {
+	w      *world
+	svc    *service
+	server ident.Server
+	dc     int
+	first  time.Time // start of the server
+	cold   bool      // the server is slow after its start
+	broken bool      // the server breaks off most answers while the fault lasts
+	busy   ident.Slots
+	ctl    *control // state of the real decisions
+	line   *line    // state of the baselines
+}
+
+// world is one run.
+type world struct {
+	clock
+	d      *deployment
+	s      scenario
+	p      policy
+	work   *rand.Rand // service times and faults
+	choose *rand.Rand // random choices of the policy
+	nodes  map[ident.Service][]*node
+	all    []*node
+	seen   *record
+	log    bool // the platform's log is out
+}
+
+func newWorld(d *deployment, s scenario, p policy, seed uint64) *world {
+	w := &world{
+		clock:  clock{now: epoch},
+		d:      d,
+		s:      s,
+		p:      p,
+		work:   rand.New(rand.NewPCG(seed, 1)),
+		choose: rand.New(rand.NewPCG(seed, 2)),
+		nodes:  map[ident.Service][]*node{},
+		seen:   newRecord(d),
+	}
+	for i := range d.services {
+		svc := &d.services[i]
+		for j := range svc.servers {
+			n := &node{w: w, svc: svc, dc: j % d.dataCentres, server: ident.Server(string(svc.name) + strconv.Itoa(j))}
+			w.nodes[svc.name] = append(w.nodes[svc.name], n)
+			w.all = append(w.all, n)
+		}
+	}
+	for _, n := range w.all {
+		p.start(w, n)
+	}
+	return w
+}
+
+// faulty tells whether the fault lasts at the present time.
+func (w *world) faulty() bool {
+	t := w.now.Sub(epoch)
+	return t >= calmFor && t < calmFor+faultFor
+}
+
+// travel returns the time of one way between two nodes.
+func (w *world) travel(a, b *node) time.Duration {
+	if a.dc == b.dc {
+		return w.d.inside
+	}
+	return w.d.apart
+}
+
+// serve runs a request on the backend server, which holds a slot for its own time and for the call to
+// the next service. The caller makes sure that a slot is free.
+func (n *node) serve(t *trip, r call.Request, re reply) {
+	w := n.w
+	if w.faulty() && w.s.shed == n.svc.name && n.busy >= ident.Slots(shedAbove*float64(n.svc.slots)) {
+		w.after(ms(0.5), func() { re(call.Refuse(reason.ServerShed)) })
+		return
+	}
+	n.busy++
+	release := func(res call.Result) {
+		n.busy--
+		re(res)
+	}
+	if n.broken && w.faulty() && w.work.Float64() < brokenShare {
+		w.after(brokenTime, func() { release(call.Doubt(reason.ServerFailed)) })
+		return
+	}
+	w.after(n.ownTime(t.kind.path[r.Hop].own), func() {
+		if int(r.Hop)+1 == len(t.kind.path) {
+			release(call.Result{Outcome: reason.Ran, Status: 200, TokensLeft: r.Budget, Fraction: 1})
+			return
+		}
+		w.p.child(n, t, r, release)
+	})
+}
+
+// ownTime draws the server's own time: half is constant and half exponential around the mean.
+func (n *node) ownTime(mean time.Duration) time.Duration {
+	w := n.w
+	f := 0.5 + 0.5*w.work.ExpFloat64()
+	if w.faulty() {
+		f *= w.s.slowFactor(n.svc.name)
+	}
+	if n.cold {
+		warm := w.now.Sub(n.first).Seconds() / coldFor.Seconds()
+		f *= max(1, coldFactor*(1-warm))
+	}
+	return time.Duration(f * float64(mean))
+}
+
+// fail starts and ends the fault.
+func (w *world) fail() {
+	w.set(epoch.Add(calmFor), func() {
+		w.log = w.s.logOut
+		if w.s.broken != "" {
+			w.nodes[w.s.broken][0].broken = true
+		}
+		if w.s.cold != "" {
+			w.nodes[w.s.cold][0].restart()
+		}
+	})
+	w.set(epoch.Add(calmFor+faultFor), func() { w.log = false })
+}
+
+// restart replaces the server by a cold one; what ran on the old one still finishes.
+func (n *node) restart() {
+	n.cold, n.first = true, n.w.now
+	n.w.p.start(n.w, n)
+}
+
+// simulate runs one scenario under one policy to its end.
+func simulate(d *deployment, s scenario, p policy, seed uint64) *record {
+	w := newWorld(d, s, p, seed)
+	end := epoch.Add(calmFor + faultFor + afterFor)
+	if p.run != nil {
+		p.run(w)
+	}
+	w.fail()
+	w.arrive(seed, end)
+	w.runUntil(end.Add(2 * time.Second))
+	return w.seen
+}
