--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 GOFILES := $(shell git ls-files -co --exclude-standard '*.go' | grep -v '\.pb\.go$$')
 
-.PHONY: build lint test generate demo measure bench capacity matrix fuzz
+.PHONY: build lint test generate demo measure ablation bench capacity matrix fuzz
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -20,3 +20,12 @@
 
 demo: build
 	./scripts/demo
+
+measure:
+	$(GO) test ./internal/bench -run TestMeasure -count=1 -v -args -measure -out $(CURDIR)/out/measure.csv
+
+ablation:
+	$(GO) test ./internal/bench -run TestMeasure -count=1 -v -args -ablate -out $(CURDIR)/out/ablation.csv
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem -cpu 1,10 ./pkg/...
--- a/internal/bench/base.go
+++ b/internal/bench/base.go
@@ -52,10 +52,12 @@
 func fixedLimit() policy { return baseline("fixedLimit", 0, 1) }
 
 func baseline(name string, bound, retries int) policy {
-	visit := func(n *node, t *trip, r call.Request, re reply) {
+	var visit func(n *node, t *trip, r call.Request, re reply)
+	visit = func(n *node, t *trip, r call.Request, re reply) {
 		l := n.line // a restart replaces it
 		ok := l.pass(func() {
-			n.serve(t, r, func(res call.Result) {
+			child := func(re reply) { layer(n, t, r, retries, visit, re) }
+			n.serve(t, r, child, func(res call.Result) {
 				l.leave()
 				re(res)
 			})
@@ -79,9 +81,6 @@
 			}
 			visit(n, t, r, re)
 		},
-		child: func(n *node, t *trip, r call.Request, re reply) {
-			layer(n, t, r, retries, visit, re)
-		},
 	}
 }
 
@@ -89,7 +88,7 @@
 // time. The server goes on with a call that nobody waits for.
 func layer(n *node, t *trip, r call.Request, left int, visit func(*node, *trip, call.Request, reply), re reply) {
 	w := n.w
-	peers := w.nodes[t.next(r.Hop)]
+	peers := w.nodes[t.next(r.Service)]
 	p := peers[w.choose.IntN(len(peers))]
 	next := r
 	next.Hop, next.Service = r.Hop+1, p.svc.name
--- a/internal/bench/control.go
+++ b/internal/bench/control.go
@@ -1,4 +1,326 @@
 package bench
 
+import (
+	"strconv"
+	"time"
+
+	"briarworks.example/briarworks/pkg/admit"
+	"briarworks.example/briarworks/pkg/call"
+	"briarworks.example/briarworks/pkg/fleet"
+	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/reason"
+	"briarworks.example/briarworks/pkg/retry"
+	"briarworks.example/briarworks/pkg/route"
+	"briarworks.example/briarworks/pkg/share"
+)
+
+// tick is how often the owner of a gate calls Tick.
+const tick = 20 * time.Millisecond
+
+// without names the mechanisms that are switched off in an ablation.
+type without struct {
+	downstream bool // admitted fractions learned from answers
+	own        bool // the entry's own admitted fraction
+	kinds      bool // max-min over the kinds of one rank
+	callers    bool // max-min over callers
+	rankOrder  bool // order of the queue by rank
+	oldest     bool // order of the queue by age
+	ratio      bool // share of retries per destination
+	budget     bool // retry budget of a request
+	ejection   bool // ejection of bad servers
+	twoChoices bool // choice of two by free slots
+	limit      bool // adaptive concurrency limit
+	coldStart  bool // slow start of a new server
+}
+
 // control is the state of one node under the real decisions.
-type control struct{}
+type control struct {
+	off    *without
+	member fleet.Member
+	paths  *share.Paths
+	gate   *admit.Gate
+	sets   map[ident.Service]*route.Set
+	ratios map[ident.Service]*retry.Ratio
+}
+
+// briarworks is the policy under measurement.
+func briarworks(name string, off without) policy {
+	return policy{
+		name:  name,
+		start: func(w *world, n *node) { startControl(w, n, &off) },
+		run:   runControl,
+		enter: enterControl,
+	}
+}
+
+func startControl(w *world, n *node, off *without) {
+	c := &control{
+		off: off,
+		member: fleet.Member{
+			Server: n.server, Service: n.svc.name, DataCentre: ident.DataCentre(strconv.Itoa(n.dc)),
+			Incarnation: ident.Incarnation(w.now.UnixNano()), Slots: n.svc.slots, Announced: w.now,
+		},
+		paths:  &share.Paths{},
+		sets:   map[ident.Service]*route.Set{},
+		ratios: map[ident.Service]*retry.Ratio{},
+	}
+	c.gate = admit.New(admit.Config{
+		Service: n.svc.name, Slots: n.svc.slots, Paths: c.paths, Kinds: gateKinds(w.d, off),
+	})
+	for i := range w.d.services {
+		c.ratios[w.d.services[i].name] = &retry.Ratio{}
+	}
+	restarted := n.ctl != nil
+	n.ctl = c
+	if restarted {
+		if !off.coldStart {
+			c.gate.StartCold(w.now)
+		}
+		w.announce()
+	}
+}
+
+// gateKinds returns the kinds as the gate knows them.
+func gateKinds(d *deployment, off *without) (all []share.Kind) {
+	seen := map[ident.Kind]bool{}
+	for i := range d.kinds {
+		k := &d.kinds[i]
+		name := gateKind(k.name, k.rank, off)
+		if !seen[name] {
+			all = append(all, share.Kind{Name: name, Rank: k.rank, Protected: k.protected})
+		}
+		seen[name] = true
+	}
+	return all
+}
+
+// gateKind merges the kinds of one rank when they are not to be told apart.
+func gateKind(name ident.Kind, rank ident.Rank, off *without) ident.Kind {
+	if off.kinds {
+		return ident.Kind("rank" + strconv.Itoa(int(rank)))
+	}
+	return name
+}
+
+// announce gives every node the peers that follow from the members.
+func (w *world) announce() {
+	var s fleet.State
+	for _, n := range w.all {
+		s.Apply(n.ctl.member, w.now)
+	}
+	table := s.Table()
+	for _, n := range w.all {
+		for i := range w.d.services {
+			name := w.d.services[i].name
+			n.ctl.sets[name] = route.Build(n.ctl.member, table, name, n.ctl.sets[name])
+		}
+	}
+}
+
+func runControl(w *world) {
+	w.announce()
+	end := epoch.Add(calmFor + faultFor + afterFor)
+	for i, n := range w.all {
+		// Nodes do not tick at the same moment.
+		w.after(tick*time.Duration(i)/time.Duration(len(w.all)), func() {
+			w.every(tick, end, func() { n.ctl.gate.Tick(w.now) })
+		})
+	}
+}
+
+// enterControl takes a request from a caller: it runs here while there is a free slot, else on
+// another server of the service that has one, else it waits here.
+func enterControl(n *node, t *trip, r call.Request, re reply) {
+	w, c := n.w, n.ctl
+	if r.Once && w.log {
+		re(call.Refuse(reason.LogUnavailable))
+		return
+	}
+	r.Kind = gateKind(r.Kind, r.Rank, c.off)
+	if c.off.callers {
+		r.Caller = ""
+	}
+	if !c.offer(&r, w.now) {
+		re(call.Refuse(reason.Overload))
+		return
+	}
+	if c.gate.Free() > 0 {
+		visit(n, t, r, re)
+		return
+	}
+	p, ok := c.sets[r.Service].Pick(w.now, route.Avoid{}, w.choose.Uint64())
+	if !ok || p.Room(w.now) <= 0 {
+		visit(n, t, r, re)
+		return
+	}
+	v := &leg{n: n, t: t, r: r, re: re}
+	v.pool.Fill(r.Budget)
+	v.call(r.Service, func(res call.Result) {
+		res.TokensLeft = v.pool.Left()
+		re(res)
+	})
+}
+
+// offer applies the admitted fractions at the entry.
+func (c *control) offer(r *call.Request, now time.Time) bool {
+	if !c.off.own {
+		return c.gate.Offer(r, now)
+	}
+	r.Passed = c.paths.Except(r.Service, r.Kind, now)
+	r.Hop = 1
+	return ident.Cohort(r.Key, r.Born) < r.Passed
+}
+
+// leg is one request at one node.
+type leg struct {
+	n       *node
+	t       *trip
+	r       call.Request
+	re      reply
+	ticket  admit.Ticket
+	pool    retry.Pool
+	began   time.Time
+	outside time.Duration // spent in calls to the next service
+	below   bool          // the call to the next service failed
+}
+
+// visit takes a request through the gate and the backend server of a node.
+func visit(n *node, t *trip, r call.Request, re reply) {
+	v := &leg{n: n, t: t, r: r, re: re}
+	c, gate := n.ctl, n.ctl.gate
+	v.pool.Fill(r.Budget)
+	v.ticket.Wake = func(verdict admit.Verdict, now time.Time) { v.decided(c, gate, verdict, now) }
+	asked := r
+	if c.off.rankOrder {
+		asked.Rank, asked.Protected = 0, false
+	}
+	if c.off.oldest {
+		asked.Born = n.w.now
+	}
+	v.decided(c, gate, gate.Enter(&asked, &v.ticket, n.w.now), n.w.now)
+	v.r.Passed = asked.Passed
+}
+
+func (v *leg) decided(c *control, gate *admit.Gate, verdict admit.Verdict, now time.Time) {
+	switch verdict {
+	case admit.Wait:
+	case admit.Refuse:
+		res := call.Refuse(v.ticket.Reason)
+		res.TokensLeft = v.pool.Left()
+		v.answer(c, gate, res)
+	case admit.Run:
+		v.began = now
+		child := func(re reply) {
+			from := v.n.w.now
+			v.call(v.t.next(v.r.Service), func(res call.Result) {
+				v.outside += v.n.w.now.Sub(from)
+				v.below = res.Outcome != reason.Ran
+				re(res)
+			})
+		}
+		v.n.serve(v.t, v.r, child, func(res call.Result) { v.leave(c, gate, res) })
+	}
+}
+
+// leave ends the request's time at the backend server.
+func (v *leg) leave(c *control, gate *admit.Gate, res call.Result) {
+	now := v.n.w.now
+	total := now.Sub(v.began)
+	u := admit.Usage{Own: total - v.outside, Total: total}
+	if !v.below {
+		u.Shed = res.Reason == reason.ServerShed && !c.off.limit
+		u.Failed = res.Reason == reason.ServerFailed
+	}
+	gate.Leave(&v.ticket, u, now)
+	if v.below && res.Outcome == reason.NotRun {
+		// This server ran, so the request as a whole is no longer known not to have run.
+		res.Outcome = reason.Unknown
+	}
+	res.TokensLeft = v.pool.Left()
+	v.answer(c, gate, res)
+}
+
+// answer adds what every answer carries.
+func (v *leg) answer(c *control, gate *admit.Gate, res call.Result) {
+	res.Fraction = gate.Advertise(v.r.Kind, v.n.w.now)
+	res.Free = gate.Free()
+	v.re(res)
+}
+
+// call makes a call to another service, or hands the request to another server of the own one, and
+// repeats it as the bounds on retries allow.
+func (v *leg) call(service ident.Service, re reply) {
+	v.n.ctl.ratios[service].Call(v.n.w.now)
+	v.try(service, route.Avoid{}, 0, re)
+}
+
+func (v *leg) try(service ident.Service, avoid route.Avoid, attempt int, re reply) {
+	w, c := v.n.w, v.n.ctl
+	p, ok := c.pick(c.sets[service], avoid, w)
+	if !ok {
+		re(call.Refuse(reason.NoServer))
+		return
+	}
+	r := v.r
+	r.Service, r.Hop, r.Budget = service, v.r.Hop+1, v.pool.Lend()
+	other := w.byName[p.Member.Server]
+	from := w.now
+	p.Start()
+	back := func(res call.Result) {
+		p.Finish(c.feedback(res, w.now.Sub(from), v.t.failed == other.server), w.now)
+		v.pool.Return(res.TokensLeft)
+		if !c.off.downstream {
+			c.paths.Learn(service, r.Kind, res.Fraction, w.now)
+		}
+		if wait, again := v.again(service, res, attempt); again {
+			v.t.retries++
+			avoid.Add(p.Member.Server)
+			w.after(wait, func() { v.try(service, avoid, attempt+1, re) })
+			return
+		}
+		re(res)
+	}
+	w.after(w.travel(v.n, other), func() {
+		visit(other, v.t, r, func(res call.Result) { w.after(w.travel(other, v.n), func() { back(res) }) })
+	})
+}
+
+// again decides on a retry; every bound must allow it.
+func (v *leg) again(service ident.Service, res call.Result, attempt int) (time.Duration, bool) {
+	w, c := v.n.w, v.n.ctl
+	if _, may := retry.Decide(&v.r, res); !may {
+		return 0, false
+	}
+	wait, inTime := retry.Backoff(attempt, w.choose.Uint64(), v.r.Left(w.now))
+	if !inTime || !c.off.budget && v.pool.Left() == 0 {
+		return 0, false
+	}
+	if !c.off.ratio && !c.ratios[service].Allow(w.now) {
+		return 0, false
+	}
+	return wait, c.off.budget || v.pool.Spend()
+}
+
+// pick chooses a peer, at random when the choice of two is off.
+func (c *control) pick(set *route.Set, avoid route.Avoid, w *world) (*route.Peer, bool) {
+	rnd := w.choose.Uint64()
+	if !c.off.twoChoices {
+		return set.Pick(w.now, avoid, rnd)
+	}
+	peers := set.Peers()
+	if len(peers) == 0 {
+		return nil, false
+	}
+	return peers[rnd%uint64(len(peers))], true
+}
+
+// feedback blames a peer only for failures of its own server, not for those below it.
+func (c *control) feedback(res call.Result, latency time.Duration, own bool) route.Feedback {
+	fb := route.Feedback{Free: res.Free, Latency: latency}
+	if c.off.ejection {
+		fb.Latency = 0
+		return fb
+	}
+	fb.Failed = own && res.Outcome == reason.Unknown && res.Reason == reason.ServerFailed
+	return fb
+}
--- a/internal/bench/deploy.go
+++ b/internal/bench/deploy.go
@@ -146,3 +146,22 @@
 	d.deep, d.least, d.most = d.services[depth-1].name, k.name, k.name
 	return d
 }
+
+// small is a fleet of two services for a quick check.
+func small() *deployment {
+	return &deployment{
+		name: "small", dataCentres: 2, inside: ms(0.2), apart: ms(1), outside: ms(8),
+		services: []service{{"desk", 2, 20}, {"store", 2, 10}},
+		kinds: []kind{
+			{
+				name: "order", rank: 0, protected: true, once: true, rate: 200, deadline: time.Second,
+				path: []step{{"desk", ms(5)}, {"store", ms(10)}},
+			},
+			{
+				name: "browse", rank: 1, rate: 800, deadline: time.Second,
+				path: []step{{"desk", ms(5)}, {"store", ms(10)}},
+			},
+		},
+		deep: "store", least: "browse", most: "order",
+	}
+}
--- a/internal/bench/record.go
+++ b/internal/bench/record.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"briarworks.example/briarworks/pkg/ident"
 	"briarworks.example/briarworks/pkg/reason"
 )
 
@@ -38,6 +39,7 @@
 	usual   [][buckets]counts // callers of the calm phase
 	flood   [][buckets]counts // callers that flood
 	retries int               // highest number of retries of one request
+	over    ident.Slots       // most calls above the slots at one server
 }
 
 func newRecord(d *deployment) *record {
--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -33,6 +33,7 @@
 	kept      float64 // what other work keeps during a flood as a share of its calm goodput, -1 without a flood
 	keptIdeal float64 // the same in the ideal
 	retries   ident.Tokens
+	over      ident.Slots // most calls above the slots at one server; the model is void if there are any
 }
 
 // kindRow is the service of one kind during the fault.
@@ -61,7 +62,7 @@
 		deployment: d.name, scenario: s.name, policy: p,
 		goodput: m.worth(whole) / m.worth(best), recovery: rec.recovery(recoveredShare),
 		protected: 1, fits: m.protectedFit(offered), kept: -1, keptIdeal: -1,
-		retries: ident.Tokens(rec.retries),
+		retries: ident.Tokens(rec.retries), over: rec.over,
 	}
 	for k := range d.kinds {
 		r.addKind(rec, &s, k, offered[k], best[k])
@@ -117,6 +118,9 @@
 	if r.retries > retryBound {
 		all = append(all, "retries")
 	}
+	if r.over > 0 {
+		all = append(all, "slots")
+	}
 	return all
 }
 
--- a/internal/bench/world.go
+++ b/internal/bench/world.go
@@ -23,17 +23,27 @@
 	start func(w *world, n *node)                          // makes the node's state
 	run   func(w *world)                                   // starts periodic work, may be nil
 	enter func(n *node, t *trip, r call.Request, re reply) // a request from a caller
-	child func(n *node, t *trip, r call.Request, re reply) // the call that a server makes to the next service
 }
 
 // trip is one request of a caller on its way through the fleet, over all of its hops.
 type trip struct {
 	kind    *kind
-	retries int // retries made by the fleet for this request
+	retries int          // retries made by the fleet for this request
+	failed  ident.Server // last server that broke off its answer
 }
 
-// next returns the service after the given hop.
-func (t *trip) next(hop ident.Hop) ident.Service { return t.kind.path[hop+1].service }
+// at returns the position of a service on the path.
+func (t *trip) at(name ident.Service) int {
+	for i := range t.kind.path {
+		if t.kind.path[i].service == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// next returns the service after the given one.
+func (t *trip) next(name ident.Service) ident.Service { return t.kind.path[t.at(name)+1].service }
 
 // node is one node with its backend server.
 type node struct {
@@ -41,12 +51,12 @@
 	svc    *service
 	server ident.Server
 	dc     int
-	first  time.Time // start of the server
-	cold   bool      // the server is slow after its start
-	broken bool      // the server breaks off most answers while the fault lasts
-	busy   ident.Slots
-	ctl    *control // state of the real decisions
-	line   *line    // state of the baselines
+	first  time.Time    // start of the server
+	cold   bool         // the server is slow after its start
+	broken bool         // the server breaks off most answers while the fault lasts
+	busy   *ident.Slots // slots in use on the present server
+	ctl    *control     // state of the real decisions
+	line   *line        // state of the baselines
 }
 
 // world is one run.
@@ -59,6 +69,7 @@
 	choose *rand.Rand // random choices of the policy
 	nodes  map[ident.Service][]*node
 	all    []*node
+	byName map[ident.Server]*node
 	seen   *record
 	log    bool // the platform's log is out
 }
@@ -72,14 +83,16 @@
 		work:   rand.New(rand.NewPCG(seed, 1)),
 		choose: rand.New(rand.NewPCG(seed, 2)),
 		nodes:  map[ident.Service][]*node{},
+		byName: map[ident.Server]*node{},
 		seen:   newRecord(d),
 	}
 	for i := range d.services {
 		svc := &d.services[i]
 		for j := range svc.servers {
-			n := &node{w: w, svc: svc, dc: j % d.dataCentres, server: ident.Server(string(svc.name) + strconv.Itoa(j))}
+			n := &node{w: w, svc: svc, dc: j % d.dataCentres, busy: new(ident.Slots), server: ident.Server(string(svc.name) + strconv.Itoa(j))}
 			w.nodes[svc.name] = append(w.nodes[svc.name], n)
 			w.all = append(w.all, n)
+			w.byName[n.server] = n
 		}
 	}
 	for _, n := range w.all {
@@ -103,28 +116,32 @@
 }
 
 // serve runs a request on the backend server, which holds a slot for its own time and for the call to
-// the next service. The caller makes sure that a slot is free.
-func (n *node) serve(t *trip, r call.Request, re reply) {
+// the next service, which child makes. The policy makes sure that a slot is free.
+func (n *node) serve(t *trip, r call.Request, child func(re reply), re reply) {
 	w := n.w
-	if w.faulty() && w.s.shed == n.svc.name && n.busy >= ident.Slots(shedAbove*float64(n.svc.slots)) {
+	if w.faulty() && w.s.shed == n.svc.name && *n.busy >= ident.Slots(shedAbove*float64(n.svc.slots)) {
 		w.after(ms(0.5), func() { re(call.Refuse(reason.ServerShed)) })
 		return
 	}
-	n.busy++
+	busy := n.busy // a restart replaces it
+	*busy++
+	w.seen.over = max(w.seen.over, *busy-n.svc.slots)
 	release := func(res call.Result) {
-		n.busy--
+		*busy--
 		re(res)
 	}
 	if n.broken && w.faulty() && w.work.Float64() < brokenShare {
+		t.failed = n.server
 		w.after(brokenTime, func() { release(call.Doubt(reason.ServerFailed)) })
 		return
 	}
-	w.after(n.ownTime(t.kind.path[r.Hop].own), func() {
-		if int(r.Hop)+1 == len(t.kind.path) {
+	at := t.at(r.Service)
+	w.after(n.ownTime(t.kind.path[at].own), func() {
+		if at+1 == len(t.kind.path) {
 			release(call.Result{Outcome: reason.Ran, Status: 200, TokensLeft: r.Budget, Fraction: 1})
 			return
 		}
-		w.p.child(n, t, r, release)
+		child(release)
 	})
 }
 
@@ -158,7 +175,7 @@
 
 // restart replaces the server by a cold one; what ran on the old one still finishes.
 func (n *node) restart() {
-	n.cold, n.first = true, n.w.now
+	n.cold, n.first, n.busy = true, n.w.now, new(ident.Slots)
 	n.w.p.start(n.w, n)
 }
 
