--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 )
 
 var (
@@ -43,8 +44,10 @@
 		wg.Go(func() {
 			gate <- struct{}{}
 			j := &jobs[i]
+			began := time.Now()
 			rows[i] = summarize(j.d, j.s, j.p.name, simulate(j.d, j.s, j.p, seed))
 			rows[i].judged = strings.HasPrefix(j.p.name, product)
+			rows[i].took = time.Since(began)
 			<-gate
 		})
 	}
--- a/internal/bench/ideal.go
+++ b/internal/bench/ideal.go
@@ -17,8 +17,9 @@
 	hold  []map[ident.Service]float64
 }
 
-// newIdeal computes slot times without any waiting: a server holds its slot for its own time and for
-// the whole call that it makes to the next service.
+// newIdeal computes slot times without any waiting and with every call inside of a data centre, which
+// no policy can undercut: a server holds its slot for its own time and for the whole call that it
+// makes to the next service.
 func newIdeal(d *deployment, s *scenario) *ideal {
 	m := &ideal{d: d, slots: map[ident.Service]float64{}}
 	for _, svc := range d.services {
@@ -30,8 +31,7 @@
 			m.slots[svc.name] *= float64(svc.servers-1) / float64(svc.servers)
 		}
 	}
-	away := float64(d.dataCentres-1) / float64(d.dataCentres)
-	trip := 2 * (away*d.apart.Seconds() + (1-away)*d.inside.Seconds())
+	trip := 2 * d.inside.Seconds()
 	for i := range d.kinds {
 		hold := map[ident.Service]float64{}
 		below := 0.0
--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -25,6 +25,7 @@
 	deployment, scenario, policy string
 
 	judged    bool
+	took      time.Duration // real time of the run
 	goodput   float64       // whole goodput during the fault as a share of the ideal
 	recovery  time.Duration // after the fault's end
 	kinds     []kindRow
@@ -32,6 +33,7 @@
 	fits      bool    // the protected kinds alone would fit
 	kept      float64 // what other work keeps during a flood as a share of its calm goodput, -1 without a flood
 	keptIdeal float64 // the same in the ideal
+	usual     float64 // share of the flooding kind's other callers, -1 without a flood
 	retries   ident.Tokens
 	over      ident.Slots // most calls above the slots at one server; the model is void if there are any
 }
@@ -42,7 +44,6 @@
 	rank  ident.Rank
 	share float64 // of what was sent, the part that was answered whole
 	ideal float64
-	usual float64 // the same without the callers that flood
 }
 
 // summarize makes a row from the record of a run.
@@ -61,7 +62,7 @@
 	r := row{
 		deployment: d.name, scenario: s.name, policy: p,
 		goodput: m.worth(whole) / m.worth(best), recovery: rec.recovery(recoveredShare),
-		protected: 1, fits: m.protectedFit(offered), kept: -1, keptIdeal: -1,
+		protected: 1, fits: m.protectedFit(offered), kept: -1, keptIdeal: -1, usual: -1,
 		retries: ident.Tokens(rec.retries), over: rec.over,
 	}
 	for k := range d.kinds {
@@ -78,11 +79,14 @@
 	usual, flood := rec.fault(k)
 	all := usual
 	all.add(&flood)
-	kr := kindRow{name: kd.name, rank: kd.rank, share: all.share(), usual: usual.share()}
+	kr := kindRow{name: kd.name, rank: kd.rank, share: all.share()}
 	if offered > 0 {
 		kr.ideal = best / offered
 	}
 	r.kinds = append(r.kinds, kr)
+	if s.flood == kd.name {
+		r.usual = usual.share()
+	}
 	if kd.protected && offered > 0 && s.flood != kd.name {
 		r.protected = min(r.protected, kr.share)
 	}
@@ -136,7 +140,7 @@
 
 var header = []string{
 	"deployment", "case", "policy", "goodputOfIdeal", "recoverySeconds", "protectedShare", "protectedFits",
-	"othersKeep", "othersKeepIdeal", "retriesHighest", "retryBound", "serviceByRank", "mark",
+	"othersKeep", "othersKeepIdeal", "usualCallersOfFlood", "retriesHighest", "retryBound", "mark", "runSeconds", "serviceByRank",
 }
 
 func (r *row) fields() []string {
@@ -146,8 +150,9 @@
 	}
 	return []string{
 		r.deployment, r.scenario, r.policy, decimal(r.goodput), fmt.Sprintf("%.1f", r.recovery.Seconds()),
-		decimal(r.protected), strconv.FormatBool(r.fits), decimal(r.kept), decimal(r.keptIdeal),
-		strconv.Itoa(int(r.retries)), strconv.Itoa(int(retryBound)), strings.Join(kinds, " "), r.mark(),
+		decimal(r.protected), strconv.FormatBool(r.fits), decimal(r.kept), decimal(r.keptIdeal), decimal(r.usual),
+		strconv.Itoa(int(r.retries)), strconv.Itoa(int(retryBound)), r.mark(),
+		fmt.Sprintf("%.1f", r.took.Seconds()), strings.Join(kinds, " "),
 	}
 }
 
