bench: compare each ablation with the full product, add a broken service

A cold server now works at full speed on part of its slots only, and its case runs near capacity, so that the slow start has something to protect.

--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -120,6 +120,11 @@
 	if err := printTable(os.Stdout, rows); err != nil {
 		t.Fatal(err)
 	}
+	if *ablate {
+		if err := printChanges(os.Stdout, names(ablations()), rows); err != nil {
+			t.Fatal(err)
+		}
+	}
 	if *out == "" {
 		return
 	}
@@ -128,6 +133,13 @@
 	}
 }
 
+func names(all []policy) (list []string) {
+	for _, p := range all {
+		list = append(list, p.name)
+	}
+	return list
+}
+
 func save(path string, rows []row) error {
 	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
 		return err
--- a/internal/bench/cases.go
+++ b/internal/bench/cases.go
@@ -27,6 +27,7 @@
 	repeats int           // times that a caller repeats a refused or late request at once
 	logOut  bool          // the platform's log is out
 	broken  ident.Service // service of which one server breaks off most answers
+	all     bool          // all servers of that service are broken
 	shed    ident.Service // service whose servers shed above part of their slots
 	cold    ident.Service // service of which one server is replaced by a cold one
 }
@@ -37,7 +38,7 @@
 	brokenTime  = time.Millisecond // how fast it does so
 	shedAbove   = 0.6              // share of the slots above which a shedding server sheds
 	coldFor     = 3 * time.Second  // time until a cold server works at full speed
-	coldFactor  = 8.0              // own time of a cold server at the start
+	coldPart    = 0.125            // part of its slots on which a cold server is as fast as a warm one
 )
 
 func scenarios(d *deployment) []scenario {
@@ -52,8 +53,9 @@
 		{name: "slowAndSurge", slow: d.deep, slower: 5, surge: 3},
 		{name: "logOut", logOut: true},
 		{name: "brokenServer", broken: d.services[1].name},
+		{name: "brokenService", broken: d.deep, all: true},
 		{name: "shedding", surge: 3, shed: d.services[0].name},
-		{name: "coldServer", cold: d.services[0].name},
+		{name: "coldServer", surge: 1.5, cold: d.services[0].name},
 	}
 }
 
--- a/internal/bench/ideal.go
+++ b/internal/bench/ideal.go
@@ -27,7 +27,7 @@
 		if s.shed == svc.name {
 			m.slots[svc.name] *= shedAbove
 		}
-		if s.broken == svc.name || s.cold == svc.name {
+		if s.broken == svc.name && !s.all || s.cold == svc.name {
 			m.slots[svc.name] *= float64(svc.servers-1) / float64(svc.servers)
 		}
 	}
@@ -69,6 +69,17 @@
 	return slices.Compact(all)
 }
 
+// answerable limits the rates to what a wholly broken service answers without any retry.
+func (m *ideal) answerable(s *scenario, offered rates) rates {
+	capped := slices.Clone(offered)
+	for i := range m.d.kinds {
+		if _, uses := m.hold[i][s.broken]; uses && s.all {
+			capped[i] *= 1 - brokenShare
+		}
+	}
+	return capped
+}
+
 // fill serves one rank from what is left.
 func (m *ideal) fill(rank ident.Rank, offered, got rates, left map[ident.Service]float64) {
 	const tiny = 1e-9
--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -58,7 +58,7 @@
 		offered[k] = float64(usual.sent+flood.sent) / faultFor.Seconds()
 		whole[k] = float64(usual.whole+flood.whole) / faultFor.Seconds()
 	}
-	best := m.allocate(offered)
+	best := m.allocate(m.answerable(&s, offered))
 	r := row{
 		deployment: d.name, scenario: s.name, policy: p,
 		goodput: m.worth(whole) / m.worth(best), recovery: rec.recovery(recoveredShare),
--- a/internal/bench/world.go
+++ b/internal/bench/world.go
@@ -153,8 +153,10 @@
 		f *= w.s.slowFactor(n.svc.name)
 	}
 	if n.cold {
-		warm := w.now.Sub(n.first).Seconds() / coldFor.Seconds()
-		f *= max(1, coldFactor*(1-warm))
+		// A cold server works as fast as a warm one only on part of its slots.
+		warm := min(1, w.now.Sub(n.first).Seconds()/coldFor.Seconds())
+		able := float64(n.svc.slots) * (coldPart + (1-coldPart)*warm)
+		f *= max(1, float64(*n.busy)/able)
 	}
 	return time.Duration(f * float64(mean))
 }
@@ -164,7 +166,7 @@
 	w.set(epoch.Add(calmFor), func() {
 		w.log = w.s.logOut
 		if w.s.broken != "" {
-			w.nodes[w.s.broken][0].broken = true
+			w.breakServers()
 		}
 		if w.s.cold != "" {
 			w.nodes[w.s.cold][0].restart()
@@ -173,6 +175,13 @@
 	w.set(epoch.Add(calmFor+faultFor), func() { w.log = false })
 }
 
+// breakServers breaks one server of the scenario's service, or all of them.
+func (w *world) breakServers() {
+	for i, n := range w.nodes[w.s.broken] {
+		n.broken = i == 0 || w.s.all
+	}
+}
+
 // restart replaces the server by a cold one; what ran on the old one still finishes.
 func (n *node) restart() {
 	n.cold, n.first, n.busy = true, n.w.now, new(ident.Slots)
