--- a/pkg/limit/limit.go
+++ b/pkg/limit/limit.go
@@ -11,9 +11,10 @@
 const (
 	shedFall       = 0.9                    // limit after a window in which the server shed
 	floodFall      = 0.75                   // the same when it shed more than a third of the calls
-	lowerStep      = 0.8                    // limit during a trial of lower concurrency
+	lowerStep      = 0.1                    // part taken off the limit by a first trial of lower concurrency; it doubles while trials succeed
+	lowerMost      = 0.3                    // largest such part
 	raiseStep      = 1.25                   // limit during a trial of higher concurrency
-	margin         = 0.05                   // by which throughput and own time must differ to accept a trial
+	margin         = 0.03                   // by which throughput and own time must differ to accept a trial
 	risen          = 1.25                   // own time against the base at which a trial is due at once
 	coldShare      = 8                      // divisor of the slots at a cold start
 	coldStep       = time.Second            // time after which a cold limit doubles
@@ -86,6 +87,7 @@
 
 	// Trial.
 	state   trial
+	step    float64 // part that the next trial takes off
 	before  float64 // limit to return to
 	ref     measure // at the limit before the trial
 	try     measure // at the limit of the trial
@@ -95,6 +97,7 @@
 
 	own  float64 // smoothed own time in seconds, 0 when unknown
 	base float64 // own time that is not taken for crowding, 0 when unknown
+	seen int     // calls answered, up to 2*baseDone
 	calm int     // calls answered while the limit was not in full use
 
 	span float64 // length of the last window in seconds
@@ -107,7 +110,7 @@
 
 // New returns a limiter whose limit is the given number of slots.
 func New(slots ident.Slots) *Limiter {
-	l := &Limiter{}
+	l := &Limiter{step: lowerStep}
 	l.SetSlots(slots)
 	return l
 }
@@ -130,7 +133,7 @@
 	slots := l.slots
 	l.reset(now)
 	l.held, l.knee, l.state = false, false, noTrial
-	l.own, l.base, l.coldLast, l.calm = 0, 0, 0, 0
+	l.own, l.base, l.coldLast, l.seen, l.calm = 0, 0, 0, 0, 0
 	l.coldNow = measure{}
 	l.cold = max(1, slots/coldShare)
 	l.coldNext = now.Add(coldStep)
@@ -190,11 +193,11 @@
 		return
 	}
 	mean := s.Own.Seconds() / float64(s.Done)
-	if l.own == 0 {
-		l.own = mean
-	}
-	l.own += (mean - l.own) * float64(s.Done) / float64(s.Done+baseDone)
-	if l.base == 0 || l.own < l.base {
+	l.seen = min(l.seen+s.Done, 2*baseDone)
+	// The first calls to end are the short ones, so the first windows count by their calls only.
+	weight := max(float64(s.Done)/float64(s.Done+baseDone), float64(s.Done)/float64(max(l.seen, s.Done)))
+	l.own += (mean - l.own) * weight
+	if l.seen == 2*baseDone && (l.base == 0 || l.own < l.base) {
 		l.base = l.own
 	}
 	if !s.Full {
@@ -268,7 +271,7 @@
 	switch {
 	case l.knee:
 		if l.lowerDue(now) {
-			l.begin(lower, lowerStep, now)
+			l.begin(lower, 1-l.step, now)
 		} else if !now.Before(l.until) && l.ref.enough() {
 			l.begin(raise, raiseStep, now)
 		}
@@ -302,7 +305,7 @@
 func (l *Limiter) consider(s Sample, now time.Time) {
 	l.refer(s)
 	if l.cold == 0 && l.lowerDue(now) {
-		l.begin(lower, lowerStep, now)
+		l.begin(lower, 1-l.step, now)
 	}
 }
 
@@ -310,7 +313,7 @@
 	if !l.ref.enough() || l.limit <= 2 {
 		return false
 	}
-	return l.ref.ownTime() > risen*l.base || l.calm < baseDone && !l.knee && !now.Before(l.due)
+	return l.base > 0 && l.ref.ownTime() > risen*l.base || l.calm < baseDone && !l.knee && !now.Before(l.due)
 }
 
 func (l *Limiter) begin(t trial, step float64, now time.Time) {
@@ -359,8 +362,10 @@
 		l.retrial = firstRetrial
 		return
 	}
-	// The server is slow and not crowded: its present own time is the new base.
-	l.base = l.ref.ownTime()
+	// The server is slow and not crowded: its present own time is the new base. The reference may date
+	// from when the server was only becoming slow.
+	l.step = lowerStep
+	l.base = max(l.ref.ownTime(), l.try.ownTime())
 	l.retrial = min(2*l.retrial, longestRetrial)
 	l.due = now.Add(l.retrial)
 	l.until = now.Add(l.hold)
