--- /dev/null
+++ b/internal/record/config.go
@@ -0,0 +1,51 @@
+package record
+
+import (
+	"time"
+
+	"briarworks.example/briarworks/internal/record/recpb"
+	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/order"
+)
+
+// FromOrder returns the record of a publish or a carry.
+func FromOrder(o order.Record) *recpb.Record {
+	if p := o.Publish; p != nil {
+		return &recpb.Record{
+			Id: string(p.ID), WrittenUnixNs: unixNs(p.At),
+			Body: &recpb.Record_Publish{Publish: &recpb.Publish{
+				Base: uint64(p.Base), Document: p.Document, Author: p.Author,
+			}},
+		}
+	}
+	c := o.Carry
+	return &recpb.Record{
+		WrittenUnixNs: unixNs(c.At),
+		Body: &recpb.Record_Carry{Carry: &recpb.Carry{
+			Version: uint64(c.Version), Through: int64(c.Through), Document: c.Document, Author: c.Author,
+			PublishId: string(c.ID), AcceptedUnixNs: unixNs(c.AcceptedAt),
+		}},
+	}
+}
+
+// ToOrder returns what a record that the log took at the given time means for the order of
+// configurations, and whether it has a usable body. The document is not looked at, so that all software
+// versions fold alike.
+func ToOrder(r *recpb.Record, at time.Time) (o order.Record, ok bool) {
+	switch b := r.GetBody().(type) {
+	case *recpb.Record_Publish:
+		o.Publish = &order.Publish{
+			ID: ident.RecordID(r.GetId()), Base: ident.Version(b.Publish.GetBase()),
+			Document: b.Publish.GetDocument(), Author: b.Publish.GetAuthor(), At: at,
+		}
+		return o, true
+	case *recpb.Record_Carry:
+		o.Carry = &order.Carry{At: at, Accepted: order.Accepted{
+			Version: ident.Version(b.Carry.GetVersion()), Through: ident.Offset(b.Carry.GetThrough()),
+			Document: b.Carry.GetDocument(), Author: b.Carry.GetAuthor(),
+			ID: ident.RecordID(b.Carry.GetPublishId()), AcceptedAt: fromUnixNs(b.Carry.GetAcceptedUnixNs()),
+		}}
+		return o, b.Carry.GetThrough() >= 0
+	}
+	return o, false
+}
--- a/pkg/route/room.go
+++ b/pkg/route/room.go
@@ -1,7 +1,11 @@
 package route
 
-import "time"
+import (
+	"time"
 
-// Room returns the slots that the peer is taken to have free; an entry node hands a request to
-// another server of its service only while there is room.
-func (p *Peer) Room(now time.Time) int { return int(p.state.roomAt(now.UnixNano())) }
+	"briarworks.example/briarworks/pkg/ident"
+)
+
+// Room returns the free slots that the peer is believed to have, less the calls started since its last
+// answer.
+func (p *Peer) Room(now time.Time) ident.Slots { return ident.Slots(p.state.roomAt(now.UnixNano())) }
--- a/pkg/route/set.go
+++ b/pkg/route/set.go
@@ -1,7 +1,6 @@
 package route
 
 import (
-	"math/bits"
 	"slices"
 	"time"
 
@@ -20,6 +19,7 @@
 	service ident.Service
 	peers   []*Peer
 	near    int    // number of peers in the own data centre
+	inputs  uint64 // fingerprint of what the set was built from
 	seed    uint64 // makes the jitter of this node differ from that of others
 }
 
@@ -123,7 +123,7 @@
 		}
 		room := p.state.roomAt(t)
 		switch {
-		case p.state.heldBack(t, bits.RotateLeft64(mix(rnd), 5*i)):
+		case p.state.heldBack(t, rnd):
 			held.add(i, room)
 		case room <= 0:
 			full.add(i, room)
