admit: count a repeated request once in the demand at the entry

Callers that repeat a refused request at once were counted anew each time. The demand rose with every refusal, the admitted fraction fell below what fits, and the correction of the capacity then let less urgent work in. A repeated key keeps its cohort, so the requests that passed tell how many different ones there are.

--- a/pkg/admit/gate.go
+++ b/pkg/admit/gate.go
@@ -73,6 +73,7 @@
 		return false
 	}
 	n.passed.Add(1)
+	n.unique.Add(uint64(weightOne / req.Passed))
 	return true
 }
 
--- a/pkg/admit/kind.go
+++ b/pkg/admit/kind.go
@@ -31,6 +31,7 @@
 type counts struct {
 	offered atomic.Uint64 // new requests at the entry
 	passed  atomic.Uint64 // those that passed
+	unique  atomic.Uint64 // sum of 1/Passed over them, in 1/weightOne
 	entered atomic.Uint64 // those that came to this server
 	arrived atomic.Uint64 // begun requests that came to this server
 	weight  atomic.Uint64 // sum of 1/Passed over them, in 1/weightOne
@@ -39,17 +40,17 @@
 	good    atomic.Uint64 // calls that the server answered
 	own     atomic.Uint64 // their own time in ns
 	shed    atomic.Uint64 // calls that the server shed
-	_       [48]byte
+	_       [40]byte
 }
 
 // sums is a reading of all counts.
 type sums struct {
-	offered, passed, entered, arrived, weight, done, total, good, own, shed float64
+	offered, passed, unique, entered, arrived, weight, done, total, good, own, shed float64
 }
 
 func (s *sums) minus(o *sums) sums {
 	return sums{
-		s.offered - o.offered, s.passed - o.passed, s.entered - o.entered, s.arrived - o.arrived,
+		s.offered - o.offered, s.passed - o.passed, s.unique - o.unique, s.entered - o.entered, s.arrived - o.arrived,
 		s.weight - o.weight, s.done - o.done, s.total - o.total, s.good - o.good, s.own - o.own,
 		s.shed - o.shed,
 	}
@@ -115,6 +116,7 @@
 		n := &k.counts[i]
 		s.offered += float64(n.offered.Load())
 		s.passed += float64(n.passed.Load())
+		s.unique += float64(n.unique.Load()) / weightOne
 		s.entered += float64(n.entered.Load())
 		s.arrived += float64(n.arrived.Load())
 		s.weight += float64(n.weight.Load()) / weightOne
--- a/pkg/admit/window.go
+++ b/pkg/admit/window.go
@@ -17,6 +17,7 @@
 	callerWeight  = 0.3                  // of the last window in the demand of a bucket of callers
 	heldBelow     = 0.8                  // passed against advertised fraction below which another service is narrower
 	heldRoom      = 1.1                  // growth left to a kind that another service holds back
+	repeatMemory  = 0.6                  // of the counts of a window that the next one keeps
 	forget        = 0.9                  // expected time kept by a window without finished calls
 	usedTarget    = 1.02                 // part of the limit that should be in use under overload
 	queueTarget   = 5 * time.Millisecond // mean wait under overload
@@ -38,6 +39,7 @@
 	passed  float64 // part of it that the entry nodes let through
 	through float64 // part of the outside demand that arrives here
 	shown   float64 // fraction that upstream nodes know
+	repeats repeats
 	callers [callerBuckets]float64
 	seen    [callerBuckets]uint32
 }
@@ -147,13 +149,14 @@
 		local += (min(1, d.entered/d.passed) - local) * d.passed / (d.passed + demandCalls)
 		k.local.store(ident.Fraction(local))
 	}
-	e.entry = follow(e.entry, d.offered*local, d.offered, 1, span)
+	offered := d.offered * local / e.repeats.factor(d)
+	e.entry = follow(e.entry, offered, d.offered, 1, span)
 	if d.arrived > 0 {
 		// Passed is what the entry applied, not a measurement: it needs little smoothing.
 		e.passed += (d.arrived/d.weight - e.passed) * 0.5
 	}
 	e.begun = follow(e.begun, d.weight, d.arrived, min(e.passed, e.shown), span)
-	if calls := d.offered*local + d.weight; calls > 0 {
+	if calls := offered + d.weight; calls > 0 {
 		seen := d.offered + d.arrived
 		e.through += (min(1, (d.entered+d.arrived)/calls) - e.through) * seen / (seen + fewCalls)
 	}
@@ -290,3 +293,21 @@
 	}
 	k.split.Store(c)
 }
+
+// repeats measures how often callers repeat refused requests. A repeated key keeps its cohort, so only
+// refused requests are counted several times; those that passed, each for 1/Passed, tell how many
+// different ones there were. Without this correction every refusal would raise the demand and with it
+// the refusals.
+type repeats struct{ offered, passed, unique float64 }
+
+// factor returns the number of times that a request was offered on average, 1 when chance explains
+// more.
+func (r *repeats) factor(d *sums) float64 {
+	r.offered = r.offered*repeatMemory + d.offered
+	r.passed = r.passed*repeatMemory + d.passed
+	r.unique = r.unique*repeatMemory + d.unique
+	if r.passed < 1 {
+		return 1
+	}
+	return max(1, r.offered/r.unique*(1-surprise/math.Sqrt(r.passed)))
+}
