admit: aim at a fuller limit under overload

The correction of the capacity aimed at 1.02 of the limit in use, and with small fractions and noisy estimates about 0.95 was reached. At 1.08 the queue is seldom empty.

--- a/pkg/admit/window.go
+++ b/pkg/admit/window.go
@@ -19,7 +19,7 @@
 	heldRoom      = 1.1                  // growth left to a kind that another service holds back
 	repeatMemory  = 0.6                  // of the counts of a window that the next one keeps
 	forget        = 0.9                  // expected time kept by a window without finished calls
-	usedTarget    = 1.02                 // part of the limit that should be in use under overload
+	usedTarget    = 1.08                 // part of the limit that should be in use under overload
 	queueTarget   = 5 * time.Millisecond // mean wait under overload
 	queueCalls    = 3                    // mean length of the queue that is allowed in any case
 	gainStep      = 0.3                  // gain per window; the loop's delay of about three windows allows 0.5
