admit: let kinds below their share go first within a rank

The queue served a rank by age alone. Calls that hold a slot for long, because a service below is slow, filled the limit and the queue, and short calls of the same rank that were admitted in full waited out their 50 ms. A kind above its share now counts as younger by the longest wait.

--- a/pkg/admit/gate.go
+++ b/pkg/admit/gate.go
@@ -139,6 +139,11 @@
 func (g *Gate) wait(req *call.Request, t *Ticket, expected time.Duration, now time.Time) Verdict {
 	t.order = share.Kind{Rank: req.Rank, Protected: req.Protected}
 	t.born, t.begun = req.Born, req.Hop > 0
+	if t.kind.own.load() < 1 {
+		// A kind above its share of the limit yields to kinds of its rank that are below theirs. Else
+		// calls that hold their slots for long would take the queue from short ones.
+		t.born = t.born.Add(g.cfg.MaxWait)
+	}
 	t.expire = now.Add(g.longest(req, expected))
 	if !req.Deadline.IsZero() {
 		t.expire = earlier(t.expire, req.Deadline.Add(-expected))
