admit: show the limiter calls of one size

Under overload the mix of kinds shifts. Each call now counts with the own time that its kind usually takes.

--- a/pkg/admit/window.go
+++ b/pkg/admit/window.go
@@ -18,6 +18,8 @@
 	heldBelow     = 0.8                  // passed against advertised fraction below which another service is narrower
 	heldRoom      = 1.1                  // growth left to a kind that another service holds back
 	repeatMemory  = 0.6                  // of the counts of a window that the next one keeps
+	firstCalls    = 200                  // calls that the first usual own time of a kind is taken over
+	usualCalls    = 20000                // calls over which it is taken later
 	forget        = 0.9                  // expected time kept by a window without finished calls
 	usedTarget    = 1.08                 // part of the limit that should be in use under overload
 	queueTarget   = 5 * time.Millisecond // mean wait under overload
@@ -34,6 +36,8 @@
 type estimate struct {
 	last    sums
 	cost    float64 // slot time of a call in s, 0 when unknown
+	calls   float64 // answered calls that usual was taken from
+	usual   float64 // own time of a call over a long time in s
 	entry   float64 // new requests at the entry that would come here, per second
 	begun   float64 // outside demand that reaches this server from other nodes, calls per second
 	passed  float64 // part of it that the entry nodes let through
@@ -57,6 +61,7 @@
 	queued   float64 // sum over samples of the queue's length
 	gain     float64 // correction of the capacity for errors of the estimates
 	meanTime float64 // mean slot time of a call in s
+	usual    float64 // own time of a standard call in s, see standard
 	demands  []share.Demand
 	states   []*kindState
 }
@@ -88,29 +93,30 @@
 	var s limit.Sample
 	kinds := g.kinds.Load()
 	w.demands, w.states = w.demands[:0], w.states[:0]
-	var total float64
+	m := mix{calm: used < fullUse && !g.pressed.Load()}
 	for _, k := range kinds.list {
-		d := k.measure(span, &s, &total)
+		d := k.measure(span, &s, &m)
 		w.demands = append(w.demands, d)
 		w.states = append(w.states, k)
 	}
 	s.Span = span
 	if s.Done > 0 {
-		w.meanTime = total / float64(s.Done)
+		w.meanTime = m.slotTime / float64(s.Done)
 	}
 	s.Full = used >= fullUse
-	g.limiter.Roll(s, now)
+	g.limiter.Roll(w.standard(s, &m), now)
 	g.limit.Store(int32(g.limiter.Limit()))
 	g.divide(used, waits > 0, refused, s, now)
 }
 
 // measure updates the estimates of a kind and returns its demand in slots.
-func (k *kindState) measure(span time.Duration, s *limit.Sample, slotTime *float64) share.Demand {
+func (k *kindState) measure(span time.Duration, s *limit.Sample, m *mix) share.Demand {
 	e := &k.est
 	total := k.read()
 	d := total.minus(&e.last)
 	e.last = total
-	*slotTime += d.total
+	m.slotTime += d.total
+	m.usual += k.measureOwn(&d, m.calm)
 	s.Done += int(d.good)
 	s.Shed += int(d.shed)
 	s.Own += time.Duration(d.own * float64(time.Second))
@@ -124,6 +130,43 @@
 	return share.Demand{Kind: k.Kind, Offered: offered, Need: need}
 }
 
+// mix sums what depends on the mix of kinds in one window, in s.
+type mix struct {
+	calm     bool // the limit is not the bound on the work
+	slotTime float64
+	usual    float64 // own time that the answered calls usually take
+}
+
+// measureOwn updates the usual own time of a kind and returns what the answered calls usually take.
+func (k *kindState) measureOwn(d *sums, calm bool) float64 {
+	e := &k.est
+	if d.good == 0 {
+		return 0
+	}
+	// Under pressure the own time is what the limiter judges; learning from it would hide a crowded
+	// server.
+	if calm || e.calls < firstCalls {
+		e.calls += d.good
+		e.usual += (d.own/d.good - e.usual) * d.good / min(e.calls, max(usualCalls, d.good))
+	}
+	return d.good * e.usual
+}
+
+// standard counts the answered calls in calls of one size. Otherwise a shift between kinds with long
+// and short calls, which overload causes, would look like a server that became slow or crowded.
+func (w *window) standard(s limit.Sample, m *mix) limit.Sample {
+	if s.Done == 0 {
+		return s
+	}
+	if w.usual == 0 {
+		w.usual = m.usual / float64(s.Done)
+	}
+	if w.usual > 0 {
+		s.Done = max(1, int(math.Round(m.usual/w.usual)))
+	}
+	return s
+}
+
 func (k *kindState) measureCost(d *sums) {
 	e := &k.est
 	if d.done == 0 {
