limit: return to the limit before a growth that the server shed

After a probe beyond what the server takes, the limit fell by a tenth or a quarter of the probe, often to well below the last limit without refusals. It now returns to that one. The test's lower bound for a shedding server rises from 42 to 46 of 50.

--- a/pkg/limit/limit.go
+++ b/pkg/limit/limit.go
@@ -85,6 +85,7 @@
 	until  time.Time
 	hold   time.Duration
 	growth float64
+	good   float64 // limit before the last growth, which the server did not shed at; 0 when unknown
 	idle   int
 
 	// Trial.
@@ -253,7 +254,8 @@
 	}
 	l.state, l.held, l.knee, l.falling, l.growth, l.idle = noTrial, true, false, false, 0, 0
 	l.until = now.Add(l.hold)
-	l.set(fall * float64(l.Limit()))
+	l.set(max(fall*float64(l.Limit()), min(l.good, float64(l.Limit())-1)))
+	l.good = 0
 	l.reset(now)
 }
 
@@ -281,6 +283,7 @@
 			l.begin(raise, raiseStep, now)
 		}
 	case !now.Before(l.until):
+		l.good = l.limit
 		l.growth = max(2*l.growth, firstGrowth)
 		l.set(max(l.limit*(1+min(l.growth, 1)), l.limit+1))
 		if l.limit >= l.slots {
--- a/pkg/limit/limit_test.go
+++ b/pkg/limit/limit_test.go
@@ -78,7 +78,7 @@
 				}
 				return healthy
 			},
-			bounds: []bound{{5, 10, 42, 55}, {12, 20, 0.98 * slots, slots}},
+			bounds: []bound{{5, 10, 46, 55}, {12, 20, 0.98 * slots, slots}},
 		},
 		"cold": {
 			cold:   true,
