--- a/internal/bench/control.go
+++ b/internal/bench/control.go
@@ -14,6 +14,9 @@
 	"briarworks.example/briarworks/pkg/share"
 )
 
+// handHop is what a hand-over to another server of the own service adds to the hops of a request.
+const handHop = 0
+
 // tick is how often the owner of a gate calls Tick.
 const tick = 20 * time.Millisecond
 
@@ -153,14 +156,40 @@
 		visit(n, t, r, re)
 		return
 	}
-	v := &leg{n: n, t: t, r: r, re: re}
-	v.pool.Fill(r.Budget)
-	v.call(r.Service, func(res call.Result) {
-		res.TokensLeft = v.pool.Left()
+	hand(n, p, t, r, re)
+}
+
+// hand gives a request to another server of the own service. When that one refuses, the own queue is
+// the last resort.
+func hand(n *node, p *route.Peer, t *trip, r call.Request, re reply) {
+	w, c := n.w, n.ctl
+	other := w.byName[p.Member.Server]
+	from := w.now
+	handed := r
+	handed.Hop += handHop
+	p.Start()
+	back := func(res call.Result) {
+		c.learn(p, r.Service, r.Kind, res, from, w.now, t.failed == other.server)
+		if res.Outcome == reason.NotRun && res.Reason != reason.Overload {
+			r.Budget = res.TokensLeft
+			visit(n, t, r, re)
+			return
+		}
 		re(res)
+	}
+	w.after(w.travel(n, other), func() {
+		visit(other, t, handed, func(res call.Result) { w.after(w.travel(other, n), func() { back(res) }) })
 	})
 }
 
+// learn takes in what an answer of a peer tells.
+func (c *control) learn(p *route.Peer, s ident.Service, k ident.Kind, res call.Result, from, now time.Time, own bool) {
+	p.Finish(c.feedback(res, now.Sub(from), own), now)
+	if !c.off.downstream {
+		c.paths.Learn(s, k, res.Fraction, now)
+	}
+}
+
 // offer applies the admitted fractions at the entry.
 func (c *control) offer(r *call.Request, now time.Time) bool {
 	if !c.off.own {
@@ -207,7 +236,7 @@
 	case admit.Refuse:
 		res := call.Refuse(v.ticket.Reason)
 		res.TokensLeft = v.pool.Left()
-		v.answer(c, gate, res)
+		v.answer(gate, res)
 	case admit.Run:
 		v.began = now
 		child := func(re reply) {
@@ -237,18 +266,17 @@
 		res.Outcome = reason.Unknown
 	}
 	res.TokensLeft = v.pool.Left()
-	v.answer(c, gate, res)
+	v.answer(gate, res)
 }
 
 // answer adds what every answer carries.
-func (v *leg) answer(c *control, gate *admit.Gate, res call.Result) {
+func (v *leg) answer(gate *admit.Gate, res call.Result) {
 	res.Fraction = gate.Advertise(v.r.Kind, v.n.w.now)
 	res.Free = gate.Free()
 	v.re(res)
 }
 
-// call makes a call to another service, or hands the request to another server of the own one, and
-// repeats it as the bounds on retries allow.
+// call makes a call to another service and repeats it as the bounds on retries allow.
 func (v *leg) call(service ident.Service, re reply) {
 	v.n.ctl.ratios[service].Call(v.n.w.now)
 	v.try(service, route.Avoid{}, 0, re)
@@ -267,11 +295,8 @@
 	from := w.now
 	p.Start()
 	back := func(res call.Result) {
-		p.Finish(c.feedback(res, w.now.Sub(from), v.t.failed == other.server), w.now)
+		c.learn(p, service, r.Kind, res, from, w.now, v.t.failed == other.server)
 		v.pool.Return(res.TokensLeft)
-		if !c.off.downstream {
-			c.paths.Learn(service, r.Kind, res.Fraction, w.now)
-		}
 		if wait, again := v.again(service, res, attempt); again {
 			v.t.retries++
 			avoid.Add(p.Member.Server)
