--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 GOFILES := $(shell git ls-files -co --exclude-standard '*.go' | grep -v '\.pb\.go$$')
 
-.PHONY: build lint test generate demo measure bench capacity matrix fuzz
+.PHONY: build lint test generate demo measure ablation bench capacity matrix fuzz
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -29,3 +29,15 @@
 capacity: build
 	$(GO) build -o bin/capac ./internal/capac
 	./bin/capac -out docs/capacity.csv -dir out/capacity
+
+# Prints goodput, recovery and service by rank under overload; takes under 3 minutes.
+measure:
+	$(GO) test ./internal/bench -run TestMeasure -count=1 -v -args -measure -out $(CURDIR)/out/measure.csv
+
+# Prints the same with each mechanism switched off in turn.
+ablation:
+	$(GO) test ./internal/bench -run TestMeasure -count=1 -v -args -ablate -out $(CURDIR)/out/ablation.csv
+
+# Measures the decisions on the path of a request on 1 and 10 cores.
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem -cpu 1,10 ./pkg/...
--- /dev/null
+++ b/internal/bench/world.go
@@ -0,0 +1,202 @@
+package bench
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"briarworks.example/briarworks/pkg/call"
+	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/reason"
+)
+
+// epoch is the virtual time at which every run starts.
+var epoch = time.Unix(1_700_000_000, 0)
+
+// reply receives the result of a hop.
+type reply func(res call.Result)
+
+// policy is the way in which nodes handle requests; its functions are the seam between the model and
+// the code under measurement.
+type policy struct {
+	name  string
+	start func(w *world, n *node)                          // makes the node's state
+	run   func(w *world)                                   // starts periodic work, may be nil
+	enter func(n *node, t *trip, r call.Request, re reply) // a request from a caller
+}
+
+// trip is one request of a caller on its way through the fleet, over all of its hops.
+type trip struct {
+	kind    *kind
+	retries int          // retries made by the fleet for this request
+	failed  ident.Server // last server that broke off its answer
+}
+
+// at returns the position of a service on the path.
+func (t *trip) at(name ident.Service) int {
+	for i := range t.kind.path {
+		if t.kind.path[i].service == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// next returns the service after the given one.
+func (t *trip) next(name ident.Service) ident.Service { return t.kind.path[t.at(name)+1].service }
+
+// node is one node with its backend server.
+type node struct {
+	w      *world
+	svc    *service
+	server ident.Server
+	dc     int
+	first  time.Time    // start of the server
+	cold   bool         // the server is slow after its start
+	broken bool         // the server breaks off most answers while the fault lasts
+	busy   *ident.Slots // slots in use on the present server
+	ctl    *control     // state of the real decisions
+	line   *line        // state of the baselines
+}
+
+// world is one run.
+type world struct {
+	clock
+	d      *deployment
+	s      scenario
+	p      policy
+	work   *rand.Rand // service times and faults
+	choose *rand.Rand // random choices of the policy
+	nodes  map[ident.Service][]*node
+	all    []*node
+	byName map[ident.Server]*node
+	seen   *record
+	log    bool // the platform's log is out
+}
+
+func newWorld(d *deployment, s scenario, p policy, seed uint64) *world {
+	w := &world{
+		clock:  clock{now: epoch},
+		d:      d,
+		s:      s,
+		p:      p,
+		work:   rand.New(rand.NewPCG(seed, 1)),
+		choose: rand.New(rand.NewPCG(seed, 2)),
+		nodes:  map[ident.Service][]*node{},
+		byName: map[ident.Server]*node{},
+		seen:   newRecord(d),
+	}
+	for i := range d.services {
+		svc := &d.services[i]
+		for j := range svc.servers {
+			n := &node{w: w, svc: svc, dc: j % d.dataCentres, busy: new(ident.Slots), server: ident.Server(string(svc.name) + strconv.Itoa(j))}
+			w.nodes[svc.name] = append(w.nodes[svc.name], n)
+			w.all = append(w.all, n)
+			w.byName[n.server] = n
+		}
+	}
+	for _, n := range w.all {
+		p.start(w, n)
+	}
+	return w
+}
+
+// faulty tells whether the fault lasts at the present time.
+func (w *world) faulty() bool {
+	t := w.now.Sub(epoch)
+	return t >= calmFor && t < calmFor+faultFor
+}
+
+// travel returns the time of one way between two nodes.
+func (w *world) travel(a, b *node) time.Duration {
+	if a.dc == b.dc {
+		return w.d.inside
+	}
+	return w.d.apart
+}
+
+// serve runs a request on the backend server, which holds a slot for its own time and for the call to
+// the next service, which child makes. The policy makes sure that a slot is free.
+func (n *node) serve(t *trip, r call.Request, child func(re reply), re reply) {
+	w := n.w
+	if w.faulty() && w.s.shed == n.svc.name && *n.busy >= ident.Slots(shedAbove*float64(n.svc.slots)) {
+		w.after(ms(0.5), func() { re(call.Refuse(reason.ServerShed)) })
+		return
+	}
+	busy := n.busy // a restart replaces it
+	*busy++
+	w.seen.over = max(w.seen.over, *busy-n.svc.slots)
+	release := func(res call.Result) {
+		*busy--
+		re(res)
+	}
+	if n.broken && w.faulty() && w.work.Float64() < brokenShare {
+		t.failed = n.server
+		w.after(brokenTime, func() { release(call.Doubt(reason.ServerFailed)) })
+		return
+	}
+	at := t.at(r.Service)
+	w.after(n.ownTime(t.kind.path[at].own), func() {
+		if at+1 == len(t.kind.path) {
+			release(call.Result{Outcome: reason.Ran, Status: 200, TokensLeft: r.Budget, Fraction: 1})
+			return
+		}
+		child(release)
+	})
+}
+
+// ownTime draws the server's own time: half is constant and half exponential around the mean.
+func (n *node) ownTime(mean time.Duration) time.Duration {
+	w := n.w
+	f := 0.5 + 0.5*w.work.ExpFloat64()
+	if w.faulty() {
+		f *= w.s.slowFactor(n.svc.name)
+	}
+	if n.cold {
+		// A cold server works as fast as a warm one only on part of its slots.
+		warm := min(1, w.now.Sub(n.first).Seconds()/coldFor.Seconds())
+		able := float64(n.svc.slots) * (coldPart + (1-coldPart)*warm)
+		f *= max(1, float64(*n.busy)/able)
+	}
+	return time.Duration(f * float64(mean))
+}
+
+// fail starts and ends the fault.
+func (w *world) fail() {
+	w.set(epoch.Add(calmFor), func() {
+		w.log = w.s.logOut
+		if w.s.broken != "" {
+			w.breakServers()
+		}
+		if w.s.cold != "" {
+			w.nodes[w.s.cold][0].restart()
+		}
+	})
+	w.set(epoch.Add(calmFor+faultFor), func() { w.log = false })
+}
+
+// breakServers breaks one server of the scenario's service, or all of them.
+func (w *world) breakServers() {
+	for i, n := range w.nodes[w.s.broken] {
+		n.broken = i == 0 || w.s.all
+	}
+}
+
+// restart replaces the server by a cold one; what ran on the old one still finishes.
+func (n *node) restart() {
+	n.cold, n.first, n.busy = true, n.w.now, new(ident.Slots)
+	n.w.p.start(n.w, n)
+}
+
+// simulate runs one scenario under one policy to its end.
+func simulate(d *deployment, s scenario, p policy, seed uint64) *record {
+	w := newWorld(d, s, p, seed)
+	end := epoch.Add(calmFor + faultFor + afterFor)
+	if p.run != nil {
+		p.run(w)
+	}
+	w.fail()
+	w.arrive(seed, end)
+	w.runUntil(end.Add(2 * time.Second))
+	return w.seen
+}
