relay: count a request that the entry runs again after another server refused it

Cause: an entry that is full hands a request to another server of its service and ran it itself when that one answered notRun, with the whole budget again, although tokens had been spent below the other server and the second run is a retry. At-most-once work that moved on to its next home did so too. A refusal that no other server would answer differently is not repeated.

Found by TestFleet/retries_when_the_entry_is_full of internal/node.

--- a/internal/node/homes.go
+++ b/internal/node/homes.go
@@ -151,7 +151,9 @@
 			return kp.Do(ctx, req, run)
 		}
 	}
-	return call.Refuse(reason.Starting)
+	res := call.Refuse(reason.Starting)
+	res.TokensLeft = req.Budget
+	return res
 }
 
 // homesOf returns where a request may run at most once, the home first. A server that could not be
--- a/internal/relay/onward.go
+++ b/internal/relay/onward.go
@@ -48,10 +48,23 @@
 		return r.local(ctx, req)
 	}
 	res := r.send(ctx, p, req)
-	if res.Outcome == reason.NotRun && res.Reason != reason.Overload {
-		return r.local(ctx, req) // the other server refused; the own queue is the last resort
+	why, again := retry.Decide(req, res)
+	if !again || res.Outcome != reason.NotRun || ctx.Err() != nil || !spend(req, res) {
+		return res
 	}
-	return res
+	r.Retried(why)
+	return r.local(ctx, req) // the own queue is the last resort
+}
+
+// spend takes from the budget of a request what a call of it spent and a token for one more call, and
+// reports whether there was one.
+func spend(req *call.Request, res call.Result) bool {
+	req.Budget = min(req.Budget, res.TokensLeft)
+	if req.Budget <= 0 {
+		return false
+	}
+	req.Budget--
+	return true
 }
 
 // attempts makes a call, and makes it again on another server while that is safe, may help and is
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -152,10 +152,9 @@
 	res = call.Refuse(reason.NoServer)
 	for i, h := range r.Homes(req) {
 		if i > 0 {
-			if req.Budget <= 0 {
+			if !spend(req, res) {
 				return res
 			}
-			req.Budget--
 			r.Retried(reason.RetryUnreachable)
 		}
 		if h.Self {
