--- a/internal/node/fault_test.go
+++ b/internal/node/fault_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"slices"
 	"sync"
 	"testing"
@@ -10,6 +11,7 @@
 
 	"briarworks.example/briarworks/internal/fakes"
 	"briarworks.example/briarworks/internal/setup"
+	"briarworks.example/briarworks/pkg/fleet"
 	"briarworks.example/briarworks/pkg/ident"
 )
 
@@ -25,15 +27,16 @@
 // A case's comment names the mechanism without which it was seen to fail.
 func TestFleet(t *testing.T) {
 	tests := map[string]func(*testFleet){
-		"retries with cuts and shedding":       retriesWithCutsAndShedding,
-		"retries when the entry is full":       retriesWhenTheEntryIsFull,
-		"configuration without the log":        configurationWithoutTheLog,
-		"configuration after a restart":        configurationAfterARestart,
-		"ordinary work with the log slow":      func(f *testFleet) { ordinaryWork(f, fakes.LogFaults{Slow: fakes.Duration(3 * time.Second)}) },
-		"ordinary work with the log out":       func(f *testFleet) { ordinaryWork(f, fakes.LogFaults{Refuse: true}) },
-		"leave with the log out":               leaveWithTheLogOut,
-		"start with the log out":               startWithTheLogOut,
-		"stop of an entry with work in flight": stopOfAnEntry,
+		"retries with cuts and shedding":        retriesWithCutsAndShedding,
+		"retries when the entry is full":        retriesWhenTheEntryIsFull,
+		"retries when the deep service is gone": retriesWhenTheDeepServiceIsGone,
+		"configuration without the log":         configurationWithoutTheLog,
+		"configuration after a restart":         configurationAfterARestart,
+		"ordinary work with the log slow":       func(f *testFleet) { ordinaryWork(f, fakes.LogFaults{Slow: fakes.Duration(3 * time.Second)}) },
+		"ordinary work with the log out":        func(f *testFleet) { ordinaryWork(f, fakes.LogFaults{Refuse: true}) },
+		"leave with the log out":                leaveWithTheLogOut,
+		"start with the log out":                startWithTheLogOut,
+		"stop of an entry with work in flight":  stopOfAnEntry,
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -149,6 +152,31 @@
 	f.checkRetries()
 }
 
+// retriesWhenTheDeepServiceIsGone lets the servers of the middle pass on that no server was reached. That
+// answer must not read as if the call to the middle had spent nothing.
+func retriesWhenTheDeepServiceIsGone(f *testFleet) {
+	f.publish("first", 0)
+	entry := f.add("entry", "middle", nil)
+	for i := range 4 {
+		f.add("middle", "deep", nil)
+		f.announce(fleet.Member{
+			Server: ident.Server(fmt.Sprintf("deep-%d", i)), Service: "deep", DataCentre: "c", Address: f.ports(1)[0],
+			Incarnation: 1, Announced: time.Now(), Slots: 8,
+		})
+	}
+	f.ready(1)
+	f.within(waitLimit, "all deep servers are known", func() bool {
+		for _, m := range f.all {
+			if len(m.node.Roster.Table().Of("deep")) != 4 {
+				return false
+			}
+		}
+		return true
+	})
+	f.batch("faults", 40, 1, entry)
+	f.checkRetries()
+}
+
 func configurationWithoutTheLog(f *testFleet) {
 	f.publish("first", 0)
 	a, b := f.add("entry", "", nil), f.add("entry", "", nil)
@@ -176,21 +204,18 @@
 }
 
 func configurationAfterARestart(f *testFleet) {
-	const last = 12
+	const last = 40 // more than a node keeps while it reads
 	for v := range ident.Version(last) {
-		f.publish(string(rune('a'+v)), v)
+		f.publish(fmt.Sprint(v), v)
 	}
 	a, b := f.add("entry", "", nil), f.add("middle", "", nil)
 	f.within(inForceEverywhere, "in force everywhere", func() bool { return f.inForce(last, a, b) })
-	var wg sync.WaitGroup
-	for _, m := range f.all {
-		wg.Go(func() { f.stop(m) })
-	}
-	wg.Wait()
+	f.stopAll()
 	for _, m := range f.all {
 		f.start(m)
 	}
 	f.within(inForceEverywhere, "in force everywhere after the restart", func() bool { return f.inForce(last, a, b) })
+	f.Logf("versions in force at %s: %v", a.set.Server, f.versions(a))
 	f.checkNoReturn()
 }
 
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -26,6 +26,7 @@
 	"briarworks.example/briarworks/internal/server"
 	"briarworks.example/briarworks/internal/setup"
 	"briarworks.example/briarworks/pkg/call"
+	"briarworks.example/briarworks/pkg/fleet"
 	"briarworks.example/briarworks/pkg/ident"
 	"briarworks.example/briarworks/pkg/order"
 )
@@ -104,9 +105,8 @@
 	f.logAddr = ident.Address(srv.Listener.Addr().String())
 	f.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 	t.Cleanup(func() {
-		for _, m := range f.all {
-			f.stop(m)
-		}
+		f.log.SetFaults(fakes.LogFaults{})
+		f.stopAll()
 		f.client.CloseIdleConnections()
 		srv.CloseClientConnections()
 		srv.Close()
@@ -208,16 +208,37 @@
 	}
 }
 
+// stopAll stops all nodes at the same time.
+func (f *testFleet) stopAll() {
+	f.Helper()
+	var wg sync.WaitGroup
+	for _, m := range f.all {
+		wg.Go(func() { f.stop(m) })
+	}
+	wg.Wait()
+}
+
 // publish writes a configuration past the faults of the log.
 func (f *testFleet) publish(id string, base ident.Version) {
 	f.Helper()
-	data, err := record.EncodeGroup([]*recpb.Record{record.FromOrder(order.Record{Publish: &order.Publish{
+	f.write(applog.Config, record.FromOrder(order.Record{Publish: &order.Publish{
 		ID: ident.RecordID(id), Base: base, Document: document, Author: "test", At: time.Now(),
-	}})})
+	}}))
+}
+
+// announce writes the announcement of a server past the faults of the log.
+func (f *testFleet) announce(m fleet.Member) {
+	f.Helper()
+	f.write(applog.Members, record.FromMember(m))
+}
+
+func (f *testFleet) write(to applog.Stream, r *recpb.Record) {
+	f.Helper()
+	data, err := record.EncodeGroup([]*recpb.Record{r})
 	if err != nil {
 		f.Fatal(err)
 	}
-	f.log.Append(string(applog.Config), data)
+	f.log.Append(string(to), data)
 }
 
 // versions returns the versions that were in force at a server, in order.
