node: spread the announcements of a mass start over 10 s

Cause: a node waited up to 5 ms for each known member before its first announcement, 4.8 s at 960 nodes, while the first appends to the refusals stream are spread over 10 s. After: the announcements are spread over 10 s too, as the design says, and TestMassStart passes.

--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -139,7 +139,7 @@
 	feed := &config.Feed{Start: p.Policy.Start, Next: p.Policy.Next, Read: p.Policy.Read}
 	n.config = newStream(p.Client, applog.Config, config.NewTail(p.Client, feed), p.Policy.Settle)
 	n.record = applog.NewWriter(p.Client, applog.Refusals)
-	n.flusher = &flush.Flusher{Ledger: p.Ledger, Append: n.record.Append, Failed: func(err error) {
+	n.flusher = &flush.Flusher{Ledger: p.Ledger, Append: n.record.Append, Spread: maxStartSpread, Failed: func(err error) {
 		n.Stats.Count("refusalsNotWritten")
 		n.Log.Warn("refusalsNotWritten", zap.Error(err))
 	}}
--- a/internal/node/fault_test.go
+++ b/internal/node/fault_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"testing"
@@ -9,6 +10,7 @@
 
 	"go.uber.org/goleak"
 
+	"briarworks.example/briarworks/internal/applog"
 	"briarworks.example/briarworks/internal/fakes"
 	"briarworks.example/briarworks/internal/setup"
 	"briarworks.example/briarworks/pkg/fleet"
@@ -30,6 +32,8 @@
 		"retries with cuts and shedding":        retriesWithCutsAndShedding,
 		"retries when the entry is full":        retriesWhenTheEntryIsFull,
 		"retries when the deep service is gone": retriesWhenTheDeepServiceIsGone,
+		"answers late and out of order":         answersLateAndOutOfOrder,
+		"mass start":                            massStart,
 		"configuration without the log":         configurationWithoutTheLog,
 		"configuration after a restart":         configurationAfterARestart,
 		"ordinary work with the log slow":       func(f *testFleet) { ordinaryWork(f, fakes.LogFaults{Slow: fakes.Duration(3 * time.Second)}) },
@@ -177,6 +181,70 @@
 	f.checkRetries()
 }
 
+// answersLateAndOutOfOrder lets each answer take another time than the ones before it on the same
+// connections.
+func answersLateAndOutOfOrder(f *testFleet) {
+	entry, middle, deep := f.chain()
+	var all []told
+	during(func() { all = f.batch("late", 400, 32, entry...) }, 3*time.Millisecond, func(i int) {
+		for k, m := range slices.Concat(middle, deep) {
+			m.backend.Behave(fakes.Behaviour{Work: fakes.Duration(time.Duration((i+k)*37%120) * time.Millisecond)})
+		}
+	})
+	for i, x := range all {
+		if !x.whole() && x.outcome != "notRun" || x.wrong {
+			f.Errorf("request %d: got %+v, want its own whole answer", i, x)
+		}
+	}
+	if got := f.overtaken.Load(); got == 0 {
+		f.Error("answers that overtook an earlier one: got 0, want some for the test to mean anything")
+	}
+}
+
+// massStart restarts all nodes at the same time: each appends its leave and one announcement, and no more.
+func massStart(f *testFleet) {
+	f.publish("first", 0)
+	const n = 12
+	for range n {
+		f.add("entry", "", nil)
+	}
+	f.ready(1)
+	before := f.log.Stats().Appends[string(applog.Members)]
+	f.stopAll()
+	for _, m := range f.all {
+		f.start(m)
+	}
+	f.ready(1)
+	if got, want := f.log.Stats().Appends[string(applog.Members)]-before, int64(2*n); got != want {
+		f.Errorf("appends of leaves and announcements: got %d, want %d", got, want)
+	}
+}
+
+// Guards against a mass restart of the design's 960 nodes that takes more appends in a second than the
+// log gives to the whole fleet.
+func TestMassStart(t *testing.T) {
+	const nodes, budget, rounds = 960, 300, 20
+	rng := rand.New(rand.NewPCG(1, 2))
+	most := 0
+	for range rounds {
+		var at []time.Duration // of all first appends
+		for range nodes {
+			at = append(at, startWait(nodes, rng.Float64()), time.Duration(rng.Float64()*float64(maxStartSpread)))
+		}
+		slices.Sort(at)
+		for i, j := 0, 0; i < len(at); i++ {
+			for j < len(at) && at[j] < at[i]+time.Second {
+				j++
+			}
+			most = max(most, j-i)
+		}
+	}
+	t.Logf("most appends in a second: %d, budget: %d", most, budget)
+	if most > budget {
+		t.Errorf("appends in a second: got %d, want at most %d", most, budget)
+	}
+}
+
 func configurationWithoutTheLog(f *testFleet) {
 	f.publish("first", 0)
 	a, b := f.add("entry", "", nil), f.add("entry", "", nil)
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -96,6 +96,10 @@
 	mu      sync.Mutex
 	forced  map[ident.Server][]ident.Version // versions in force, in order
 	client  *http.Client
+
+	calls     atomic.Int64 // between nodes, numbered from 1
+	last      atomic.Int64 // number of the call that was answered last
+	overtaken atomic.Int64 // calls that were answered after a later one
 }
 
 func newTestFleet(t *testing.T) *testFleet {
@@ -175,7 +179,12 @@
 	send, run := n.Relay.Send, n.Relay.Run
 	n.Relay.Send = func(ctx context.Context, addr ident.Address, req *call.Request) call.Result {
 		f.tries.sent(req)
-		return send(ctx, addr, req)
+		at := f.calls.Add(1)
+		res := send(ctx, addr, req)
+		if f.last.Swap(at) > at {
+			f.overtaken.Add(1)
+		}
+		return res
 	}
 	n.Relay.Run = func(ctx context.Context, req *call.Request, token flight.Token, now time.Time) call.Result {
 		f.tries.ran(req)
--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -16,11 +16,11 @@
 
 // Times of the streams that every node reads.
 const (
-	pollWait       = 10 * time.Second // long poll; a short one would cost the log 960 reads a second
-	announcePart   = 4                // a member announces itself again after this part of the retention
-	announceSpread = 12               // and a random part of this part
-	startSpread    = 5 * time.Millisecond
-	maxStartSpread = 10 * time.Second
+	pollWait       = 10 * time.Second      // long poll; a short one would cost the log 960 reads a second
+	announcePart   = 4                     // a member announces itself again after this part of the retention
+	announceSpread = 12                    // and a random part of this part
+	startSpread    = 12 * time.Millisecond // for each known member; at the design size the whole of maxStartSpread
+	maxStartSpread = 10 * time.Second      // of the first appends of a fleet that starts at once
 	carryCheck     = time.Minute
 	leaveTimeout   = 2 * time.Second
 	firstRead      = 2 * time.Second
@@ -88,7 +88,7 @@
 		return
 	}
 	known := len(n.Roster.Table().All())
-	wait := jitter(min(time.Duration(known)*startSpread, maxStartSpread))
+	wait := startWait(known, mrand.Float64())
 	for {
 		if !pause(ctx, wait) {
 			return
@@ -102,6 +102,12 @@
 	}
 }
 
+// startWait returns how long a node waits before its first announcement when it knows so many members;
+// rnd is in [0,1).
+func startWait(known int, rnd float64) time.Duration {
+	return time.Duration(rnd * float64(min(time.Duration(known)*startSpread, maxStartSpread)))
+}
+
 func (n *Node) announceOnce(ctx context.Context) bool {
 	now := time.Now()
 	m := n.Self
