--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -141,7 +141,7 @@
 	configs.Page = configPage
 	n.config = newStream(p.Client, applog.Config, configs, p.Policy.Settle)
 	n.record = applog.NewWriter(p.Client, applog.Refusals)
-	n.flusher = &flush.Flusher{Ledger: p.Ledger, Append: n.record.Append, Failed: func(err error) {
+	n.flusher = &flush.Flusher{Ledger: p.Ledger, Append: n.record.Append, Spread: maxStartSpread, Failed: func(err error) {
 		n.Stats.Count("refusalsNotWritten")
 		n.Log.Warn("refusalsNotWritten", zap.Error(err))
 	}}
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -26,6 +26,7 @@
 	"briarworks.example/briarworks/internal/server"
 	"briarworks.example/briarworks/internal/setup"
 	"briarworks.example/briarworks/pkg/call"
+	"briarworks.example/briarworks/pkg/fleet"
 	"briarworks.example/briarworks/pkg/ident"
 	"briarworks.example/briarworks/pkg/order"
 )
@@ -95,6 +96,10 @@
 	mu      sync.Mutex
 	forced  map[ident.Server][]ident.Version // versions in force, in order
 	client  *http.Client
+
+	calls     atomic.Int64 // between nodes, numbered from 1
+	last      atomic.Int64 // number of the call that was answered last
+	overtaken atomic.Int64 // calls that were answered after a later one
 }
 
 func newTestFleet(t *testing.T) *testFleet {
@@ -104,9 +109,8 @@
 	f.logAddr = ident.Address(srv.Listener.Addr().String())
 	f.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 	t.Cleanup(func() {
-		for _, m := range f.all {
-			f.stop(m)
-		}
+		f.log.SetFaults(fakes.LogFaults{})
+		f.stopAll()
 		f.client.CloseIdleConnections()
 		srv.CloseClientConnections()
 		srv.Close()
@@ -175,7 +179,12 @@
 	send, run := n.Relay.Send, n.Relay.Run
 	n.Relay.Send = func(ctx context.Context, addr ident.Address, req *call.Request) call.Result {
 		f.tries.sent(req)
-		return send(ctx, addr, req)
+		at := f.calls.Add(1)
+		res := send(ctx, addr, req)
+		if f.last.Swap(at) > at {
+			f.overtaken.Add(1)
+		}
+		return res
 	}
 	n.Relay.Run = func(ctx context.Context, req *call.Request, token flight.Token, now time.Time) call.Result {
 		f.tries.ran(req)
@@ -208,16 +217,37 @@
 	}
 }
 
+// stopAll stops all nodes at the same time.
+func (f *testFleet) stopAll() {
+	f.Helper()
+	var wg sync.WaitGroup
+	for _, m := range f.all {
+		wg.Go(func() { f.stop(m) })
+	}
+	wg.Wait()
+}
+
 // publish writes a configuration past the faults of the log.
 func (f *testFleet) publish(id string, base ident.Version) {
 	f.Helper()
-	data, err := record.EncodeGroup([]*recpb.Record{record.FromOrder(order.Record{Publish: &order.Publish{
+	f.write(applog.Config, record.FromOrder(order.Record{Publish: &order.Publish{
 		ID: ident.RecordID(id), Base: base, Document: document, Author: "test", At: time.Now(),
-	}})})
+	}}))
+}
+
+// announce writes the announcement of a server past the faults of the log.
+func (f *testFleet) announce(m fleet.Member) {
+	f.Helper()
+	f.write(applog.Members, record.FromMember(m))
+}
+
+func (f *testFleet) write(to applog.Stream, r *recpb.Record) {
+	f.Helper()
+	data, err := record.EncodeGroup([]*recpb.Record{r})
 	if err != nil {
 		f.Fatal(err)
 	}
-	f.log.Append(string(applog.Config), data)
+	f.log.Append(string(to), data)
 }
 
 // versions returns the versions that were in force at a server, in order.
--- a/internal/relay/onward.go
+++ b/internal/relay/onward.go
@@ -201,3 +201,14 @@
 	}
 	return set.Pick(r.Now(), avoid, r.Rand())
 }
+
+// spend takes from the budget of a request what a call of it spent and a token for one more call, and
+// reports whether there was one.
+func spend(req *call.Request, res call.Result) bool {
+	req.Budget = min(req.Budget, res.TokensLeft)
+	if req.Budget <= 0 {
+		return false
+	}
+	req.Budget--
+	return true
+}
