briarworks: name the fault and what to do in every error

Unknown commands under fleet and refusals exited with 0. A failed export left an empty file that made the next try fail. refusals list printed a header before its error. Errors of the command line now end with its usage, those of the log or a port with what to do.

--- a/cmd/briarworks/config.go
+++ b/cmd/briarworks/config.go
@@ -23,8 +23,10 @@
 	cmd := &cobra.Command{
 		Use:   "config",
 		Short: "Check, compare and publish the configuration of a fleet",
-		Args:  cobra.NoArgs,
-		RunE:  func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
+		Example: "  briarworks config check fleet.yaml\n" +
+			"  briarworks config publish --log 127.0.0.1:9000 --base 7 fleet.yaml",
+		Args: cobra.NoArgs,
+		RunE: help,
 	}
 	cmd.AddCommand(checkCommand(), diffCommand(), publishCommand(), showCommand(), historyCommand())
 	return cmd
--- a/cmd/briarworks/config_test.go
+++ b/cmd/briarworks/config_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"net/http/httptest"
@@ -21,7 +22,7 @@
 	root.SetOut(&out)
 	root.SetErr(&out)
 	root.SetArgs(args)
-	err := root.Execute()
+	err := execute(context.Background(), root)
 	return out.String(), err
 }
 
--- a/cmd/briarworks/fleet.go
+++ b/cmd/briarworks/fleet.go
@@ -28,6 +28,7 @@
 func fleetCommand() *cobra.Command {
 	c := &cobra.Command{
 		Use: "fleet", Short: "Look at the fleet", Example: "  briarworks fleet status --node 127.0.0.1:7004",
+		Args: cobra.NoArgs, RunE: help,
 	}
 	c.AddCommand(statusCommand())
 	return c
@@ -43,6 +44,9 @@
 			"the configuration in force, the lag of the log and the refusals a second by kind and reason.",
 		Example: "  briarworks fleet status --node 127.0.0.1:7004 --watch",
 		RunE: func(c *cobra.Command, _ []string) error {
+			if err := checkAddress("node", node); err != nil {
+				return err
+			}
 			if !watch {
 				return showStatus(c.Context(), node, c.OutOrStdout(), isJSON(c), "")
 			}
--- a/cmd/briarworks/node.go
+++ b/cmd/briarworks/node.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"os"
 	"runtime/debug"
+	"syscall"
 
 	zaplogfmt "github.com/jsternberg/zap-logfmt"
-	"github.com/samber/oops"
 	"github.com/spf13/cobra"
 	"go.uber.org/fx"
 	"go.uber.org/zap"
@@ -38,10 +40,9 @@
 
 // runNode runs a node until ctx ends and then stops it gracefully.
 func runNode(ctx context.Context, file string, out io.Writer) (err error) {
-	defer func() { err = oops.Wrapf(err, "node") }()
 	text, err := os.ReadFile(file)
 	if err != nil {
-		return err
+		return fmt.Errorf("%w; name the file with the node's settings with --settings", err)
 	}
 	s, err := setup.Decode(file, text)
 	if err != nil {
@@ -50,7 +51,11 @@
 	debug.SetMemoryLimit(memoryGoal)
 	log := newLogger(out).With(zap.String("server", string(s.Server)))
 	app := fx.New(node.Module, fx.Supply(s, log), fx.NopLogger, fx.StopTimeout(s.StopTimeout))
-	if err = app.Start(ctx); err != nil {
+	err = app.Start(ctx)
+	if errors.Is(err, syscall.EADDRINUSE) {
+		return fmt.Errorf("%w; stop the process that has the address, or change listen in %s", err, file)
+	}
+	if err != nil {
 		return err
 	}
 	<-ctx.Done()
--- a/cmd/briarworks/publish.go
+++ b/cmd/briarworks/publish.go
@@ -6,7 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/netip"
+	"net/url"
 	"os"
 	"time"
 
@@ -38,8 +38,8 @@
 }
 
 func (f *logFlags) client() (*applog.Client, error) {
-	if _, err := netip.ParseAddrPort(f.address); err != nil {
-		return nil, fmt.Errorf("briarworks: --log %s: want an IP number and a port, as in 127.0.0.1:9000", f.address)
+	if err := checkAddress("log", f.address); err != nil {
+		return nil, err
 	}
 	return &applog.Client{Base: "http://" + f.address}, nil
 }
@@ -67,7 +67,17 @@
 	err = work(ctx, config.Log{Read: read, Append: writer.Append})
 	cancel()
 	<-done
-	return err
+	return noLog(f.address, err)
+}
+
+// noLog tells an operator what to do about a log that gave no answer; other errors stay as they are.
+func noLog(address string, err error) error {
+	var transport *url.Error
+	var exit *exitError
+	if !errors.As(err, &transport) || errors.As(err, &exit) {
+		return err
+	}
+	return fmt.Errorf("briarworks: no answer from the log at %s; check --log, or try again when the log is back: %w", address, err)
 }
 
 // version is an accepted version or what became of a publish, as commands show it.
@@ -134,7 +144,15 @@
 		return err
 	}
 	if f.author == "" {
-		return errors.New("briarworks: --author is empty")
+		return errors.New("briarworks: --author is empty; say who publishes, as in --author mika")
+	}
+	if f.base < -1 {
+		return fmt.Errorf("briarworks: --base %d: want a version, or -1 for the accepted one", f.base)
+	}
+	if f.node != "" {
+		if err := checkAddress("node", f.node); err != nil {
+			return err
+		}
 	}
 	return f.run(ctx, func(ctx context.Context, log config.Log) error {
 		var h config.History
@@ -161,7 +179,12 @@
 		if f.node != "" {
 			a.InForce = waitInForce(context.WithoutCancel(ctx), f.node, a.Version)
 		}
-		return f.out.show(a, a.print)
+		return f.out.show(a, func(w io.Writer) {
+			a.print(w)
+			if f.node != "" && a.InForce == nil {
+				_, _ = fmt.Fprintf(w, "in force: not known, no answer from %s; see fleet status of another node\n", f.node)
+			}
+		})
 	case order.Refused:
 		return f.refused(h, decision, a, d)
 	}
@@ -319,7 +342,7 @@
 		})
 	}
 	if id != "" && len(list) == 0 {
-		return fmt.Errorf("briarworks: the log keeps no publish with record id %s", id)
+		return fmt.Errorf("briarworks: the log keeps no publish with record id %s; it was not written, or its record has expired", id)
 	}
 	return out.show(list, func(w io.Writer) {
 		for _, v := range list {
--- a/cmd/briarworks/refusals.go
+++ b/cmd/briarworks/refusals.go
@@ -23,6 +23,7 @@
 	c := &cobra.Command{
 		Use: "refusals", Short: "Read the record of who was turned away and why",
 		Example: "  briarworks refusals summary --log 127.0.0.1:9000",
+		Args:    cobra.NoArgs, RunE: help,
 	}
 	c.AddCommand(listCommand(), summaryCommand(), exportCommand())
 	return c
@@ -49,7 +50,7 @@
 	if s.why != "" {
 		var ok bool
 		if f.Reason, ok = reason.ParseRefusal(s.why); !ok || f.Reason == reason.None {
-			return f, fmt.Errorf("--reason %q is not a reason for a refusal", s.why)
+			return f, fmt.Errorf("--reason %q is not a reason for a refusal; refusals summary shows those that occurred", s.why)
 		}
 	}
 	if f.From, err = parseTime("since", s.since); err != nil {
@@ -146,6 +147,9 @@
 			if err != nil {
 				return err
 			}
+			if limit < 1 || skip < 0 {
+				return errors.New("--limit must be at least 1 and --skip at least 0")
+			}
 			n := 0
 			p := newPrinter(c)
 			_, err = from.read(c.Context(), f, func(it audit.Item) {
@@ -154,6 +158,9 @@
 				}
 				n++
 			})
+			if err != nil && n == 0 {
+				return err
+			}
 			return errors.Join(err, p.done(n > skip+limit, skip+limit))
 		},
 	}
@@ -304,11 +311,18 @@
 			"export from next time. list and summary read such files with --file.",
 		Example: "  briarworks refusals export --log 127.0.0.1:9000 --from 0 --to refusals-2026-12.jsonl",
 		RunE: func(c *cobra.Command, _ []string) (err error) {
+			if err = from.check(); err != nil {
+				return err
+			}
 			f, err := os.OpenFile(to, os.O_WRONLY|os.O_CREATE|os.O_EXCL, 0o644)
 			if err != nil {
-				return err
+				return fmt.Errorf("%w; name a new file with --to", err)
 			}
-			defer func() { err = errors.Join(err, f.Close()) }()
+			defer func() {
+				if err = errors.Join(err, f.Close()); err != nil {
+					err = errors.Join(err, os.Remove(to)) // a part must not pass for the whole record
+				}
+			}()
 			w := bufio.NewWriter(f)
 			n := 0
 			next, skipped, err := from.each(c.Context(), func(r *recpb.Record) error {
--- a/cmd/briarworks/source.go
+++ b/cmd/briarworks/source.go
@@ -37,18 +37,32 @@
 	f.StringVar(&s.log, "log", "", "IP number and port of the log, as in 127.0.0.1:9000")
 	f.StringArrayVar(&s.files, "file", nil, "exported file to read instead of the log; may be repeated")
 	f.Int64Var(&s.from, "from", 0, "first offset of the log to read")
+	c.MarkFlagsMutuallyExclusive("log", "file")
+}
+
+// check reports a source that cannot be read whatever the log does.
+func (s *source) check() error {
+	switch {
+	case s.from < 0:
+		return errors.New("--from must be at least 0")
+	case len(s.files) > 0:
+		return nil
+	case s.log == "":
+		return errors.New("name the log with --log or exported files with --file")
+	}
+	return checkAddress("log", s.log)
 }
 
 // each hands every record to take, in order, and returns the next offset of the log and how many appends
 // did not decode.
 func (s *source) each(ctx context.Context, take func(*recpb.Record) error) (next ident.Offset, skipped int, err error) {
-	switch {
-	case len(s.files) > 0:
+	if err = s.check(); err != nil {
+		return 0, 0, err
+	}
+	if len(s.files) > 0 {
 		return 0, 0, s.eachFile(take)
-	case s.log != "":
-		return s.eachPage(ctx, take)
 	}
-	return 0, 0, errors.New("name the log with --log or exported files with --file")
+	return s.eachPage(ctx, take)
 }
 
 func (s *source) eachPage(ctx context.Context, take func(*recpb.Record) error) (next ident.Offset, skipped int, err error) {
@@ -59,7 +73,7 @@
 		page, err := client.Read(short, applog.Refusals, next, readPage, 0)
 		cancel()
 		if err != nil {
-			return next, skipped, err
+			return next, skipped, noLog(s.log, err)
 		}
 		if page.First > next {
 			fmt.Fprintf(os.Stderr, "records before offset %d have expired; export earlier to keep them\n", page.First)
@@ -103,7 +117,7 @@
 	for n := 1; sc.Scan(); n++ {
 		r := &recpb.Record{}
 		if err = protojson.Unmarshal(sc.Bytes(), r); err != nil {
-			return fmt.Errorf("%s:%d: %w", name, n, err)
+			return fmt.Errorf("%s:%d: not a line of refusals export: %w", name, n, err)
 		}
 		if err = take(r); err != nil {
 			return err
