front: bound the request bodies held at a time

A body is read before its request is admitted, so 4096 connections with bodies of 1 MiB could fill 4 GiB at one node. Only bytes that arrived count: a reservation by announced length would let a caller that sends nothing keep the others out.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 	"unicode/utf8"
 
@@ -48,6 +49,9 @@
 	NewKey  func() ident.Key // random key of a request without one
 	Refused func(Told)       // each answer that the system made itself, but to a call that belongs to a request
 	Served  func(kind ident.Kind, took time.Duration)
+	Bodies  ident.Bytes // request bodies of outside callers held at a time; DefaultBodies when 0
+
+	held atomic.Int64 // bytes
 }
 
 // Engine returns a gin engine that runs one handler for every method and path and survives its panics.
@@ -65,7 +69,10 @@
 // Callers handles a request of an outside caller.
 func (f *Front) Callers(c *gin.Context) {
 	start := f.Now()
-	req, why := f.request(c, start)
+	in := &intake{ReadCloser: c.Request.Body, front: f}
+	defer in.done()
+	c.Request.Body = in
+	req, why := f.request(c, in, start)
 	if why != reason.None {
 		f.refuse(c, req, call.Refuse(why))
 		return
@@ -96,7 +103,7 @@
 
 // request reads what an outside caller sent and classifies it by the rules. The request is never nil,
 // so that a refusal can be recorded with what is known.
-func (f *Front) request(c *gin.Context, now time.Time) (req *call.Request, why reason.Refusal) {
+func (f *Front) request(c *gin.Context, in *intake, now time.Time) (req *call.Request, why reason.Refusal) {
 	caller := c.GetHeader(server.HeaderCaller)
 	req = &call.Request{
 		Caller: ident.Caller(caller), Service: f.Service, Born: now, Deadline: now,
@@ -126,6 +133,7 @@
 	if kind.AtMostOnce && key == "" {
 		return req, reason.KeyMissing
 	}
+	in.protected = req.Protected
 	req.Body, why = body(c)
 	req.Header = server.Keep(c.Request.Header)
 	return req, why
@@ -191,6 +199,8 @@
 		return b, reason.None
 	case errors.As(err, &over):
 		return nil, reason.BodyTooLarge
+	case errors.Is(err, errBodies):
+		return nil, reason.NodeFull
 	case errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &slow) && slow.Timeout():
 		return nil, reason.BodyShort
 	}
