node: sample every log line of a refusal

A refusal of a protected kind, or one with an unknown outcome, was a log line each. A caller can send any number of such requests, and so fill the log of a node. Both are now sampled like bad input; the metrics and the refusal record still count all.

--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -110,7 +110,7 @@
 	n := &Node{
 		Settings: p.Settings, Log: p.Log, Stats: p.Stats, Self: p.Self, Roster: p.Roster, Policy: p.Policy,
 		Gate: p.Gate, Paths: p.Paths, Book: p.Book, Backend: p.Backend, Ledger: p.Ledger,
-		badInput: sampled(p.Log), client: p.Client, lost: make(chan lostPeer, maxLost), spread: make(chan []fleet.Member, maxNews),
+		refusals: sampled(p.Log), client: p.Client, lost: make(chan lostPeer, maxLost), spread: make(chan []fleet.Member, maxNews),
 	}
 	n.keepers = &keepers{node: n, kick: make(chan struct{}, 1)}
 	n.Relay = &relay.Relay{
@@ -170,12 +170,19 @@
 	}, now)
 	n.Stats.Refused(req.Kind, res.Reason)
 	n.rates.note(req.Kind, res.Reason, now)
+	n.logRefusal(t)
+}
+
+// logRefusal writes what an operator needs at once: bad input, and what happened to protected kinds or
+// has no certain outcome.
+func (n *Node) logRefusal(t front.Told) {
+	req, res := t.Request, t.Result
 	switch {
 	case badInput[res.Reason]:
-		n.badInput.Info("badInput", zap.String("remote", t.Remote), zap.String("caller", string(req.Caller)),
+		n.refusals.Info("badInput", zap.String("remote", t.Remote), zap.String("caller", string(req.Caller)),
 			zap.String("method", req.Method), zap.String("path", req.Path), zap.String("reason", res.Reason.String()))
 	case req.Protected || res.Outcome != reason.NotRun:
-		n.Log.Info("refused", zap.String("kind", string(req.Kind)), zap.String("caller", string(req.Caller)),
+		n.refusals.Info("refused", zap.String("kind", string(req.Kind)), zap.String("caller", string(req.Caller)),
 			zap.String("outcome", res.Outcome.String()), zap.String("reason", res.Reason.String()))
 	}
 }
@@ -186,8 +193,8 @@
 	reason.KeyMissing: true, reason.KeyReused: true,
 }
 
-// Bad input is logged for the first lines of a second and then for one in logEvery, since anyone can
-// send any amount of it; the metrics and the refusal record count all of it.
+// Refusals of each sort are logged for the first lines of a second and then for one in logEvery, since
+// anyone can cause any amount of them; the metrics and the refusal record count them all.
 const (
 	logFirst = 20
 	logEvery = 1000
--- /dev/null
+++ b/internal/node/logging_test.go
@@ -0,0 +1,48 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"briarworks.example/briarworks/internal/front"
+	"briarworks.example/briarworks/pkg/call"
+	"briarworks.example/briarworks/pkg/reason"
+)
+
+// fixed is a clock that stands still, so that all lines fall into one second.
+type fixed struct{ zapcore.Clock }
+
+func (fixed) Now() time.Time { return time.Unix(1_800_000_000, 0) }
+
+// Guards against a flood of one caller that fills the log of a node, and against refusals of protected
+// kinds that are not logged at all.
+func TestRefusalsAreSampled(t *testing.T) {
+	const flood = 10 * logEvery
+	tests := map[string]struct {
+		protected bool
+		result    call.Result
+		want      int // lines
+	}{
+		"bad input":       {result: call.Refuse(reason.BadRequest), want: logFirst + flood/logEvery},
+		"protected":       {protected: true, result: call.Refuse(reason.Overload), want: logFirst + flood/logEvery},
+		"unknown outcome": {result: call.Doubt(reason.DeadlinePassed), want: logFirst + flood/logEvery},
+		"other work":      {result: call.Refuse(reason.Overload), want: 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			core, lines := observer.New(zap.InfoLevel)
+			n := &Node{refusals: sampled(zap.New(core, zap.WithClock(fixed{zapcore.DefaultClock})))}
+			told := front.Told{Request: &call.Request{Protected: test.protected}, Result: &test.result}
+			for range logFirst + flood {
+				n.logRefusal(told)
+			}
+			if got := lines.Len(); got != test.want {
+				t.Errorf("lines: got %d, want %d", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,7 +48,7 @@
 	Backend  *server.Client
 	Ledger   *audit.Ledger
 
-	badInput   *zap.Logger // sampled
+	refusals   *zap.Logger // sampled
 	client     *applog.Client
 	members    *stream
 	config     *stream
