peer: open a new session when the old one ended unnoticed

Cause: a session that had just broken was still in use, and the call was refused as noServer although the peer was reachable (TestCallOverFailures, 'cut before the call', once in a full run: got notRun noServer, want ran). Nothing had been sent, so the call now opens a new session once.

--- a/Makefile
+++ b/Makefile
@@ -41,3 +41,9 @@
 # Measures the decisions on the path of a request on 1 and 10 cores.
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem -cpu 1,10 ./pkg/...
+
+# Looks for inputs that break a decoder, 20 s each; the committed corpus is replayed by make test.
+fuzz:
+	$(GO) test ./pkg/rules -run '^$$' -fuzz FuzzDecode -fuzztime 20s
+	$(GO) test ./internal/setup -run '^$$' -fuzz FuzzDecode -fuzztime 20s
+	$(GO) test ./internal/record -run '^$$' -fuzz FuzzDecodeGroup -fuzztime 20s
--- a/internal/peer/out.go
+++ b/internal/peer/out.go
@@ -25,11 +25,7 @@
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
 	l := b.Link(addr)
-	s, err := l.session(ctx, b)
-	if err != nil {
-		return neverRan(req, reason.NoServer)
-	}
-	st, err := s.OpenStream()
+	s, st, err := b.open(ctx, l)
 	if err != nil {
 		return neverRan(req, reason.NoServer)
 	}
@@ -49,6 +45,21 @@
 	return b.settle(ctx, l, s, id, req, why)
 }
 
+// open opens a stream to the peer. A session may have ended without being noticed yet; nothing was sent
+// on it, so a new one is tried once.
+func (b *Book) open(ctx context.Context, l *Link) (s *session, st *yamux.Stream, err error) {
+	for range 2 {
+		if s, err = l.session(ctx, b); err != nil {
+			return nil, nil, err
+		}
+		if st, err = s.OpenStream(); err == nil {
+			return s, st, nil
+		}
+		_ = s.Close()
+	}
+	return nil, nil, err
+}
+
 // neverRan is the result for a call that no peer ran, so that nothing of its budget was spent. The
 // result itself has to say so: a peer can answer with the same reason, which its own server passed on
 // from further down the chain, after tokens were spent there.
