admit: count handed-over requests in the demand at the entry

The demand of new requests at a node was weighed by the part of them that stays, at most all of them. Requests that other nodes of the service hand over beyond that were not counted, so the nodes beside a cold server did not see the overload that it passed on to them.

--- a/pkg/admit/window.go
+++ b/pkg/admit/window.go
@@ -20,6 +20,7 @@
 	repeatMemory  = 0.6                  // of the counts of a window that the next one keeps
 	firstCalls    = 200                  // calls that the first usual own time of a kind is taken over
 	usualCalls    = 20000                // calls over which it is taken later
+	localMost     = 8                    // largest factor by which handed-over requests raise the demand
 	forget        = 0.9                  // expected time kept by a window without finished calls
 	usedTarget    = 1.08                 // part of the limit that should be in use under overload
 	queueTarget   = 5 * time.Millisecond // mean wait under overload
@@ -38,6 +39,7 @@
 	cost    float64 // slot time of a call in s, 0 when unknown
 	calls   float64 // answered calls that usual was taken from
 	usual   float64 // own time of a call over a long time in s
+	local   float64 // requests that came here by the entry for each one that passed here
 	entry   float64 // new requests at the entry that would come here, per second
 	begun   float64 // outside demand that reaches this server from other nodes, calls per second
 	passed  float64 // part of it that the entry nodes let through
@@ -50,7 +52,7 @@
 
 // newKind returns the state of a kind whose demand is taken to arrive unthinned.
 func newKind(kind share.Kind) *kindState {
-	return &kindState{Kind: kind, est: estimate{passed: 1, through: 1, shown: 1}}
+	return &kindState{Kind: kind, est: estimate{local: 1, passed: 1, through: 1, shown: 1}}
 }
 
 // window is the state of the computation at the end of each window.
@@ -187,12 +189,12 @@
 // count 1/Passed.
 func (k *kindState) measureDemand(d *sums, span float64) {
 	e := &k.est
-	local := float64(k.local.load())
 	if d.passed > 0 {
-		local += (min(1, d.entered/d.passed) - local) * d.passed / (d.passed + demandCalls)
-		k.local.store(ident.Fraction(local))
+		// More than was offered here comes when other nodes of the service hand requests over.
+		e.local += (min(localMost, d.entered/d.passed) - e.local) * d.passed / (d.passed + demandCalls)
+		k.local.store(ident.Fraction(min(1, e.local)))
 	}
-	offered := d.offered * local / e.repeats.factor(d)
+	offered := d.offered * e.local / e.repeats.factor(d)
 	e.entry = follow(e.entry, offered, d.offered, 1, span)
 	if d.arrived > 0 {
 		// Passed is what the entry applied, not a measurement: it needs little smoothing.
