--- a/internal/bench/caller.go
+++ b/internal/bench/caller.go
@@ -16,7 +16,7 @@
 	patience       = 300 * time.Millisecond // time after which a caller that repeats gives up one attempt
 )
 
-// caller is one source of arrivals: one kind, open loop.
+// source is one stream of arrivals: one kind, open loop.
 type source struct {
 	kind    int
 	flood   bool
--- a/internal/bench/record.go
+++ b/internal/bench/record.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"briarworks.example/briarworks/pkg/ident"
-	"briarworks.example/briarworks/pkg/reason"
 )
 
 // buckets is the number of intervals in which requests are counted by the time they were sent.
@@ -84,16 +83,3 @@
 	}
 	return 0
 }
-
-// reasons adds up the refusals during the fault by reason.
-func (r *record) reasons(k int) map[reason.Refusal]int {
-	usual, flood := r.fault(k)
-	usual.add(&flood)
-	all := map[reason.Refusal]int{}
-	for i, n := range usual.refused {
-		if n > 0 {
-			all[reason.Refusal(i)] = n
-		}
-	}
-	return all
-}
--- a/pkg/admit/doc.go
+++ b/pkg/admit/doc.go
@@ -2,8 +2,9 @@
 //
 // A Gate has three stages. At the entry of the graph a request passes if its cohort lies below the
 // admitted fraction of its kind and caller. A request that passed runs at once while the limit has
-// room. Otherwise it waits for a short, bounded time in a queue ordered by importance and then by
-// age; the last of that order gives way when the queue is full.
+// room. Otherwise it waits for a short, bounded time in a queue ordered by importance, then by whether
+// its kind is below its share of the limit, and then by age; the last of that order gives way when the
+// queue is full.
 //
 // Every window the gate estimates the outside demand of each kind, divides the limit among the kinds
 // and publishes the resulting fractions. The estimate does not depend on what the entry nodes let
--- /dev/null
+++ b/pkg/admit/window_test.go
@@ -0,0 +1,80 @@
+package admit
+
+import (
+	"testing"
+	"time"
+
+	"briarworks.example/briarworks/pkg/call"
+	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/limit"
+	"briarworks.example/briarworks/pkg/share"
+)
+
+// Guards against a demand that rises with every refusal because callers repeat refused requests, and
+// against one that is held down by chance.
+func TestRepeats(t *testing.T) {
+	tests := map[string]struct {
+		window sums
+		want   float64
+	}{
+		"none":             {sums{offered: 1000, passed: 1000, unique: 1000}, 1},
+		"chance":           {sums{offered: 1100, passed: 250, unique: 1000}, 1},
+		"nothing passed":   {sums{offered: 1000}, 1},
+		"five repetitions": {sums{offered: 3500, passed: 500, unique: 1000}, 3},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			var r repeats
+			got := r.factor(&tc.window)
+			if low, high := tc.want, tc.want*1.1; got < low || got > high {
+				t.Errorf("factor: got %v, want %v to %v", got, low, high)
+			}
+		})
+	}
+}
+
+// Guards against calls that hold their slots for long and take the queue from a kind of the same rank
+// that was admitted in full.
+func TestQueueBelowShareFirst(t *testing.T) {
+	g := New(Config{Slots: 1, Kinds: []share.Kind{{Name: "over", Rank: 1}, {Name: "below", Rank: 1}, {Name: "urgent", Rank: 0}}})
+	g.kinds.Load().find("over").own.store(0.5)
+	g.kinds.Load().find("urgent").own.store(0.5)
+	var order []ident.Kind
+	tickets := map[ident.Kind]*Ticket{}
+	for i, kind := range []ident.Kind{"first", "over", "below", "urgent"} {
+		tk := &Ticket{Wake: func(Verdict, time.Time) { order = append(order, kind) }}
+		tickets[kind] = tk
+		req := &call.Request{Kind: kind, Rank: 1, Hop: 1, Passed: 1, Born: start.Add(time.Duration(i) * time.Millisecond)}
+		if kind == "urgent" {
+			req.Rank = 0
+		}
+		g.Enter(req, tk, start.Add(10*time.Millisecond))
+	}
+	for _, kind := range []ident.Kind{"first", "urgent", "below"} {
+		g.Leave(tickets[kind], Usage{Own: time.Millisecond, Total: time.Millisecond}, start.Add(11*time.Millisecond))
+	}
+	want := []ident.Kind{"urgent", "below", "over"}
+	for i := range want {
+		if i >= len(order) || order[i] != want[i] {
+			t.Fatalf("order: got %v, want %v", order, want)
+		}
+	}
+}
+
+// Guards against a shift between kinds with long and short calls that looks like a crowded server.
+func TestStandardCalls(t *testing.T) {
+	long, short := newKind(share.Kind{Name: "long"}), newKind(share.Kind{Name: "short"})
+	var w window
+	own := func(longs, shorts float64) float64 {
+		var m mix
+		m.usual = long.measureOwn(&sums{good: longs, own: longs * 0.02}, true)
+		m.usual += short.measureOwn(&sums{good: shorts, own: shorts * 0.005}, true)
+		s := w.standard(limit.Sample{Done: int(longs + shorts)}, &m)
+		return (longs*0.02 + shorts*0.005) / float64(s.Done)
+	}
+	before := own(500, 500)
+	after := own(900, 100)
+	if got := after / before; got < 0.99 || got > 1.01 {
+		t.Errorf("own time of a call after a shift of the mix: got %.3f of the time before, want 1", got)
+	}
+}
