--- a/internal/matrix/spec.go
+++ b/internal/matrix/spec.go
@@ -128,6 +128,12 @@
 	pkgKeeper = "internal/keeper"
 	pkgPeer   = "internal/peer"
 	pkgCmd    = "cmd/briarworks"
+	pkgFront  = "internal/front"
+	pkgNode   = "internal/node"
+	pkgPolicy = "internal/policy"
+	pkgRelay  = "internal/relay"
+	pkgServer = "internal/server"
+	pkgSystem = "internal/system"
 )
 
 func cells() map[Fault]map[Step]Cell {
@@ -137,25 +143,31 @@
 		killed: {
 			appended:   by(model),
 			readBack:   by(model, in(pkgOnce, "TestBegin/own_last_incarnation")),
-			handedOver: by(in(pkgPeer, "TestCallOverFailures/peer_gone_while_it_runs", "TestCallOverFailures/peer_started_anew_meantime")),
-			run:        by(model, in(pkgOnce, "TestBegin/holder_gone", "TestBegin/holder_restarted"), in(pkgKeeper, "TestRestart")),
+			handedOver: by(in(pkgPeer, "TestCallOverFailures/peer_gone_while_it_runs", "TestCallOverFailures/peer_started_anew_meantime"), in(pkgSystem, "TestSystem/node_is_killed")),
+			run:        by(model, in(pkgOnce, "TestBegin/holder_gone", "TestBegin/holder_restarted"), in(pkgKeeper, "TestRestart"), in(pkgSystem, "TestSystem/node_is_killed")),
 			recorded:   by(in(pkgAudit, "TestGaps/killed,_seen_by_a_peer", "TestGaps/killed,_unseen"), in(pkgFlush, "TestWitness")),
 			announce:   by(in(pkgFleet, "TestState/not_announced_again")),
-			fold:       by(folds),
+			fold:       by(folds, in(pkgNode, "TestFleet/configuration_after_a_restart"), in(pkgPolicy, "TestSettle")),
+			leave:      by(in(pkgSystem, "TestSystem/node_is_killed")),
 		},
 		frozen: {
-			appended: by(model),
-			readBack: by(model, in(pkgOnce, "TestLease")),
+			appended:   by(model),
+			readBack:   by(model, in(pkgOnce, "TestLease")),
+			handedOver: by(in(pkgSystem, "TestSystem/node_freezes")),
+			run:        by(in(pkgSystem, "TestSystem/node_freezes")),
+			answered:   by(in(pkgSystem, "TestSystem/node_freezes")),
 		},
 		cut: {
 			appended:   never(logsOwn),
 			readBack:   never(logsOwn),
-			handedOver: by(in(pkgPeer, "TestCallOverFailures/cut_before_the_call")),
+			handedOver: by(in(pkgPeer, "TestCallOverFailures/cut_before_the_call"), in(pkgNode, "TestFleet/retries_with_cuts_and_shedding")),
 			run:        by(in(pkgPeer, "TestCallOverFailures/cut_while_running")),
-			answered:   by(in(pkgPeer, "TestCallOverFailures/cut_while_running")),
+			answered:   by(in(pkgPeer, "TestCallOverFailures/cut_while_running"), in(pkgNode, "TestFleet/retries_with_cuts_and_shedding")),
 			recorded:   never(logsOwn),
 			publish:    never(logsOwn),
 			carryOn:    never(logsOwn),
+			accepted:   by(in(pkgFront, "TestBadInput/body_shorter_than_announced"), in(pkgRelay, "TestJoinCancel")),
+			fold:       by(in(pkgNode, "TestFleet/configuration_without_the_log")),
 		},
 		silent: {
 			appended:   never(logsOwn),
@@ -174,25 +186,40 @@
 			leave:      by(in(pkgFleet, "TestState/left_before_its_announcement_arrives", "TestState/leave_mark_of_a_lower_incarnation")),
 			fold:       by(folds),
 			carryOn:    by(folds, in(pkgOrder, "TestVerdicts/carry_that_is_too_old_for_the_trimmed_log")),
+			answered:   by(in(pkgNode, "TestFleet/answers_late_and_out_of_order")),
 		},
 		repeated: {
 			appended: by(model, in(pkgLog, "TestTail")),
 			readBack: by(model),
 			run:      by(in(pkgKeeper, "TestDoOnce", "TestRunning")),
-			answered: by(in(pkgKeeper, "TestDoOnce")),
+			answered: by(in(pkgKeeper, "TestDoOnce"), in(pkgNode, "TestFleet/answers_late_and_out_of_order")),
 			announce: by(in(pkgFleet, "TestJoinLaws", "TestApplyOrder")),
 			leave:    by(in(pkgFleet, "TestJoinLaws", "TestApplyOrder", "TestLeaveDigest")),
 			publish:  by(in(pkgOrder, "TestVerdicts/repeat_of_an_accepted_id")),
 			fold:     by(folds, in(pkgConfig, "TestFeed/whole", "TestFeed/trimmed")),
 			carryOn:  by(folds),
+			accepted: by(in(pkgRelay, "TestJoin/same_request", "TestJoin/at-most-once_kind", "TestJoinRace")),
 		},
 		logSlow: {
-			appended: by(in(pkgLog, "TestAppend/slow_within_bounds"), in(pkgKeeper, "TestGiveUp")),
+			appended:   by(in(pkgLog, "TestAppend/slow_within_bounds"), in(pkgKeeper, "TestGiveUp")),
+			accepted:   by(in(pkgNode, "TestFleet/ordinary_work_with_the_log_slow")),
+			admitted:   by(in(pkgNode, "TestFleet/ordinary_work_with_the_log_slow")),
+			handedOver: by(in(pkgNode, "TestFleet/ordinary_work_with_the_log_slow")),
+			run:        by(in(pkgNode, "TestFleet/ordinary_work_with_the_log_slow")),
+			answered:   by(in(pkgNode, "TestFleet/ordinary_work_with_the_log_slow")),
 		},
 		logOut: {
-			appended: by(in(pkgLog, "TestAppend/down", "TestAppend/connection_closed"), in(pkgKeeper, "TestOutcome/log_down"), in(pkgOnce, "TestBegin/log_down")),
-			recorded: by(in(pkgFlush, "TestRun/out", "TestRun/out_at_first")),
-			publish:  by(in(pkgConfig, "TestPublish/not_written"), in(pkgCmd, "TestPublishWithoutLog")),
+			appended:   by(in(pkgLog, "TestAppend/down", "TestAppend/connection_closed"), in(pkgKeeper, "TestOutcome/log_down"), in(pkgOnce, "TestBegin/log_down")),
+			recorded:   by(in(pkgFlush, "TestRun/out", "TestRun/out_at_first")),
+			publish:    by(in(pkgConfig, "TestPublish/not_written"), in(pkgCmd, "TestPublishWithoutLog")),
+			accepted:   by(in(pkgNode, "TestFleet/ordinary_work_with_the_log_out"), in(pkgSystem, "TestSystem/log_stops")),
+			admitted:   by(in(pkgNode, "TestFleet/ordinary_work_with_the_log_out")),
+			handedOver: by(in(pkgNode, "TestFleet/ordinary_work_with_the_log_out"), in(pkgSystem, "TestSystem/log_stops")),
+			run:        by(in(pkgNode, "TestFleet/ordinary_work_with_the_log_out"), in(pkgSystem, "TestSystem/log_stops")),
+			answered:   by(in(pkgNode, "TestFleet/ordinary_work_with_the_log_out"), in(pkgSystem, "TestSystem/log_stops")),
+			announce:   by(in(pkgNode, "TestFleet/start_with_the_log_out"), in(pkgSystem, "TestSystem/node_starts_by_a_seed")),
+			leave:      by(in(pkgNode, "TestFleet/leave_with_the_log_out")),
+			fold:       by(in(pkgNode, "TestFleet/configuration_without_the_log")),
 		},
 		answerLost: {
 			accepted:   never(noRecord),
@@ -260,6 +287,9 @@
 			publish:    never(operator),
 			fold:       never(notServer),
 			carryOn:    never(notServer),
+			run:        by(in(pkgServer, "TestRunFaults/never_answers", "TestRunFaults/stalls_within_the_answer")),
+			answered:   by(in(pkgFront, "TestBackendFault/never_answers", "TestBackendFault/stalls_within_the_answer")),
+			leave:      by(in(pkgNode, "TestFleet/stop_of_an_entry_with_work_in_flight"), in(pkgSystem, "TestSystem/node_stops_during_load")),
 		},
 		cold: {
 			admitted:   by(in(pkgLimit, "TestLimiter/cold", "TestLimiter/cold_and_crowded")),
@@ -276,8 +306,8 @@
 			admitted:   by(in(pkgLimit, "TestLimiter/sheds_and_recovers")),
 			appended:   never(notBefore),
 			readBack:   never(notBefore),
-			handedOver: by(in(pkgRoute, "TestEject/refusals_for_load"), in(pkgRetry, "TestPoolTree", "TestDecide/not_run,_plain")),
-			run:        by(in(pkgKeeper, "TestOutcome/server_shed")),
+			handedOver: by(in(pkgRoute, "TestEject/refusals_for_load"), in(pkgRetry, "TestPoolTree", "TestDecide/not_run,_plain"), in(pkgNode, "TestFleet/retries_with_cuts_and_shedding", "TestFleet/retries_when_the_entry_is_full")),
+			run:        by(in(pkgKeeper, "TestOutcome/server_shed"), in(pkgServer, "TestRunFaults/shed", "TestRunFaults/short_proof_of_not_run")),
 			recorded:   by(in(pkgKeeper, "TestOutcome/server_shed")),
 			announce:   never(notServer),
 			leave:      never(notServer),
@@ -286,12 +316,18 @@
 			carryOn:    never(notServer),
 		},
 		leaving: {
-			appended: by(in(pkgKeeper, "TestRestart", "TestStop")),
-			announce: by(in(pkgFleet, "TestState/restarted_after_leaving", "TestState/left")),
-			publish:  never(operator),
+			appended:   by(in(pkgKeeper, "TestRestart", "TestStop")),
+			announce:   by(in(pkgFleet, "TestState/restarted_after_leaving", "TestState/left")),
+			publish:    never(operator),
+			accepted:   by(in(pkgNode, "TestFleet/stop_of_an_entry_with_work_in_flight"), in(pkgRelay, "TestJoinCancel")),
+			handedOver: by(in(pkgNode, "TestFleet/leave_with_the_log_out"), in(pkgSystem, "TestSystem/node_stops_during_load")),
+			run:        by(in(pkgNode, "TestFleet/stop_of_an_entry_with_work_in_flight"), in(pkgSystem, "TestSystem/node_stops_during_load")),
+			answered:   by(in(pkgNode, "TestFleet/stop_of_an_entry_with_work_in_flight"), in(pkgSystem, "TestSystem/node_stops_during_load")),
+			recorded:   by(in(pkgKeeper, "TestStop"), in(pkgFlush, "TestRun/well")),
+			leave:      by(in(pkgNode, "TestFleet/leave_with_the_log_out"), in(pkgSystem, "TestSystem/node_stops_during_load")),
 		},
 		surge: {
-			accepted: by(in(pkgAdmit, "TestEntryCallers")),
+			accepted: by(in(pkgAdmit, "TestEntryCallers"), in(pkgRelay, "TestBound"), in(pkgFront, "TestConnectionBound")),
 			admitted: by(in(pkgAdmit, "TestChain/flood_of_equal_rank", "TestChain/flood_of_the_least_urgent",
 				"TestChain/flood_of_the_most_urgent", "TestChain/flood_of_requests_with_four_calls", "TestChain/flood_held_back_elsewhere",
 				"TestGateRaces")),
@@ -299,13 +335,16 @@
 			handedOver: by(in(pkgRetry, "TestRatio"), in(pkgRoute, "TestPick/all_full", "TestPick/own_data_centre_full")),
 			recorded:   by(in(pkgAudit, "TestProtectedLast", "TestConservation")),
 			fold:       by(in(pkgOrder, "TestUndecidedIsBounded")),
+			announce:   by(in(pkgNode, "TestMassStart", "TestFleet/mass_start")),
 		},
 		two: {
-			appended: by(model),
-			readBack: by(model),
-			run:      by(model),
-			fold:     by(folds),
-			carryOn:  by(folds),
+			appended:   by(model),
+			readBack:   by(model),
+			run:        by(model),
+			fold:       by(folds),
+			carryOn:    by(folds),
+			handedOver: by(in(pkgNode, "TestFleet/retries_with_cuts_and_shedding", "TestFleet/retries_when_the_deep_service_is_gone")),
+			leave:      by(in(pkgNode, "TestFleet/leave_with_the_log_out")),
 		},
 	}
 }
