--- a/internal/matrix/spec.go
+++ b/internal/matrix/spec.go
@@ -332,7 +332,7 @@
 				"TestChain/flood_of_the_most_urgent", "TestChain/flood_of_requests_with_four_calls", "TestChain/flood_held_back_elsewhere",
 				"TestGateRaces")),
 			appended:   by(in(pkgLog, "TestGroups", "TestAppend/rate_exceeded"), in(pkgKeeper, "TestOutcome/log_refuses"), in(pkgOnce, "TestBegin/too_many_keys")),
-			handedOver: by(in(pkgRetry, "TestRatio"), in(pkgRoute, "TestPick/all_full", "TestPick/own_data_centre_full")),
+			handedOver: by(in(pkgNode, "TestFleet/retries_when_the_entry_is_full"), in(pkgRetry, "TestRatio"), in(pkgRoute, "TestPick/all_full", "TestPick/own_data_centre_full")),
 			recorded:   by(in(pkgAudit, "TestProtectedLast", "TestConservation")),
 			fold:       by(in(pkgOrder, "TestUndecidedIsBounded")),
 			announce:   by(in(pkgNode, "TestMassStart", "TestFleet/mass_start")),
--- a/internal/node/fault_test.go
+++ b/internal/node/fault_test.go
@@ -113,6 +113,7 @@
 	}
 }
 
+// Fails when a retry needs no token.
 func retriesWithCutsAndShedding(f *testFleet) {
 	entry, middle, deep := f.chain()
 	work := fakes.Behaviour{Work: fakes.Duration(2 * time.Millisecond)}
@@ -143,6 +144,7 @@
 }
 
 // retriesWhenTheEntryIsFull makes the entry hand requests to its other server, which spends retries below.
+// Fails when the entry keeps the whole budget after that.
 func retriesWhenTheEntryIsFull(f *testFleet) {
 	entry, middle, deep := f.chain()
 	for _, m := range slices.Concat(entry, middle, deep) {
@@ -157,7 +159,7 @@
 }
 
 // retriesWhenTheDeepServiceIsGone lets the servers of the middle pass on that no server was reached. That
-// answer must not read as if the call to the middle had spent nothing.
+// answer must not read as if the call to the middle had spent nothing. Fails when it gives all tokens back.
 func retriesWhenTheDeepServiceIsGone(f *testFleet) {
 	f.publish("first", 0)
 	entry := f.add("entry", "middle", nil)
@@ -182,7 +184,7 @@
 }
 
 // answersLateAndOutOfOrder lets each answer take another time than the ones before it on the same
-// connections.
+// connections. Fails when answers are matched to calls by their arrival.
 func answersLateAndOutOfOrder(f *testFleet) {
 	entry, middle, deep := f.chain()
 	var all []told
@@ -202,6 +204,7 @@
 }
 
 // massStart restarts all nodes at the same time: each appends its leave and one announcement, and no more.
+// Fails when a node announces itself twice.
 func massStart(f *testFleet) {
 	f.publish("first", 0)
 	const n = 12
@@ -245,6 +248,7 @@
 	}
 }
 
+// Fails when peers do not send the accepted document.
 func configurationWithoutTheLog(f *testFleet) {
 	f.publish("first", 0)
 	a, b := f.add("entry", "", nil), f.add("entry", "", nil)
@@ -271,6 +275,7 @@
 	}
 }
 
+// Fails when versions come into force before the end of the log was read.
 func configurationAfterARestart(f *testFleet) {
 	const last = 40 // more than a node keeps while it reads
 	for v := range ident.Version(last) {
@@ -287,12 +292,14 @@
 	f.checkNoReturn()
 }
 
+// Fails when a run waits for an append.
 func ordinaryWork(f *testFleet, faults fakes.LogFaults) {
 	entry, _, _ := f.chain()
 	f.log.SetFaults(faults)
 	f.wholeIn(time.Second, "with the log at fault", f.batch("faults", 200, 4, entry...))
 }
 
+// Fails when peers are not told of the leave.
 func leaveWithTheLogOut(f *testFleet) {
 	entry, middle, deep := f.chain()
 	f.wholeIn(waitLimit, "before the leave", f.batch("before", 40, 4, entry...))
@@ -317,6 +324,7 @@
 	f.within(outOfUse, "all know of the leave", func() bool { return !entry[0].sees(gone.set.Server) && !entry[1].sees(gone.set.Server) })
 }
 
+// Fails when a server is made known only after its announcement is on the log.
 func startWithTheLogOut(f *testFleet) {
 	entry, middle, _ := f.chain()
 	f.wholeIn(waitLimit, "before the start", f.batch("before", 40, 4, entry...))
@@ -334,6 +342,7 @@
 	})
 }
 
+// Fails when the stop does not wait for requests in flight.
 func stopOfAnEntry(f *testFleet) {
 	entry, _, deep := f.chain()
 	for _, m := range deep {
