--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"briarworks.example/briarworks/internal/applog"
+	"briarworks.example/briarworks/internal/pause"
 	"briarworks.example/briarworks/internal/record"
 	"briarworks.example/briarworks/pkg/ident"
 	"briarworks.example/briarworks/pkg/order"
@@ -25,6 +26,7 @@
 	leaveTimeout   = 2 * time.Second
 	firstRead      = 2 * time.Second
 	maxJoined      = 512                    // members that are joined together
+	configPage     = 64                     // configurations read at a time: 512 of 10 KB each took a node that starts over 64 MB
 	memberGap      = 200 * time.Millisecond // between two reads of members, so that many starts are few reads
 )
 
@@ -90,7 +92,7 @@
 	known := len(n.Roster.Table().All())
 	wait := startWait(known, mrand.Float64())
 	for {
-		if !pause(ctx, wait) {
+		if !pause.For(ctx, wait) {
 			return
 		}
 		if n.announceOnce(ctx) {
@@ -154,15 +156,3 @@
 		}
 	})
 }
-
-// pause waits for d and reports whether ctx is still alive.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/peer/out.go
+++ b/internal/peer/out.go
@@ -7,6 +7,7 @@
 
 	"github.com/hashicorp/yamux"
 
+	"briarworks.example/briarworks/internal/pause"
 	"briarworks.example/briarworks/internal/wire"
 	"briarworks.example/briarworks/internal/wire/wirepb"
 	"briarworks.example/briarworks/pkg/call"
@@ -24,11 +25,7 @@
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
 	l := b.Link(addr)
-	s, err := l.session(ctx, b)
-	if err != nil {
-		return neverRan(req, reason.NoServer)
-	}
-	st, err := s.OpenStream()
+	s, st, err := b.open(ctx, l)
 	if err != nil {
 		return neverRan(req, reason.NoServer)
 	}
@@ -48,6 +45,21 @@
 	return b.settle(ctx, l, s, id, req, why)
 }
 
+// open opens a stream to the peer. A session may have ended without being noticed yet; nothing was sent
+// on it, so a new one is tried once.
+func (b *Book) open(ctx context.Context, l *Link) (s *session, st *yamux.Stream, err error) {
+	for range 2 {
+		if s, err = l.session(ctx, b); err != nil {
+			return nil, nil, err
+		}
+		if st, err = s.OpenStream(); err == nil {
+			return s, st, nil
+		}
+		_ = s.Close()
+	}
+	return nil, nil, err
+}
+
 // neverRan is the result for a call that no peer ran, so that nothing of its budget was spent. The
 // result itself has to say so: a peer can answer with the same reason, which its own server passed on
 // from further down the chain, after tokens were spent there.
@@ -107,7 +119,7 @@
 				return res
 			}
 		}
-		if !pause(short, settlePause) {
+		if !pause.For(short, settlePause) {
 			return call.Doubt(why)
 		}
 	}
@@ -116,18 +128,6 @@
 // settlePause is the time between two attempts to reach a peer for settling.
 const settlePause = 50 * time.Millisecond
 
-// pause waits for d and reports whether ctx is still alive.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // askState asks for the state of one call; the peer replies when a running call has ended.
 func (b *Book) askState(ctx context.Context, s *session, id ident.CallID, req *call.Request, why reason.Refusal) (res call.Result, ok bool) {
 	m := &wirepb.Settle{Incarnation: uint64(b.Incarnation), CallIds: []uint64{uint64(id)}}
--- a/pkg/admit/gate.go
+++ b/pkg/admit/gate.go
@@ -73,6 +73,7 @@
 		return false
 	}
 	n.passed.Add(1)
+	n.unique.Add(uint64(weightOne / req.Passed))
 	return true
 }
 
@@ -138,6 +139,11 @@
 func (g *Gate) wait(req *call.Request, t *Ticket, expected time.Duration, now time.Time) Verdict {
 	t.order = share.Kind{Rank: req.Rank, Protected: req.Protected}
 	t.born, t.begun = req.Born, req.Hop > 0
+	if t.kind.own.load() < 1 {
+		// A kind above its share of the limit yields to kinds of its rank that are below theirs. Else
+		// calls that hold their slots for long would take the queue from short ones.
+		t.born = t.born.Add(g.cfg.MaxWait)
+	}
 	t.expire = now.Add(g.longest(req, expected))
 	if !req.Deadline.IsZero() {
 		t.expire = earlier(t.expire, req.Deadline.Add(-expected))
