admit: test the chain at servers of 20 slots too

The cases had been moved from 20 to 100 slots while the decisions were tuned. Both deployments have servers of 15 to 20 slots, so all cases run at both sizes again.

--- a/pkg/admit/chain_test.go
+++ b/pkg/admit/chain_test.go
@@ -199,22 +199,34 @@
 	}
 }
 
+// Sizes and times of the cases.
+const (
+	faultFrom, faultTo = 3, 8 // seconds of the fault
+	ledgerSlots        = 100  // of each of 3 ledgers, which answer 6000 calls per second
+	small              = 0.2  // part of every size and rate, for ledgers of 20 slots
+)
+
+// chainCase is one kind of overload. Rates are per second, by kind in the order of chainKinds.
+type chainCase struct {
+	usual  [4]float64
+	fault  [4]float64 // during the fault
+	calls  int        // to a ledger by each request
+	sort   float64    // own time at a narrow service that packs also use, 0 for none
+	slower float64    // factor of the ledgers' own time during the fault
+	ideal  [4]float64 // answers per second during the fault
+}
+
+// fourCalls is a flood of requests that call a ledger four times.
+var fourCalls = chainCase{
+	usual: [4]float64{375, 312, 312, 250}, fault: [4]float64{375, 312, 3125, 250}, calls: 4, slower: 1,
+	ideal: [4]float64{375, 312, 813, 0},
+}
+
 // Guards against capacity left idle or wasted under overload, important work lost to other work, and
 // overload that outlasts its cause. The bounds are the targets of the design.
 func TestChain(t *testing.T) {
-	const (
-		from, to = 3, 8 // seconds of the fault
-		slots    = 100  // of each of 3 ledgers, which answer 6000 calls per second
-	)
-	usual := [4]float64{1500, 1250, 1250, 1000} // requests per second, by kind in the order of chainKinds
-	tests := map[string]struct {
-		usual  [4]float64
-		fault  [4]float64 // requests per second during the fault
-		calls  int        // to a ledger by each request
-		sort   float64    // own time at a narrow service that packs also use, 0 for none
-		slower float64    // factor of the ledgers' own time during the fault
-		ideal  [4]float64 // answers per second during the fault
-	}{
+	usual := [4]float64{1500, 1250, 1250, 1000}
+	tests := map[string]chainCase{
 		"flood of equal rank": {
 			usual: usual, fault: [4]float64{1500, 1250, 12500, 1000}, calls: 1, slower: 1,
 			ideal: [4]float64{1500, 1250, 3250, 0},
@@ -227,10 +239,6 @@
 			usual: usual, fault: [4]float64{15000, 1250, 1250, 1000}, calls: 1, slower: 1,
 			ideal: [4]float64{6000, 0, 0, 0},
 		},
-		"flood of requests with four calls": {
-			usual: [4]float64{375, 312, 312, 250}, fault: [4]float64{375, 312, 3125, 250}, calls: 4, slower: 1,
-			ideal: [4]float64{375, 312, 813, 0},
-		},
 		"flood held back elsewhere": {
 			usual: [4]float64{1000, 1250, 500, 0}, fault: [4]float64{1000, 15000, 15000, 0}, calls: 1, sort: 0.3, slower: 1,
 			ideal: [4]float64{1000, 4000, 1000, 0},
@@ -241,29 +249,42 @@
 		},
 	}
 	for name, tc := range tests {
-		t.Run(name, func(t *testing.T) {
-			c := newChain()
-			entry := c.add("calendar", 3, 650, 0.02)
-			ledger := c.add("ledger", 3, slots, 0.05)
-			for i, k := range chainKinds {
-				c.paths[k.Name] = slices.Repeat([]*tier{ledger}, tc.calls)
-				c.send(entry, k, func(now float64) float64 {
-					if now >= from && now < to {
-						return tc.fault[i]
-					}
-					return tc.usual[i]
-				})
-			}
-			if tc.sort > 0 {
-				c.paths["pack"] = append(c.paths["pack"], c.add("sorting", 3, slots, tc.sort))
+		t.Run(name, func(t *testing.T) { tc.run(t, 1) })
+		t.Run(name+", small servers", func(t *testing.T) { tc.run(t, small) })
+	}
+	t.Run("flood of requests with four calls", func(t *testing.T) { fourCalls.run(t, 1) })
+}
+
+// Guards against the same for requests that pass a server of 20 slots four times.
+func TestFourCallsOnSmallServers(t *testing.T) { fourCalls.run(t, small) }
+
+// run brings the overload about, with every size and rate multiplied by part, and holds the answers
+// against the ideal.
+func (tc chainCase) run(t *testing.T, part float64) {
+	c := newChain()
+	entry := c.add("calendar", 3, ident.Slots(650*part), 0.02)
+	ledger := c.add("ledger", 3, ident.Slots(ledgerSlots*part), 0.05)
+	for i, k := range chainKinds {
+		c.paths[k.Name] = slices.Repeat([]*tier{ledger}, tc.calls)
+		c.send(entry, k, func(now float64) float64 {
+			if now >= faultFrom && now < faultTo {
+				return tc.fault[i] * part
 			}
-			c.after(from, func() { ledger.slow(tc.slower) })
-			c.after(to, func() { ledger.slow(1 / tc.slower) })
-			c.run(to + 4)
-			c.check(t, from+1, to, tc.ideal)
-			c.checkRecovered(t, to+1, to+3)
+			return tc.usual[i] * part
 		})
 	}
+	if tc.sort > 0 {
+		c.paths["pack"] = append(c.paths["pack"], c.add("sorting", 3, ident.Slots(ledgerSlots*part), tc.sort))
+	}
+	c.after(faultFrom, func() { ledger.slow(tc.slower) })
+	c.after(faultTo, func() { ledger.slow(1 / tc.slower) })
+	c.run(faultTo + 4)
+	ideal := tc.ideal
+	for i := range ideal {
+		ideal[i] *= part
+	}
+	c.check(t, faultFrom+1, faultTo, ideal)
+	c.checkRecovered(t, faultTo+1, faultTo+3)
 }
 
 // check compares the answers to requests born in the given seconds with the ideal.
