relay: count a joined call as ended before its callers wake

Cause: the count of requests carried fell only after the callers of a call with a key had been woken. TestJoin/key_with_other_path failed once in a run of make matrix ("active: got 1, want 0"). After: 6 runs of TestJoin* with the race detector pass; the failure was seen once in about 12 runs, so this does not prove that it is gone.

--- a/internal/relay/join.go
+++ b/internal/relay/join.go
@@ -117,8 +117,8 @@
 // carry runs a call and hands its result to everyone who waits. A panic must not end the process: the
 // front end recovers only those of its own goroutines.
 func (r *Relay) carry(ctx context.Context, s *joinShard, c *running, run func(context.Context, *call.Request) call.Result) {
-	defer r.active.Add(-1)
 	defer close(c.done)
+	defer r.active.Add(-1) // before the callers wake, as for a request without a key
 	defer func() {
 		if recover() != nil {
 			c.res = call.Doubt(reason.Internal)
