relay: check the lease where the request is handed to the server

Cause: the lease was checked before the gate's queue, so an attempt could begin after its lease by the time it waited or the process was paused there. TestLeaseAtTheServer fails without the check ('lease over': got ran after 1 runs).

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -452,6 +452,7 @@
 	may := false
 	k.command(func() {
 		may = k.Partition.MayRun(a, k.Now())
+		req.StartBy = k.Partition.StartBy(a)
 		if !may {
 			k.changed(key)
 			k.wake()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -245,7 +245,10 @@
 	f := &flight.Flight{Token: r.Token(), Request: req, Ctx: ctx}
 	f.Pool.Fill(req.Budget)
 	r.Flights.Add(f)
-	res := r.Run(ctx, req, f.Token, start)
+	res := call.Refuse(reason.LeaseLapsed)
+	if req.StartBy.IsZero() || start.Before(req.StartBy) {
+		res = r.Run(ctx, req, f.Token, start)
+	}
 	r.Flights.Remove(f)
 	now := r.Now()
 	total := now.Sub(start)
--- a/pkg/call/call.go
+++ b/pkg/call/call.go
@@ -32,6 +32,7 @@
 	Service    ident.Service  // target of this hop
 	Born       time.Time      // when the entry node accepted it
 	Deadline   time.Time      // when its answer loses its use
+	StartBy    time.Time      // end of the lease under which it may be handed to the backend server; zero for none
 	Budget     ident.Tokens   // retries that this hop and everything below it may spend
 	Passed     ident.Fraction // admitted fraction that the entry applied
 	Hop        ident.Hop
--- a/pkg/once/once.go
+++ b/pkg/once/once.go
@@ -418,6 +418,14 @@
 	return true
 }
 
+// StartBy returns the end of the lease of an attempt, by which it has to be with the backend server.
+func (p *Partition) StartBy(attempt ident.Attempt) (end time.Time) {
+	if o := p.own[attempt]; o != nil {
+		end = o.until
+	}
+	return end
+}
+
 // Abandon gives up an attempt that has not begun to run and reports whether the caller may be told
 // notRun. The attempt is barred in memory first, and a Void is due.
 func (p *Partition) Abandon(attempt ident.Attempt) bool {
