front: benchmark a call through two nodes

No benchmark covered the path of a call, so that a change to it could not be judged on a busy machine.

--- /dev/null
+++ b/internal/front/path_test.go
@@ -0,0 +1,178 @@
+package front
+
+import (
+	"context"
+	"encoding/hex"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"briarworks.example/briarworks/internal/flight"
+	"briarworks.example/briarworks/internal/peer"
+	"briarworks.example/briarworks/internal/relay"
+	"briarworks.example/briarworks/internal/roster"
+	"briarworks.example/briarworks/internal/server"
+	"briarworks.example/briarworks/internal/wire/wirepb"
+	"briarworks.example/briarworks/pkg/admit"
+	"briarworks.example/briarworks/pkg/fleet"
+	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/reason"
+	"briarworks.example/briarworks/pkg/rules"
+	"briarworks.example/briarworks/pkg/share"
+)
+
+const pathRules = `
+fleet: test
+dataCentres: [{name: c, region: r}]
+services:
+  - {name: shop, slots: 64, connections: 64, servers: 1, dataCentres: [c]}
+  - {name: stock, slots: 64, connections: 64, servers: 1, dataCentres: [c]}
+ranks: [{name: only}]
+kinds:
+  - {name: look, rank: only, service: stock, method: POST, path: /work, deadline: 5s, idempotent: true}
+`
+
+// pathBody is about the size of a small JSON document.
+var pathBody = strings.Repeat("x", 200)
+
+// pathNode is the path of calls through one node, without its control work.
+type pathNode struct {
+	self  fleet.Member
+	front *Front
+	book  *peer.Book
+	list  *roster.Roster
+	addr  string // of the backend server
+}
+
+func pathToken() string {
+	var b [16]byte
+	for i := range b {
+		b[i] = byte(rand.Uint32())
+	}
+	return hex.EncodeToString(b[:])
+}
+
+// newPathNode starts a node whose backend server answers at once.
+func newPathNode(b *testing.B, service ident.Service, snap *rules.Snapshot) *pathNode {
+	b.Helper()
+	ln := listenLocal(b)
+	n := &pathNode{self: fleet.Member{
+		Server: ident.Server(service) + "-1", Service: service, DataCentre: "c",
+		Address: ident.Address(ln.Addr().String()), Incarnation: 1, Slots: 64, Conns: 64, Announced: time.Now(),
+	}}
+	n.list = &roster.Roster{Self: n.self, Retention: time.Hour}
+	n.book = &peer.Book{
+		Server: n.self.Server, Incarnation: n.self.Incarnation, Now: time.Now, Event: func(peer.Event) {},
+		Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+			return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+		},
+		OnLeave: func(ident.Server, ident.Incarnation) {},
+		OnSync:  func(ident.Server, *wirepb.Sync) *wirepb.SyncReply { return nil },
+	}
+	backend := listenLocal(b)
+	n.addr = backend.Addr().String()
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = io.WriteString(w, pathBody)
+	})}
+	go func() { _ = srv.Serve(backend) }()
+	client := server.New(ident.Address(n.addr), 64)
+	paths := &share.Paths{}
+	rl := &relay.Relay{
+		Self: n.self, Now: time.Now, Rand: rand.Uint64, Token: func() flight.Token { return flight.Token(pathToken()) },
+		Rules: func() *rules.Snapshot { return snap }, Routes: n.list.Set, Run: client.Run, Send: n.book.Call,
+		Seq: func() ident.Seq { return 0 }, Retried: func(reason.Retry) {},
+		Gate:  admit.New(admit.Config{Service: service, Slots: 64, Paths: paths}),
+		Paths: paths, Flights: &flight.Table{}, Bound: 4096,
+	}
+	n.book.OnCall = rl.Serve
+	n.front = &Front{
+		Service: service, Relay: rl, Rules: rl.Rules, Now: time.Now, NewKey: func() ident.Key { return ident.Key(pathToken()) },
+		Refused: func(t Told) { b.Errorf("refused: got %v, want an answer", t.Result.Reason) },
+		Served:  func(ident.Kind, time.Duration) {},
+	}
+	done := make(chan struct{})
+	go func() { defer close(done); _ = n.book.Serve(ln) }()
+	b.Cleanup(func() {
+		_ = ln.Close()
+		<-done
+		n.book.Close()
+		client.Close()
+		_ = srv.Close()
+	})
+	return n
+}
+
+func listenLocal(b *testing.B) net.Listener {
+	b.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	return ln
+}
+
+// processorTime returns what this process has used so far.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkPath is a call over the local port of one node to the server of another one. Its processor time
+// includes the caller and the backend server, which the case "direct" shows alone.
+func BenchmarkPath(b *testing.B) {
+	d, err := rules.Decode("test", []byte(pathRules))
+	if err != nil {
+		b.Fatal(err)
+	}
+	snap, err := rules.Compile(d)
+	if err != nil {
+		b.Fatal(err)
+	}
+	near, far := newPathNode(b, "shop", snap), newPathNode(b, "stock", snap)
+	near.list.Apply(time.Now(), far.self)
+	ln := listenLocal(b)
+	port := NewPort(Engine(near.front.Local), 64, nil)
+	go func() { _ = port.Serve(ln) }()
+	b.Cleanup(func() { _ = port.Server.Close() })
+	for name, url := range map[string]string{
+		"twoNodes": "http://" + ln.Addr().String() + "/stock/work",
+		"direct":   "http://" + far.addr + "/work",
+	} {
+		b.Run(name, func(b *testing.B) { drive(b, url) })
+	}
+}
+
+// drive makes the calls from a few callers, so that there is always work at hand.
+func drive(b *testing.B, url string) {
+	t := &http.Transport{MaxIdleConnsPerHost: 64}
+	defer t.CloseIdleConnections()
+	client := &http.Client{Transport: t}
+	b.ReportAllocs()
+	before := processorTime()
+	b.ResetTimer()
+	b.SetParallelism(1)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			resp, err := client.Post(url, "application/json", strings.NewReader(pathBody))
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			body, err := io.ReadAll(resp.Body)
+			_ = resp.Body.Close()
+			if err != nil || resp.StatusCode != http.StatusOK || len(body) != len(pathBody) {
+				b.Errorf("answer: got %d, %d bytes, %v, want 200, %d bytes", resp.StatusCode, len(body), err, len(pathBody))
+				return
+			}
+		}
+	})
+	b.ReportMetric(float64((processorTime()-before).Microseconds())/float64(b.N), "cpu-us/op")
+}
