wire: send a message with one write

protodelim writes the length and the message apart, and each write on a stream is a frame of yamux with a header of its own: four writes to the connection for one message. The message is now marshalled behind its length and written once, which makes two.

--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/binary"
 	"io"
 
 	"github.com/samber/oops"
@@ -21,7 +22,14 @@
 // Write sends one message as a frame.
 func Write[M proto.Message](w io.Writer, m M) (err error) {
 	defer func() { err = oops.Wrapf(err, "wire: write frame") }()
-	_, err = protodelim.MarshalTo(w, m)
+	// The length and the message leave in one call of Write, since each one is a frame of yamux.
+	size := proto.Size(m)
+	frame := make([]byte, 0, binary.MaxVarintLen64+size)
+	frame = binary.AppendUvarint(frame, uint64(size))
+	if frame, err = (proto.MarshalOptions{UseCachedSize: true}).MarshalAppend(frame, m); err != nil {
+		return err
+	}
+	_, err = w.Write(frame)
 	return err
 }
 
