peer: write a message with one system call

Yamux writes the header of a frame and its payload apart, and a new stream begins with a frame of its own: three writes for a call and two for an answer, each of which wakes the reader at the other end. The connection now holds a header until its payload follows and the opening of a stream until its message.

go test -run xxx -bench Path/two -benchtime 4000x -count 3 -cpu 4 ./internal/front before 542-587 cpu-us/op, 375 allocs/op; after 515-531 cpu-us/op, 374 allocs/op.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"errors"
 	"net"
 	"sync"
@@ -31,11 +32,60 @@
 // errVersion reports a peer that speaks another protocol version.
 var errVersion = errors.New("peer: protocol version differs")
 
-// watched stamps the time of the last read, which is what silence is judged by.
+// watched stamps the time of the last read, which is what silence is judged by, and joins the writes of
+// one message.
 type watched struct {
 	net.Conn
-	now  func() time.Time
-	last *atomic.Int64
+	now     func() time.Time
+	last    *atomic.Int64
+	held    []byte // not written yet; belongs to the one goroutine in which yamux writes
+	payload bool   // the next write is the payload of the frame whose header is held
+}
+
+// The header of a yamux frame: version, type, flags (2 bytes), stream (4 bytes), length (4 bytes).
+const (
+	frameHeader = 12
+	frameData   = 0 // type of a frame that its payload follows
+	frameWindow = 1 // type of a frame that opens, widens or ends a stream
+	flagOpen    = 1 // flag in the first frame of a stream, in the low byte
+)
+
+// maxJoined bounds the payload that is copied behind what is held; a larger one is written from where it is.
+const maxJoined = 4096
+
+// Write writes to the connection. Yamux writes the header of a frame and its payload apart, and a
+// message on a new stream comes after a frame that opens the stream. Another write follows both at once:
+// they wait for it, so that a message takes one system call.
+func (c *watched) Write(p []byte) (n int, err error) {
+	if c.waits(p) {
+		c.held = append(c.held, p...)
+		return len(p), nil
+	}
+	if len(c.held) == 0 {
+		return c.Conn.Write(p)
+	}
+	defer func() { c.held = c.held[:0] }()
+	if len(p) <= maxJoined {
+		c.held = append(c.held, p...)
+		_, err = c.Conn.Write(c.held)
+	} else {
+		bufs := net.Buffers{c.held, p}
+		_, err = bufs.WriteTo(c.Conn)
+	}
+	if err != nil {
+		return 0, err
+	}
+	return len(p), nil
+}
+
+// waits reports whether p is a header that another write follows at once.
+func (c *watched) waits(p []byte) bool {
+	if c.payload || len(p) != frameHeader {
+		c.payload = false
+		return false
+	}
+	c.payload = p[1] == frameData && binary.BigEndian.Uint32(p[8:]) > 0
+	return c.payload || (p[1] == frameWindow && p[3]&flagOpen != 0 && len(c.held) <= maxJoined)
 }
 
 // Read reads from the connection and stamps the time when something arrived.
