server: run requests on the transport itself

http.Client copies the headers and the URL of each request in case it is redirected; redirects are passed on as they are.

go test -run xxx -bench Path/two -benchtime 6000x -count 6 -cpu 4 ./internal/front, by turns before 494-597 cpu-us/op (median 528), 374 allocs/op, 42.0 KB/op; after 495-589 cpu-us/op (median 516), 368 allocs/op, 41.3 KB/op: fewer allocations, processor time within the noise of the machine.

--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -46,7 +46,7 @@
 type Client struct {
 	Addr  ident.Address
 	conns atomic.Int32
-	http  atomic.Pointer[http.Client]
+	http  atomic.Pointer[http.Transport]
 }
 
 // New returns a client that opens at most conns connections to the server.
@@ -70,9 +70,7 @@
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: int64(call.MaxHeader),
 	}
-	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	old := c.http.Swap(&http.Client{Transport: t, CheckRedirect: noRedirect})
-	if old != nil {
+	if old := c.http.Swap(t); old != nil {
 		old.CloseIdleConnections()
 	}
 }
@@ -95,7 +93,8 @@
 	if err != nil {
 		return call.Refuse(reason.BadRequest)
 	}
-	resp, err := c.http.Load().Do(hr)
+	// The transport itself, since http.Client copies the headers for redirects, which are passed on here.
+	resp, err := c.http.Load().RoundTrip(hr)
 	if err != nil {
 		return failed(ctx, err, wrote.Load())
 	}
