--- a/internal/peer/book.go
+++ b/internal/peer/book.go
@@ -66,6 +66,7 @@
 	mu       sync.Mutex // guards sessions and closed
 	sessions map[*session]struct{}
 	closed   bool
+	workers  *workers // made with the first session
 	wg       sync.WaitGroup
 }
 
@@ -105,6 +106,7 @@
 	}
 	if b.sessions == nil {
 		b.sessions = make(map[*session]struct{})
+		b.workers = newWorkers()
 	}
 	b.sessions[s] = struct{}{}
 	b.wg.Add(1)
@@ -292,4 +294,7 @@
 		_ = s.Close()
 	}
 	b.wg.Wait()
+	if b.workers != nil {
+		b.workers.stop()
+	}
 }
--- a/internal/peer/in.go
+++ b/internal/peer/in.go
@@ -30,7 +30,8 @@
 		if err != nil {
 			break
 		}
-		wg.Go(func() { b.serve(s, st) })
+		wg.Add(1)
+		b.workers.do(b, job{s, st, &wg})
 	}
 	b.forget(s)
 	wg.Wait()
