peer: test how messages are written

The joined writes rely on the layout of yamux frames and on the order of its writes. The tests fail when a frame is lost, reordered or held too long, when a call takes more than two writes at its caller, or when reused buffers mix up bodies.

--- /dev/null
+++ b/internal/peer/link_test.go
@@ -0,0 +1,130 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"briarworks.example/briarworks/pkg/call"
+	"briarworks.example/briarworks/pkg/reason"
+)
+
+// recorder is a connection that keeps what is written to it, one entry for each write.
+type recorder struct {
+	net.Conn
+	writes [][]byte
+}
+
+func (r *recorder) Write(p []byte) (int, error) {
+	r.writes = append(r.writes, bytes.Clone(p))
+	return len(p), nil
+}
+
+// frame returns the header of a yamux frame of stream 1.
+func frame(kind, flags byte, length int) []byte {
+	h := make([]byte, frameHeader)
+	h[1], h[3], h[7] = kind, flags, 1
+	binary.BigEndian.PutUint32(h[8:], uint32(length))
+	return h
+}
+
+// Guards against frames that are lost, reordered or held while nothing follows them, and against
+// payloads that are taken for headers.
+func TestWatchedWrite(t *testing.T) {
+	const flagEnd, framePing = 4, 2
+	open, window, end := frame(frameWindow, flagOpen, 0), frame(frameWindow, 0, 100), frame(frameWindow, flagEnd, 0)
+	ping, empty := frame(framePing, flagOpen, 7), frame(frameData, 0, 0)
+	short, long := bytes.Repeat([]byte("s"), 100), bytes.Repeat([]byte("l"), maxJoined+1)
+	tests := map[string]struct {
+		in   [][]byte
+		want []int // sizes of the writes
+	}{
+		"header and payload":             {[][]byte{frame(frameData, 0, 100), short}, []int{112}},
+		"new stream":                     {[][]byte{open, frame(frameData, 0, 100), short}, []int{124}},
+		"two new streams":                {[][]byte{open, open, frame(frameData, 0, 100), short, frame(frameData, 0, 100), short}, []int{136, 112}},
+		"long payload is not copied":     {[][]byte{open, frame(frameData, 0, len(long)), long}, []int{24, len(long)}},
+		"window goes at once":            {[][]byte{window}, []int{12}},
+		"end goes at once":               {[][]byte{end}, []int{12}},
+		"ping goes at once":              {[][]byte{ping}, []int{12}},
+		"end after an opened stream":     {[][]byte{open, end}, []int{24}},
+		"data frame without payload":     {[][]byte{empty, window}, []int{12, 12}},
+		"payload like an opening":        {[][]byte{frame(frameData, 0, 12), open, window}, []int{24, 12}},
+		"payload like a header":          {[][]byte{frame(frameData, 0, 12), frame(frameData, 0, 9), window}, []int{24, 12}},
+		"what is held is bounded": {slices.Concat(slices.Repeat([][]byte{open}, 400), [][]byte{window}), []int{4116, 696}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := &recorder{}
+			w := &watched{Conn: r}
+			for _, p := range test.in {
+				if n, err := w.Write(p); n != len(p) || err != nil {
+					t.Fatalf("write: got %d, %v, want %d", n, err, len(p))
+				}
+			}
+			var sizes []int
+			for _, p := range r.writes {
+				sizes = append(sizes, len(p))
+			}
+			if !slices.Equal(sizes, test.want) {
+				t.Errorf("writes: got %v, want %v", sizes, test.want)
+			}
+			if got, want := slices.Concat(r.writes...), slices.Concat(test.in...); !bytes.Equal(got, want) {
+				t.Errorf("bytes: got %d, want the %d that were written, in order", len(got), len(want))
+			}
+		})
+	}
+}
+
+// counted counts the writes to a connection.
+type counted struct {
+	net.Conn
+	writes *atomic.Int64
+}
+
+func (c counted) Write(p []byte) (int, error) {
+	c.writes.Add(1)
+	return c.Conn.Write(p)
+}
+
+// Guards against a version of yamux that lays out its frames in another way, with which messages would
+// be written in parts again, and against bodies that are mixed up by reused buffers and goroutines.
+func TestManyCalls(t *testing.T) {
+	const calls = 100
+	p := newPair(t, func(_ context.Context, req *call.Request) call.Result {
+		return call.Result{Outcome: reason.Ran, Status: 200, Body: req.Body, Fraction: 1}
+	})
+	var writes atomic.Int64
+	dial := p.a.Dial
+	p.a.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+		c, err := dial(ctx, addr)
+		return counted{c, &writes}, err
+	}
+	var wg sync.WaitGroup
+	for i := range calls {
+		wg.Go(func() {
+			req := request(10 * time.Second)
+			req.Body = bytes.Repeat([]byte{byte(i)}, i*i*80) // up to 784 KB
+			res := p.a.Call(t.Context(), p.addr(), req)
+			if res.Outcome != reason.Ran || !bytes.Equal(res.Body, req.Body) {
+				t.Errorf("call %d: got %v, %d bytes, want an answer of its %d bytes", i, res.Reason, len(res.Body), len(req.Body))
+			}
+		})
+	}
+	wg.Wait()
+	before := writes.Load()
+	for range calls {
+		if res := p.a.Call(t.Context(), p.addr(), request(10*time.Second)); res.Outcome != reason.Ran {
+			t.Fatalf("call: got %v, want an answer", res.Reason)
+		}
+	}
+	// One for the call and one for the end of its stream; pings come on top.
+	if got, want := writes.Load()-before, int64(2*calls+calls/10); got > want {
+		t.Errorf("writes of %d calls: got %d, want at most %d", calls, got, want)
+	}
+}
