--- a/internal/peer/link_test.go
+++ b/internal/peer/link_test.go
@@ -45,18 +45,18 @@
 		in   [][]byte
 		want []int // sizes of the writes
 	}{
-		"header and payload":             {[][]byte{frame(frameData, 0, 100), short}, []int{112}},
-		"new stream":                     {[][]byte{open, frame(frameData, 0, 100), short}, []int{124}},
-		"two new streams":                {[][]byte{open, open, frame(frameData, 0, 100), short, frame(frameData, 0, 100), short}, []int{136, 112}},
-		"long payload is not copied":     {[][]byte{open, frame(frameData, 0, len(long)), long}, []int{24, len(long)}},
-		"window goes at once":            {[][]byte{window}, []int{12}},
-		"end goes at once":               {[][]byte{end}, []int{12}},
-		"ping goes at once":              {[][]byte{ping}, []int{12}},
-		"end after an opened stream":     {[][]byte{open, end}, []int{24}},
-		"data frame without payload":     {[][]byte{empty, window}, []int{12, 12}},
-		"payload like an opening":        {[][]byte{frame(frameData, 0, 12), open, window}, []int{24, 12}},
-		"payload like a header":          {[][]byte{frame(frameData, 0, 12), frame(frameData, 0, 9), window}, []int{24, 12}},
-		"what is held is bounded": {slices.Concat(slices.Repeat([][]byte{open}, 400), [][]byte{window}), []int{4116, 696}},
+		"header and payload":         {[][]byte{frame(frameData, 0, 100), short}, []int{112}},
+		"new stream":                 {[][]byte{open, frame(frameData, 0, 100), short}, []int{124}},
+		"two new streams":            {[][]byte{open, open, frame(frameData, 0, 100), short, frame(frameData, 0, 100), short}, []int{136, 112}},
+		"long payload is not copied": {[][]byte{open, frame(frameData, 0, len(long)), long}, []int{24, len(long)}},
+		"window goes at once":        {[][]byte{window}, []int{12}},
+		"end goes at once":           {[][]byte{end}, []int{12}},
+		"ping goes at once":          {[][]byte{ping}, []int{12}},
+		"end after an opened stream": {[][]byte{open, end}, []int{24}},
+		"data frame without payload": {[][]byte{empty, window}, []int{12, 12}},
+		"payload like an opening":    {[][]byte{frame(frameData, 0, 12), open, window}, []int{24, 12}},
+		"payload like a header":      {[][]byte{frame(frameData, 0, 12), frame(frameData, 0, 9), window}, []int{24, 12}},
+		"what is held is bounded":    {slices.Concat(slices.Repeat([][]byte{open}, 400), [][]byte{window}), []int{4116, 696}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
