peer: keep who a peer is in an atomic of its session

Each call that came in took the lock of the whole book to read the name of its peer. The path of a request takes no lock that all requests share, so the name is now a pointer that Hello sets once.

--- a/internal/peer/book.go
+++ b/internal/peer/book.go
@@ -128,7 +128,7 @@
 		b.Event(EventLost)
 	}
 	if b.OnLost != nil {
-		server, inc := b.name(s)
+		server, inc := s.name()
 		b.OnLost(server, inc, s.silent.Load())
 	}
 }
@@ -267,7 +267,7 @@
 	if err != nil {
 		return "", nil
 	}
-	server, _ := b.name(s)
+	server, _ := s.name()
 	return server, reply.GetSyncReply()
 }
 
--- a/internal/peer/in.go
+++ b/internal/peer/in.go
@@ -82,9 +82,7 @@
 func (b *Book) onHello(s *session, st *yamux.Stream, h *wirepb.Hello) {
 	matches := h.GetProtocol() == wire.Protocol
 	if matches {
-		b.mu.Lock()
-		s.peer, s.incarnation = ident.Server(h.GetServer()), ident.Incarnation(h.GetIncarnation())
-		b.mu.Unlock()
+		s.who.Store(&identity{ident.Server(h.GetServer()), ident.Incarnation(h.GetIncarnation())})
 	}
 	b.reply(st, &wirepb.Envelope{Body: &wirepb.Envelope_Hello{Hello: b.hello()}})
 	if !matches {
@@ -93,18 +91,11 @@
 	}
 }
 
-// name returns who the peer said it is.
-func (b *Book) name(s *session) (ident.Server, ident.Incarnation) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return s.peer, s.incarnation
-}
-
 // onCall runs a call once and answers on its stream. The answer is kept for Settle until the caller
 // has closed the stream, which it does when it holds the answer.
 func (b *Book) onCall(s *session, st *yamux.Stream, r *bufio.Reader, m *wirepb.Call) {
 	now := b.Now()
-	server, inc := b.name(s)
+	server, inc := s.name()
 	id := callID{server, inc, ident.CallID(m.GetCallId())}
 	if server == "" || !b.calls.start(id, now) {
 		b.Event(EventGarbled) // no Hello, a repeated call, or one that was barred by a Settle
@@ -136,7 +127,7 @@
 // onSettle reports the state of calls, after waiting for those that still run. A call that is not
 // known is barred by the reply.
 func (b *Book) onSettle(s *session, st *yamux.Stream, r *bufio.Reader, m *wirepb.Settle) {
-	server, inc := b.name(s)
+	server, inc := s.name()
 	if inc != ident.Incarnation(m.GetIncarnation()) || len(m.GetCallIds()) > maxSettle {
 		b.Event(EventGarbled)
 		return
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -97,16 +97,36 @@
 	return n, err
 }
 
+// identity is who a peer said it is.
+type identity struct {
+	server      ident.Server
+	incarnation ident.Incarnation
+}
+
+// name returns who the peer said it is; the server is empty before its Hello.
+func (s *session) name() (ident.Server, ident.Incarnation) {
+	if w := s.who.Load(); w != nil {
+		return w.server, w.incarnation
+	}
+	return "", 0
+}
+
+// same reports whether both sessions are with the same incarnation.
+func (s *session) same(t *session) bool {
+	_, a := s.name()
+	_, b := t.name()
+	return a == b
+}
+
 // session is one yamux session with what is needed to judge it.
 type session struct {
 	*yamux.Session
-	peer        ident.Server
-	incarnation ident.Incarnation
-	last        atomic.Int64 // time of the last read, ns
-	pinged      atomic.Int64 // time of the ping that is not answered yet, ns; 0 when none
-	outstanding atomic.Int64 // calls that wait for their answer
-	since       atomic.Int64 // time when outstanding last became non-zero, ns
-	silent      atomic.Bool  // closed because it was silent
+	who         atomic.Pointer[identity] // what the peer said in Hello; nil before
+	last        atomic.Int64             // time of the last read, ns
+	pinged      atomic.Int64             // time of the ping that is not answered yet, ns; 0 when none
+	outstanding atomic.Int64             // calls that wait for their answer
+	since       atomic.Int64             // time when outstanding last became non-zero, ns
+	silent      atomic.Bool              // closed because it was silent
 }
 
 func newSession(conn net.Conn, client bool, now func() time.Time) (s *session, err error) {
@@ -270,8 +290,7 @@
 		b.Event(EventVersion)
 		return errVersion
 	}
-	s.peer = ident.Server(h.GetServer())
-	s.incarnation = ident.Incarnation(h.GetIncarnation())
+	s.who.Store(&identity{ident.Server(h.GetServer()), ident.Incarnation(h.GetIncarnation())})
 	return nil
 }
 
--- a/internal/peer/out.go
+++ b/internal/peer/out.go
@@ -101,7 +101,7 @@
 		switch {
 		case err != nil && refused(err):
 			return call.Doubt(why) // the process is gone; what it ran cannot be known
-		case err == nil && s.incarnation != broken.incarnation:
+		case err == nil && !s.same(broken):
 			return call.Doubt(why) // a later incarnation knows nothing of the call
 		case err == nil:
 			if res, ok := b.askState(ctx, s, id, req, why); ok {
