server: add no second deadline to a context

A call of a peer comes with its deadline in the context; the second one cost a context and the parent's table of children.

--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -83,8 +83,12 @@
 	if req.Left(now) <= 0 {
 		return call.Refuse(reason.DeadlinePassed)
 	}
-	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
-	defer cancel()
+	// A call of a peer comes with its deadline in the context already.
+	if d, ok := ctx.Deadline(); !ok || d.After(req.Deadline) {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, req.Deadline)
+		defer cancel()
+	}
 	var wrote atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		WroteHeaderField: func(string, []string) { wrote.Store(true) },
