--- a/internal/peer/book.go
+++ b/internal/peer/book.go
@@ -66,6 +66,7 @@
 	mu       sync.Mutex // guards sessions and closed
 	sessions map[*session]struct{}
 	closed   bool
+	workers  *workers // made with the first session
 	wg       sync.WaitGroup
 }
 
@@ -105,6 +106,7 @@
 	}
 	if b.sessions == nil {
 		b.sessions = make(map[*session]struct{})
+		b.workers = newWorkers()
 	}
 	b.sessions[s] = struct{}{}
 	b.wg.Add(1)
@@ -126,7 +128,7 @@
 		b.Event(EventLost)
 	}
 	if b.OnLost != nil {
-		server, inc := b.name(s)
+		server, inc := s.name()
 		b.OnLost(server, inc, s.silent.Load())
 	}
 }
@@ -265,7 +267,7 @@
 	if err != nil {
 		return "", nil
 	}
-	server, _ := b.name(s)
+	server, _ := s.name()
 	return server, reply.GetSyncReply()
 }
 
@@ -292,4 +294,7 @@
 		_ = s.Close()
 	}
 	b.wg.Wait()
+	if b.workers != nil {
+		b.workers.stop()
+	}
 }
--- a/internal/peer/out.go
+++ b/internal/peer/out.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"bufio"
 	"context"
 	"time"
 
@@ -90,8 +89,10 @@
 	if err = wire.Write(st, &wirepb.Envelope{Body: &wirepb.Envelope_Call{Call: m}}); err != nil {
 		return nil, err
 	}
+	r := wire.NewReader(st)
+	defer wire.FreeReader(r)
 	reply := &wirepb.Envelope{}
-	if err = wire.Read(bufio.NewReader(st), reply); err != nil {
+	if err = wire.Read(r, reply); err != nil {
 		return nil, err
 	}
 	ans = reply.GetAnswer()
@@ -111,7 +112,7 @@
 		switch {
 		case err != nil && refused(err):
 			return call.Doubt(why) // the process is gone; what it ran cannot be known
-		case err == nil && s.incarnation != broken.incarnation:
+		case err == nil && !s.same(broken):
 			return call.Doubt(why) // a later incarnation knows nothing of the call
 		case err == nil:
 			if res, ok := b.askState(ctx, s, id, req, why); ok {
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"encoding/binary"
 	"io"
+	"sync"
 
 	"github.com/samber/oops"
 	"google.golang.org/protobuf/encoding/protodelim"
@@ -21,7 +23,14 @@
 // Write sends one message as a frame.
 func Write[M proto.Message](w io.Writer, m M) (err error) {
 	defer func() { err = oops.Wrapf(err, "wire: write frame") }()
-	_, err = protodelim.MarshalTo(w, m)
+	// The length and the message leave in one call of Write, since each one is a frame of yamux.
+	size := proto.Size(m)
+	frame := make([]byte, 0, binary.MaxVarintLen64+size)
+	frame = binary.AppendUvarint(frame, uint64(size))
+	if frame, err = (proto.MarshalOptions{UseCachedSize: true}).MarshalAppend(frame, m); err != nil {
+		return err
+	}
+	_, err = w.Write(frame)
 	return err
 }
 
@@ -37,9 +46,27 @@
 	if err = Write(rw, req); err != nil {
 		return nil, err
 	}
+	r := NewReader(rw)
+	defer FreeReader(r)
 	reply = &wirepb.Envelope{}
-	if err = Read(bufio.NewReader(rw), reply); err != nil {
+	if err = Read(r, reply); err != nil {
 		return nil, err
 	}
 	return reply, nil
 }
+
+// readers keeps the buffers of readers, since each stream needs one for a short time.
+var readers = sync.Pool{New: func() any { return bufio.NewReader(nil) }}
+
+// NewReader returns a reader of frames; FreeReader takes it back.
+func NewReader(r io.Reader) *bufio.Reader {
+	b := readers.Get().(*bufio.Reader)
+	b.Reset(r)
+	return b
+}
+
+// FreeReader takes back a reader that nobody uses any more.
+func FreeReader(b *bufio.Reader) {
+	b.Reset(nil)
+	readers.Put(b)
+}
