--- a/internal/matrix/spec.go
+++ b/internal/matrix/spec.go
@@ -250,10 +250,11 @@
 		},
 		lapsed: {
 			accepted:   never(noLease),
+			admitted:   by(in(pkgRelay, "TestLeaseAtTheServer/lease_over")),
 			appended:   by(model),
 			readBack:   by(model, in(pkgOnce, "TestLease")),
 			handedOver: never(noLease),
-			run:        by(in(pkgOnce, "TestLease"), in(pkgKeeper, "TestOutcome/lease_over")),
+			run:        by(in(pkgOnce, "TestLease"), in(pkgKeeper, "TestOutcome/lease_over"), in(pkgRelay, "TestLeaseAtTheServer/lease_over")),
 			answered:   never(noLease),
 			recorded:   by(in(pkgKeeper, "TestOutcome/lease_over")),
 			announce:   never(noLease),
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -156,10 +156,13 @@
 	}
 	n.Gate.Configure(kinds)
 	n.cold.Do(func() { n.Gate.StartCold(time.Now()) })
-	if s, ok := c.Rules.Service(n.Self.Service); ok {
-		n.Gate.SetSlots(s.Slots)
-		n.Backend.Resize(s.Connections)
+	s, ok := c.Rules.Service(n.Self.Service)
+	if !ok {
+		n.Log.Warn("serviceNotInInventory", zap.String("service", string(n.Self.Service)))
+		return
 	}
+	n.Gate.SetSlots(s.Slots)
+	n.Backend.Resize(s.Connections)
 }
 
 // refused notes an answer that the system made itself: in the refusal record, the metrics and the log.
