repo: use one piece where the same logic stood twice

The defaults of the log's reader and writer and of the flusher are set by cmp.Or, the capacity driver waits with the shared pause, and the error of a load stands beside its use. Book.Drop had no caller and is removed.

--- a/internal/applog/tail.go
+++ b/internal/applog/tail.go
@@ -1,6 +1,7 @@
 package applog
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -91,18 +92,10 @@
 		if t.Rand == nil {
 			t.Rand = rand.Float64
 		}
-		if t.Wait == 0 {
-			t.Wait = defaultWait
-		}
-		if t.Page == 0 {
-			t.Page = defaultPage
-		}
-		if t.Grace == 0 {
-			t.Grace = defaultGrace
-		}
-		if t.IDs == 0 {
-			t.IDs = defaultIDs
-		}
+		t.Wait = cmp.Or(t.Wait, defaultWait)
+		t.Page = cmp.Or(t.Page, defaultPage)
+		t.Grace = cmp.Or(t.Grace, defaultGrace)
+		t.IDs = cmp.Or(t.IDs, defaultIDs)
 		t.seen.size = t.IDs
 	})
 }
--- a/internal/applog/writer.go
+++ b/internal/applog/writer.go
@@ -1,6 +1,7 @@
 package applog
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"errors"
@@ -115,18 +116,10 @@
 		if w.Now == nil {
 			w.Now = time.Now
 		}
-		if w.Timeout == 0 {
-			w.Timeout = defaultTimeout
-		}
-		if w.Margin == 0 {
-			w.Margin = defaultMargin
-		}
-		if w.Queue == 0 {
-			w.Queue = defaultQueue
-		}
-		if w.Group == 0 {
-			w.Group = defaultGroup
-		}
+		w.Timeout = cmp.Or(w.Timeout, defaultTimeout)
+		w.Margin = cmp.Or(w.Margin, defaultMargin)
+		w.Queue = cmp.Or(w.Queue, defaultQueue)
+		w.Group = cmp.Or(w.Group, defaultGroup)
 		w.queue = make(chan *pending, w.Queue)
 		w.stopped = make(chan struct{})
 	})
--- a/internal/capac/calls.go
+++ b/internal/capac/calls.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"briarworks.example/briarworks/internal/pause"
 )
 
 const (
@@ -85,7 +87,7 @@
 	if err = publish(ctx, c, 0, smallDocument()); err != nil {
 		return nil, err
 	}
-	wait(ctx, 3*time.Second)
+	pause.For(ctx, 3*time.Second)
 	return f, ctx.Err()
 }
 
@@ -115,7 +117,7 @@
 	n := int(l.rate * d.Seconds())
 	for i := range n {
 		due := start.Add(time.Duration(float64(i) / l.rate * perSecond))
-		if !wait(ctx, time.Until(due)) {
+		if !pause.For(ctx, time.Until(due)) {
 			break
 		}
 		select {
--- a/internal/capac/idle.go
+++ b/internal/capac/idle.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"time"
+
+	"briarworks.example/briarworks/internal/pause"
 )
 
 const (
@@ -34,7 +36,7 @@
 		}
 		pids = append(pids, o.pid)
 	}
-	wait(ctx, settleTime)
+	pause.For(ctx, settleTime)
 	all, err := observe(pids, idleFor(ctx, idleTime))
 	for i, s := range all {
 		x, by := float64(sizes[i]), "members"
--- a/internal/capac/keys.go
+++ b/internal/capac/keys.go
@@ -14,6 +14,7 @@
 	"briarworks.example/briarworks/internal/applog"
 	"briarworks.example/briarworks/internal/fakes"
 	"briarworks.example/briarworks/internal/keeper"
+	"briarworks.example/briarworks/internal/pause"
 	"briarworks.example/briarworks/internal/record"
 	"briarworks.example/briarworks/pkg/call"
 	"briarworks.example/briarworks/pkg/ident"
@@ -94,7 +95,7 @@
 	var wg, askers sync.WaitGroup
 	wg.Go(func() { k.Run(run) })
 	for !k.Ready() {
-		if !wait(ctx, startPoll) {
+		if !pause.For(ctx, startPoll) {
 			break
 		}
 	}
--- a/internal/capac/procs.go
+++ b/internal/capac/procs.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"briarworks.example/briarworks/internal/applog"
+	"briarworks.example/briarworks/internal/pause"
 	"briarworks.example/briarworks/internal/record"
 	"briarworks.example/briarworks/internal/record/recpb"
 	"briarworks.example/briarworks/pkg/ident"
@@ -114,22 +115,12 @@
 		if err == nil {
 			return resp.Body.Close()
 		}
-		if !wait(ctx, startPoll) {
+		if !pause.For(ctx, startPoll) {
 			return err
 		}
 	}
 }
 
-// wait reports whether ctx is still alive after d.
-func wait(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 func appendTo(ctx context.Context, c *applog.Client, s applog.Stream, recs ...*recpb.Record) error {
 	data, err := record.EncodeGroup(recs)
 	if err != nil {
@@ -141,7 +132,7 @@
 
 // publish appends a document that follows version base.
 func publish(ctx context.Context, c *applog.Client, base int, text string) error {
-	wait(ctx, seedPause)
+	pause.For(ctx, seedPause)
 	return publishNow(ctx, c, base, text)
 }
 
@@ -160,7 +151,7 @@
 		r.Id = fmt.Sprintf("seed-%d-%d", i, now.UnixNano())
 		recs = append(recs, r)
 		if len(recs) == groupOfSeed || i == n-1 {
-			wait(ctx, seedPause)
+			pause.For(ctx, seedPause)
 			if err := appendTo(ctx, c, applog.Members, recs...); err != nil {
 				return err
 			}
@@ -247,7 +238,7 @@
 // idleFor returns a function that waits, for observe.
 func idleFor(ctx context.Context, d time.Duration) func() error {
 	return func() error {
-		wait(ctx, d)
+		pause.For(ctx, d)
 		return ctx.Err()
 	}
 }
--- a/internal/capac/sessions.go
+++ b/internal/capac/sessions.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"briarworks.example/briarworks/internal/applog"
+	"briarworks.example/briarworks/internal/pause"
 	"briarworks.example/briarworks/internal/peer"
 	"briarworks.example/briarworks/internal/record"
 	"briarworks.example/briarworks/internal/wire/wirepb"
@@ -72,7 +73,7 @@
 
 // exchange lets one peer at a time compare its state with the node's until ctx ends.
 func (c *crowd) exchange(ctx context.Context) {
-	for wait(ctx, syncPeriod) {
+	for pause.For(ctx, syncPeriod) {
 		b := c.books[rand.IntN(len(c.books))]
 		m := &wirepb.Sync{Digest: c.digest.Load(), ConfigVersion: c.version.Load(), From: string(b.Server), FromIncarnation: 1}
 		if _, r, err := b.SyncTo(ctx, c.node, m); err == nil {
@@ -117,7 +118,7 @@
 			return err
 		}
 	}
-	wait(ctx, settleTime)
+	pause.For(ctx, settleTime)
 	defer f.close()
 	for i, cr := range f.crowds {
 		if err = cr.join(ctx, f.sizes[i]); err != nil {
@@ -125,7 +126,7 @@
 		}
 		f.wg.Go(func() { cr.exchange(run) })
 	}
-	wait(ctx, syncPeriod)
+	pause.For(ctx, syncPeriod)
 	return f.phases(ctx, t, c)
 }
 
@@ -157,7 +158,7 @@
 			if err := publish(ctx, c, v+1, document(services)); err != nil {
 				return err
 			}
-			wait(ctx, configGap)
+			pause.For(ctx, configGap)
 		}
 		return ctx.Err()
 	})
@@ -205,6 +206,6 @@
 	if failed.Load() > 0 {
 		return fmt.Errorf("%d announcements failed", failed.Load())
 	}
-	wait(ctx, stormEnd)
+	pause.For(ctx, stormEnd)
 	return ctx.Err()
 }
--- a/internal/capac/start.go
+++ b/internal/capac/start.go
@@ -9,6 +9,7 @@
 
 	"briarworks.example/briarworks/internal/admin"
 	"briarworks.example/briarworks/internal/applog"
+	"briarworks.example/briarworks/internal/pause"
 	"briarworks.example/briarworks/internal/record"
 	"briarworks.example/briarworks/pkg/fleet"
 )
@@ -101,7 +102,7 @@
 		if err == nil && s.ConfigVersion >= version && len(s.Members) >= fleetSize {
 			return time.Since(began), nil
 		}
-		if !wait(ctx, startPoll) {
+		if !pause.For(ctx, startPoll) {
 			return 0, fmt.Errorf("%s: version %d and %d members after %v, want version %d: %w", url, s.ConfigVersion, len(s.Members), catchUpLimit, version, ctx.Err())
 		}
 	}
--- a/internal/fakes/backend.go
+++ b/internal/fakes/backend.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -312,6 +311,3 @@
 	w.Header().Set(headerReason, reason)
 	http.Error(w, "unknown", http.StatusBadGateway)
 }
-
-// errLoad reports a load that is out of bounds.
-var errLoad = errors.New("fakes: load out of bounds")
--- a/internal/fakes/caller.go
+++ b/internal/fakes/caller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -21,6 +22,9 @@
 	maxOpen     = 4096  // requests that are open at a time; more are counted as not sent
 )
 
+// errLoad reports a load that is out of bounds.
+var errLoad = errors.New("fakes: load out of bounds")
+
 // Work is one kind of work of a load.
 type Work struct {
 	Kind   string  `json:"kind"`
--- a/internal/flush/flush.go
+++ b/internal/flush/flush.go
@@ -1,6 +1,7 @@
 package flush
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -61,15 +62,9 @@
 		if f.Rand == nil {
 			f.Rand = rand.Float64
 		}
-		if f.Tick == 0 {
-			f.Tick = defaultTick
-		}
-		if f.Spread == 0 {
-			f.Spread = defaultSpread
-		}
-		if f.Stop == 0 {
-			f.Stop = defaultStop
-		}
+		f.Tick = cmp.Or(f.Tick, defaultTick)
+		f.Spread = cmp.Or(f.Spread, defaultSpread)
+		f.Stop = cmp.Or(f.Stop, defaultStop)
 	})
 }
 
--- a/internal/peer/book.go
+++ b/internal/peer/book.go
@@ -83,17 +83,6 @@
 	return l.(*Link)
 }
 
-// Drop forgets the link to an address and closes its connection once its calls have ended.
-func (b *Book) Drop(addr ident.Address) {
-	l, ok := b.links.LoadAndDelete(addr)
-	if !ok {
-		return
-	}
-	if s := l.(*Link).live(); s != nil && s.outstanding.Load() == 0 {
-		_ = s.Close()
-	}
-}
-
 // adopt takes a session into the book and serves the streams that the peer opens on it.
 func (b *Book) adopt(s *session) error {
 	b.mu.Lock()
