keeper: answer a request that has not begun before its deadline

Cause: a credit claim that waited for the log was given up by its holder at its deadline, at the same moment at which the node that had handed it over gave up as unknown. The proof of not run came too late. A request that has not begun is now given up 100 ms, a quarter at most, before its deadline.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -39,6 +39,9 @@
 	defaultDue = 100 * time.Millisecond
 	// defaultStop is longer than the deadlines of requests, which bound the attempts in progress.
 	defaultStop = 30 * time.Second
+	// answerTime is what a request that was not begun leaves of its deadline, a quarter of it at most, so
+	// that the proof of not run reaches the node that asked before that node gives up as unknown.
+	answerTime = 100 * time.Millisecond
 	// maxVoids is how many Void records are looked through for some that the log has not taken.
 	maxVoids = 4096
 )
@@ -303,12 +306,24 @@
 }
 
 // Do runs the request at most once for its key, or answers with what is known of the key. It returns
-// by the request's deadline, unless run itself returns later. The result's budget is whole when run
-// was not called.
+// by the request's deadline, and shortly before it when run was not called, unless run itself returns
+// later. The result's budget is whole when run was not called.
 func (k *Keeper) Do(ctx context.Context, req *call.Request, run func(context.Context) call.Result) call.Result {
 	k.init()
-	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	full, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
+	ctx, stop := context.WithDeadline(full, beginBy(req.Deadline, k.Now()))
+	defer stop()
+	return k.decide(ctx, req, func() call.Result { return run(full) })
+}
+
+// beginBy returns the time until which a request with the deadline may begin to run.
+func beginBy(deadline, now time.Time) time.Time {
+	return deadline.Add(-min(answerTime, max(0, deadline.Sub(now)/4)))
+}
+
+// decide takes the request to a run or to an answer; ctx ends when it may not begin any more.
+func (k *Keeper) decide(ctx context.Context, req *call.Request, run func() call.Result) call.Result {
 	key := req.Key
 	for {
 		a, ok := k.begin(ctx, key)
@@ -400,7 +415,7 @@
 	return whole(req, call.Result{Outcome: reason.Running, Reason: reason.KeyRunning, Fraction: 1})
 }
 
-func (k *Keeper) attempt(ctx context.Context, req *call.Request, key ident.Key, a begun, run func(context.Context) call.Result) call.Result {
+func (k *Keeper) attempt(ctx context.Context, req *call.Request, key ident.Key, a begun, run func() call.Result) call.Result {
 	rec := record.FromStarted(once.Started{
 		Key: key, Attempt: a.Attempt, Holder: k.Partition.Holder, Incarnation: k.Partition.Incarnation,
 	})
@@ -423,14 +438,14 @@
 		if v != once.Won {
 			k.command(k.ended)
 			// Its Void is due; this caller gets the answer of the attempt that won.
-			return k.Do(ctx, req, run)
+			return k.decide(ctx, req, run)
 		}
 	case <-ctx.Done():
 		return k.giveUp(ctx, req, key, a.Attempt, k.why(ctx))
 	case <-k.stopped:
 		return whole(req, call.Refuse(reason.Draining))
 	}
-	return k.run(ctx, req, key, a.Attempt, run)
+	return k.run(req, key, a.Attempt, run)
 }
 
 // giveUp bars an attempt that has not begun to run, so that its caller can be told notRun.
@@ -448,7 +463,7 @@
 	return whole(req, call.Refuse(why))
 }
 
-func (k *Keeper) run(ctx context.Context, req *call.Request, key ident.Key, a ident.Attempt, run func(context.Context) call.Result) (res call.Result) {
+func (k *Keeper) run(req *call.Request, key ident.Key, a ident.Attempt, run func() call.Result) (res call.Result) {
 	may := false
 	k.command(func() {
 		may = k.Partition.MayRun(a, k.Now())
@@ -464,7 +479,7 @@
 	}
 	res = call.Doubt(reason.Internal) // stands when run panics
 	defer func() { k.finish(key, a, res) }()
-	return run(ctx)
+	return run()
 }
 
 func (k *Keeper) finish(key ident.Key, a ident.Attempt, res call.Result) {
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -221,6 +221,20 @@
 	}
 }
 
+// Guards against a proof of not run that comes when the node that asked has already given up as unknown.
+func TestBeginBy(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for name, test := range map[string]struct{ left, want time.Duration }{
+		"long":   {4 * time.Second, 3900 * time.Millisecond},
+		"short":  {100 * time.Millisecond, 75 * time.Millisecond},
+		"passed": {-time.Second, -time.Second},
+	} {
+		if got := beginBy(now.Add(test.left), now).Sub(now); got != test.want {
+			t.Errorf("%s: got %v, want %v", name, got, test.want)
+		}
+	}
+}
+
 // Guards against a restarted holder that runs a key again, or forgets an answer.
 func TestRestart(t *testing.T) {
 	f := newFleet(t)
