--- a/internal/fakes/caller.go
+++ b/internal/fakes/caller.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -52,9 +53,10 @@
 	Answered  int64            `json:"answered"` // whole answers of the backend server
 	Refused   map[string]int64 `json:"refused"`  // not run, by reason
 	Unknown   int64            `json:"unknown"`
-	NoAnswer  int64            `json:"noAnswer"` // connection refused or broken, no answer at all
-	Wrong     int64            `json:"wrong"`    // answers that belong to another request
-	Skipped   int64            `json:"skipped"`  // not sent because too many were open
+	NoAnswer  int64            `json:"noAnswer"`  // connection broken, no answer at all
+	Unreached int64            `json:"unreached"` // connection refused, nothing was sent
+	Wrong     int64            `json:"wrong"`     // answers that belong to another request
+	Skipped   int64            `json:"skipped"`   // not sent because too many were open
 	P50Ms     float64          `json:"p50Ms"`
 	P99Ms     float64          `json:"p99Ms"`
 	NotRun    []string         `json:"notRun"`    // keys that the caller was told were not run
@@ -169,11 +171,14 @@
 
 // told is what a caller was told about one request.
 type told struct {
-	outcome string // "ran", "notRun", "unknown", "running", "" when there was no answer
+	outcome string // "ran", "notRun", "unknown", "running", "unreached", "" when there was no answer
 	reason  string
 	wrong   bool
 }
 
+// unreached is the outcome of a request whose connection was refused.
+const unreached = "unreached"
+
 func (k *KindReport) take(t told, key string, took time.Duration) {
 	switch t.outcome {
 	case "ran":
@@ -185,6 +190,8 @@
 		k.NotRun = append(k.NotRun, key)
 	case "":
 		k.NoAnswer++
+	case unreached:
+		k.Unreached++
 	default:
 		k.Unknown++
 	}
@@ -203,6 +210,9 @@
 	req.Header.Set("Briar-Caller", s.load.Caller)
 	req.Header.Set(headerKey, key)
 	resp, err := s.client.Do(req)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return told{outcome: unreached}
+	}
 	if err != nil {
 		return told{}
 	}
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -60,9 +60,9 @@
 		--node "http://127.0.0.1:$(local_port "$i")" --slots $slots --work $work "${calls[@]}"
 }
 
-# start_node I: the node beside server number I.
+# start_node I [PROGRAM]: the node beside server number I.
 start_node() {
-	local i=$1
+	local i=$1 program=${2:-bin/briarworks}
 	cat >"$out/node$i.yaml" <<-EOF
 	server: ${services[$i]}-$i
 	service: ${services[$i]}
@@ -77,5 +77,5 @@
 	  address: $log_address
 	stopTimeout: 10s
 	EOF
-	spawn "node$i" bin/briarworks node --settings "$out/node$i.yaml"
+	spawn "node$i" "$program" node --settings "$out/node$i.yaml"
 }
