--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -1,11 +1,30 @@
-# Functions to run a small Tokachi fleet on loopback; sourced by other scripts. Every process that is
-# started here is stopped here, by its id.
+# Functions to run the fleet of DEPLOYMENT (tokachi or shikongo) on loopback; sourced by other scripts. Every
+# process that is started here is stopped here, by its id.
 base=${BASE_PORT:-21000}
 out=${OUT:-out/demo}
 pids=()
 names=()
-services=(calendar calendar calendar ledger ledger ledger dispatch dispatch dispatch dispatch sorting sorting sorting)
-centres=(obihiro sapporo asahikawa obihiro sapporo asahikawa obihiro sapporo asahikawa obihiro obihiro sapporo asahikawa)
+deployment=${DEPLOYMENT:-tokachi}
+case $deployment in
+tokachi)
+	services=(calendar calendar calendar ledger ledger ledger dispatch dispatch dispatch dispatch sorting sorting sorting)
+	centres=(obihiro sapporo asahikawa obihiro sapporo asahikawa obihiro sapporo asahikawa obihiro obihiro sapporo asahikawa)
+	entries=(0 1 2)
+	once=creditClaim
+	;;
+shikongo)
+	services=(shortlistDesk shortlistDesk shortlistDesk shortlistDesk reservationDesk reservationDesk reservationDesk
+		packRoom packRoom packRoom packRoom clearanceDesk clearanceDesk clearanceDesk)
+	centres=(khomas-a khomas-b khomas-c khomas-a khomas-a khomas-b khomas-c
+		khomas-a khomas-b khomas-c khomas-b khomas-a khomas-b khomas-c)
+	entries=(0 1 2 3)
+	once=approval
+	;;
+*)
+	echo "no such deployment: $deployment" >&2
+	exit 2
+	;;
+esac
 log_address=127.0.0.1:$base
 log_url=http://$log_address
 
@@ -46,18 +65,31 @@
 # start_server I: the backend server number I.
 start_server() {
 	local i=$1 service=${services[$1]} slots=130 work=4ms
-	case $service in
-	dispatch) slots=100 ;;
-	sorting) slots=20 work=100ms ;;
-	esac
 	local calls=()
 	case $service in
-	calendar) calls=(--call /route-sheets=dispatch --call /credit-claims=ledger --call /collection-runs=ledger --call /schedules=dispatch --call /guides=sorting) ;;
-	ledger) calls=(--call /collection-runs=dispatch) ;;
-	dispatch) calls=(--call /collection-runs=sorting) ;;
+	calendar) calls=(/route-sheets=dispatch /credit-claims=ledger /collection-runs=ledger /schedules=dispatch /guides=sorting) ;;
+	ledger) calls=(/collection-runs=dispatch) ;;
+	dispatch) slots=100 calls=(/collection-runs=sorting) ;;
+	sorting) slots=20 work=100ms ;;
+	shortlistDesk)
+		slots=40
+		calls=(/approvals=reservationDesk /shortlists=reservationDesk /brand-packs=packRoom /mark-checks=reservationDesk
+			/glossary=clearanceDesk)
+		;;
+	reservationDesk) slots=50 calls=(/mark-checks=clearanceDesk) ;;
+	packRoom) slots=40 ;;
+	clearanceDesk) slots=15 work=75ms ;;
 	esac
 	spawn "server$i" bin/briarfake server --listen "127.0.0.1:$(server_port "$i")" --service "$service" \
-		--node "http://127.0.0.1:$(local_port "$i")" --slots $slots --work $work "${calls[@]}"
+		--node "http://127.0.0.1:$(local_port "$i")" --slots $slots --work $work "${calls[@]/#/--call=}"
+}
+
+# entry_urls: the addresses at which callers reach the fleet, as a JSON list.
+entry_urls() {
+	local i urls=()
+	for i in "${entries[@]}"; do urls+=("\"http://127.0.0.1:$(callers_port "$i")\""); done
+	local IFS=,
+	echo "[${urls[*]}]"
 }
 
 # start_node I [PROGRAM]: the node beside server number I.
