server: write a request with its body at once

The transport flushes the headers before a body whose type it does not know, and starts a goroutine that looks for a first byte when a GET, HEAD, DELETE or OPTIONS has an empty body. The body was hidden behind a struct against rewinding, but the transport rewinds only by GetBody, which is not set. It is now a reader that the transport knows, and those methods are marked as having no chunked body.

TestRunRequests fails before this commit with two writes for each request with a body or a chunked one; it also holds that an aborted request is not repeated.

--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -119,8 +119,9 @@
 	return answered(resp, body)
 }
 
-// request builds the HTTP request. The body is wrapped so that the transport cannot rewind it: it
-// would otherwise repeat a GET, or any request with an Idempotency-Key, on its own.
+// request builds the HTTP request. It has a body, even an empty one, that the transport cannot rewind,
+// because it would otherwise repeat a GET, or any request with an Idempotency-Key, on its own. The
+// transport knows the type of the body as one in memory and writes it together with the headers.
 func (c *Client) request(ctx context.Context, req *call.Request, token flight.Token, now time.Time) (hr *http.Request, err error) {
 	defer func() { err = oops.Wrapf(err, "server: build request") }()
 	if !strings.HasPrefix(req.Path, "/") {
@@ -130,8 +131,12 @@
 	if err != nil {
 		return nil, err
 	}
-	hr.Body = io.NopCloser(struct{ io.Reader }{bytes.NewReader(req.Body)})
+	hr.Body = io.NopCloser(bytes.NewReader(req.Body))
 	hr.ContentLength = int64(len(req.Body))
+	if len(req.Body) == 0 && bodiless[req.Method] {
+		// Else the transport starts a goroutine that looks for a first byte of the body.
+		hr.TransferEncoding = []string{"identity"}
+	}
 	for _, h := range req.Header {
 		hr.Header.Add(h.Name, h.Value)
 	}
@@ -142,6 +147,11 @@
 	return hr, nil
 }
 
+// bodiless names the methods whose requests say nothing of a body when they have none.
+var bodiless = map[string]bool{
+	http.MethodGet: true, http.MethodHead: true, http.MethodDelete: true, http.MethodOptions: true,
+}
+
 // failed sorts an error of the transport by what it proves.
 func failed(ctx context.Context, err error, wrote bool) call.Result {
 	switch {
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -222,3 +223,74 @@
 		t.Error("header of the caller: got none, want it passed on")
 	}
 }
+
+// counted counts the writes to a connection.
+type counted struct {
+	net.Conn
+	writes *atomic.Int64
+}
+
+func (c counted) Write(p []byte) (int, error) {
+	c.writes.Add(1)
+	return c.Conn.Write(p)
+}
+
+// Guards against a request that is written in parts, that reaches the server changed, or that the
+// transport repeats when a connection that was used before ends without an answer.
+func TestRunRequests(t *testing.T) {
+	tests := map[string]struct {
+		method, body string
+		length       int64 // as the server reads it; -1 for chunks
+	}{
+		"get":             {method: "GET"},
+		"head":            {method: "HEAD"},
+		"delete":          {method: "DELETE"},
+		"options":         {method: "OPTIONS"},
+		"get with a body": {method: "GET", body: "abc", length: 3},
+		"post":            {method: "POST", body: "abc", length: 3},
+		"empty post":      {method: "POST", length: -1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			var served atomic.Int64
+			srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				body, _ := io.ReadAll(r.Body)
+				if r.Method != tt.method || string(body) != tt.body || r.ContentLength != tt.length {
+					t.Errorf("request: got %s %q, length %d, want %s %q, length %d", r.Method, body, r.ContentLength, tt.method, tt.body, tt.length)
+				}
+				if served.Add(1) > 1 {
+					panic(http.ErrAbortHandler)
+				}
+			})}
+			done := make(chan struct{})
+			go func() { defer close(done); _ = srv.Serve(ln) }()
+			defer func() { _ = srv.Close(); <-done }()
+			c := New(ident.Address(ln.Addr().String()), 1)
+			defer c.Close()
+			var writes atomic.Int64
+			dial := c.http.Load().DialContext
+			c.http.Load().DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+				conn, err := dial(ctx, network, addr)
+				return counted{conn, &writes}, err
+			}
+			req, now := request(enough)
+			req.Method, req.Body = tt.method, []byte(tt.body)
+			if res := c.Run(t.Context(), req, "token", now); res.Outcome != reason.Ran || res.Status != http.StatusOK {
+				t.Fatalf("first: got %v %v, want ran 200", res.Outcome, res.Status)
+			}
+			if got := writes.Load(); got != 1 {
+				t.Errorf("writes: got %d, want 1", got)
+			}
+			if res := c.Run(t.Context(), req, "token", now); res.Outcome != reason.Unknown || res.Reason != reason.ServerFailed {
+				t.Errorf("aborted: got %v %v, want unknown serverFailed", res.Outcome, res.Reason)
+			}
+			if got := served.Load(); got != 2 {
+				t.Errorf("requests at the server: got %d, want 2", got)
+			}
+		})
+	}
+}
