wire: make the headers of a message in one allocation

Each header was an allocation of its own, and the names that a Connection header lists were collected in a map even without one.

--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -202,6 +202,7 @@
 // Keep returns the headers that are passed on from one hop to the next.
 func Keep(h http.Header) (kept []call.Header) {
 	named := connectionNames(h)
+	kept = make([]call.Header, 0, len(h))
 	for name, values := range h {
 		if dropped[name] || named[name] || strings.HasPrefix(name, "Briar-") || name == HeaderKey {
 			continue
@@ -215,8 +216,12 @@
 
 // connectionNames returns the headers that the Connection header declares to be of one connection.
 func connectionNames(h http.Header) map[string]bool {
+	lines := h["Connection"]
+	if len(lines) == 0 {
+		return nil
+	}
 	named := make(map[string]bool)
-	for _, line := range h["Connection"] {
+	for _, line := range lines {
 		for _, name := range strings.Split(line, ",") {
 			named[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))] = true
 		}
--- a/internal/wire/convert.go
+++ b/internal/wire/convert.go
@@ -85,8 +85,10 @@
 
 func fromHeader(hs []call.Header) []*wirepb.Header {
 	out := make([]*wirepb.Header, len(hs))
+	all := make([]wirepb.Header, len(hs)) // one allocation for all
 	for i, h := range hs {
-		out[i] = &wirepb.Header{Name: h.Name, Value: []byte(h.Value)}
+		all[i].Name, all[i].Value = h.Name, []byte(h.Value)
+		out[i] = &all[i]
 	}
 	return out
 }
