--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -257,7 +257,7 @@
 				t.Fatal(err)
 			}
 			var served atomic.Int64
-			srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			srv := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 				body, _ := io.ReadAll(r.Body)
 				if r.Method != tt.method || string(body) != tt.body || r.ContentLength != tt.length {
 					t.Errorf("request: got %s %q, length %d, want %s %q, length %d", r.Method, body, r.ContentLength, tt.method, tt.body, tt.length)
