node: begin behind a peer or the newest carry

A node that starts read every configuration that the log keeps. With the log's fold as it is, beginning anywhere is the same as a log trimmed there, so the node now asks its seeds and a few members for what they hold and reads from there on, or searches backwards for the newest usable carry. A document that this software cannot use does not count, so that an older usable one is still found. A carry is also due after 64 publishes, which bounds the way back; a node that began behind a peer and so knows no age spreads a carry over a twelfth of the retention instead of a minute.

The node test fails (42 publishes decided, want 2) when the stream begins at offset 0; TestCarryIsWrittenInTimeByFew fails when the count is switched off.

--- a/internal/capac/procs.go
+++ b/internal/capac/procs.go
@@ -73,7 +73,7 @@
 func addr(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
 
 // node starts a node; n numbers it among all that run at the time.
-func (p *procs) node(n int, server, service, log string) (o nodeOf, err error) {
+func (p *procs) node(n int, server, service, log string, seeds ...string) (o nodeOf, err error) {
 	base := firstPort + 100 + 10*n
 	o = nodeOf{callers: addr(base), local: addr(base + 1), peers: addr(base + 2), operator: addr(base + 3), serverURL: addr(base + 4)}
 	settings := fmt.Sprintf(`server: %s
@@ -89,6 +89,9 @@
   address: %s
 stopTimeout: 5s
 `, server, service, o.callers, o.local, o.peers, o.operator, o.serverURL, log)
+	if len(seeds) > 0 {
+		settings += "seeds: [" + strings.Join(seeds, ", ") + "]\n"
+	}
 	file := filepath.Join(p.dir, server+".yaml")
 	if err = os.WriteFile(file, []byte(settings), 0o644); err != nil {
 		return o, err
@@ -138,10 +141,12 @@
 
 func publishNow(ctx context.Context, c *applog.Client, base int, text string) error {
 	return appendTo(ctx, c, applog.Config, record.FromOrder(order.Record{Publish: &order.Publish{
-		ID: ident.RecordID(fmt.Sprintf("publish-%d", base)), Base: ident.Version(base), Document: text, Author: "operator", At: time.Now(),
+		ID: publishID(base), Base: ident.Version(base), Document: text, Author: "operator", At: time.Now(),
 	}}))
 }
 
+func publishID(base int) ident.RecordID { return ident.RecordID(fmt.Sprintf("publish-%d", base)) }
+
 // seed writes the announcements of n servers.
 func seed(ctx context.Context, c *applog.Client, n int) error {
 	now := time.Now()
--- a/internal/capac/start.go
+++ b/internal/capac/start.go
@@ -12,19 +12,23 @@
 	"briarworks.example/briarworks/internal/pause"
 	"briarworks.example/briarworks/internal/record"
 	"briarworks.example/briarworks/pkg/fleet"
+	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/order"
 )
 
 const (
 	catchUpLimit  = 30 * time.Second
-	memberRecords = 4 * fleetSize // what the log holds at least of a fleet that announces itself every 12 h to 16 h for 48 h
+	startRest     = 3 * time.Second // after the start, for the exchanges that follow it
+	memberRecords = 4 * fleetSize   // what the log holds at least of a fleet that announces itself every 12 h to 16 h for 48 h
+	carryEvery    = 80              // publishes between two carries that running nodes write
 )
 
 // starts measures how long a node needs until the newest configuration is in force, by the configurations
-// that the log still holds.
+// that the log still holds: alone, and with a peer that runs.
 func starts(ctx context.Context, t *table, dir string) error {
 	p := &procs{dir: dir}
 	defer p.stop()
-	sizes := []int{250, 500, 1000, 2000}
+	sizes := []int{250, 500, 1000, 2000, 7000}
 	logs := make([]string, len(sizes))
 	for i, n := range sizes {
 		address, c, err := p.log(ctx, i, "--appendRate", "0")
@@ -37,32 +41,43 @@
 		}
 	}
 	for i, n := range sizes {
-		began := time.Now()
-		o, err := p.node(i, fmt.Sprintf("start-%d", n), string(service(0)), logs[i])
+		first, err := p.startOne(ctx, t, 2*i, n, logs[i], "alone")
 		if err != nil {
 			return err
 		}
-		took, err := inForce(ctx, "http://"+o.operator+"/status", uint64(n), began)
-		if err != nil {
-			return err
-		}
-		u, err := used(o.pid)
-		if err != nil {
+		if _, err = p.startOne(ctx, t, 2*i+1, n, logs[i], "with a peer", first.peers); err != nil {
 			return err
 		}
-		peak, err := procValue(fmt.Sprintf("/proc/%d/status", o.pid), "VmHWM")
-		if err != nil {
-			return err
-		}
-		x, by := float64(n), "configurations on the log"
-		t.add("until the newest is in force", "s", by, x, took.Seconds())
-		t.add("processor time", "s", by, x, u.cpu.Seconds())
-		t.add("highest resident memory", "bytes", by, x, peak*1024)
-		t.add("bytes read", "bytes", by, x, u.read)
 	}
 	return nil
 }
 
+func (p *procs) startOne(ctx context.Context, t *table, i, n int, log, how string, seeds ...string) (o nodeOf, err error) {
+	began := time.Now()
+	if o, err = p.node(i, fmt.Sprintf("start-%d", i), string(service(0)), log, seeds...); err != nil {
+		return o, err
+	}
+	took, err := inForce(ctx, "http://"+o.operator+"/status", uint64(n), began)
+	if err != nil {
+		return o, err
+	}
+	pause.For(ctx, startRest)
+	u, err := used(o.pid)
+	if err != nil {
+		return o, err
+	}
+	peak, err := procValue(fmt.Sprintf("/proc/%d/status", o.pid), "VmHWM")
+	if err != nil {
+		return o, err
+	}
+	x, by := float64(n), "configurations on the log"
+	t.add(how+": until the newest is in force", "s", by, x, took.Seconds())
+	t.add(how+": processor time", "s", by, x, u.cpu.Seconds())
+	t.add(how+": highest resident memory", "bytes", by, x, peak*1024)
+	t.add(how+": bytes read", "bytes", by, x, u.read)
+	return o, nil
+}
+
 // history writes the member records of two days and n configurations, one append each.
 func history(ctx context.Context, c *applog.Client, n int) error {
 	old := time.Now().Add(-retention / 2)
@@ -78,10 +93,23 @@
 		if err := publishNow(ctx, c, v, text); err != nil {
 			return err
 		}
+		if (v+1)%carryEvery == 0 {
+			if err := carryNow(ctx, c, v, text); err != nil {
+				return err
+			}
+		}
 	}
 	return nil
 }
 
+// carryNow appends the carry of the configuration that was just published on base.
+func carryNow(ctx context.Context, c *applog.Client, base int, text string) error {
+	through := ident.Offset(base + base/carryEvery)
+	return appendTo(ctx, c, applog.Config, record.FromOrder(order.Record{Carry: &order.Carry{Accepted: order.Accepted{
+		Version: ident.Version(base + 1), Through: through, Document: text, Author: "operator", ID: publishID(base), AcceptedAt: time.Now(),
+	}}}))
+}
+
 func appendOne(ctx context.Context, c *applog.Client, i int, m fleet.Member) error {
 	r := record.FromMember(m)
 	r.Id = fmt.Sprintf("history-%d", i)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -234,3 +235,116 @@
 		})
 	}
 }
+
+// Guards against a reader that begins where it cannot reach the answer of one that reads everything, and
+// against one that reads everything although a Carry would do.
+func TestBegin(t *testing.T) {
+	var all []*recpb.Record
+	version := ident.Version(0)
+	pub := func(n int) {
+		for range n {
+			all = append(all, publish(fmt.Sprint("p", len(all)), version))
+			version++
+		}
+	}
+	// car carries the version that a reader of everything holds at through.
+	car := func(through int, document string) {
+		h := History{}
+		read := func(_ context.Context, from ident.Offset, limit int, _ time.Duration) (applog.Page, error) {
+			p := applog.Page{Next: ident.Offset(through + 1)}
+			for at := from; at < p.Next && len(p.Records) < limit; at++ {
+				data, err := record.EncodeGroup(all[at : at+1])
+				if err != nil {
+					t.Fatal(err)
+				}
+				p.Records = append(p.Records, applog.Raw{Offset: at, Data: data})
+			}
+			return p, nil
+		}
+		if err := h.CatchUp(t.Context(), Log{Read: read}, 0); err != nil {
+			t.Fatal(err)
+		}
+		a := h.Fold.Current()
+		if document != "" {
+			a.Document = document
+		}
+		all = append(all, carry(order.Carry{Accepted: a}, fmt.Sprint("c", len(all))))
+	}
+	tests := map[string]struct {
+		write func()
+		keep  int // records that the log keeps; 0 keeps all
+		want  ident.Offset
+	}{
+		"empty log":                    {func() {}, 0, 0},
+		"no carry":                     {func() { pub(200) }, 0, 0},
+		"newest of two":                {func() { pub(5); car(4, ""); pub(3); car(8, ""); pub(2) }, 0, 9},
+		"publish that raced with it":   {func() { pub(5); car(2, ""); pub(2) }, 0, 3},
+		"far from the end":             {func() { pub(5); car(4, ""); pub(300) }, 0, 5},
+		"late and older than the last": {func() { pub(5); car(4, ""); pub(3); car(1, "") }, 0, 5},
+		"trimmed, without a carry":     {func() { pub(100); car(99, ""); pub(40) }, 30, 111},
+		"too old for the trimmed log":  {func() { pub(100); car(50, ""); pub(10) }, 20, 91},
+		"just in the trimmed log":      {func() { pub(100); car(90, ""); pub(10) }, 20, 91},
+		"newest not usable":            {func() { pub(5); car(4, ""); pub(3); car(8, "unusable"); pub(2) }, 0, 5},
+		"names records after itself": {func() {
+			pub(5)
+			all = append(all, carry(order.Carry{Accepted: order.Accepted{Version: 5, Through: 9}}, "early"))
+			pub(9)
+		}, 0, 0},
+		"far behind its place": {func() { pub(maxBehind + 9); car(3, "") }, 0, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			all, version = nil, 0
+			tt.write()
+			b := newBench(t, &fakes.Log{MaxCount: tt.keep})
+			var whole order.Fold
+			for i, r := range all {
+				b.put(t, r)
+				o, _ := record.ToOrder(r, time.Time{})
+				whole.Read(ident.Offset(i), o)
+			}
+			got, err := Begin(b.ctx, b.log, func(a order.Accepted) bool { return a.Document != "unusable" })
+			if err != nil || got != tt.want {
+				t.Fatalf("begin: got %d, %v, want %d", got, err, tt.want)
+			}
+			h := History{}
+			h.Fold.Start(got)
+			if err := h.CatchUp(b.ctx, b.log, 0); err != nil {
+				t.Fatal(err)
+			}
+			a, want := h.Fold.Current(), whole.Current()
+			if undecided := tt.keep > 0 && name != "just in the trimmed log"; undecided == h.Fold.Decided() {
+				t.Errorf("decided: got %v, want %v", h.Fold.Decided(), !undecided)
+			}
+			if h.Fold.Decided() && (a.Version != want.Version || a.ID != want.ID || a.Through != want.Through) {
+				t.Errorf("current: got version %d of %s, want %d of %s", a.Version, a.ID, want.Version, want.ID)
+			}
+		})
+	}
+}
+
+// Guards against a reader that trusts a peer of another log, or one whose state the log has trimmed.
+func TestCovers(t *testing.T) {
+	b := newBench(t, &fakes.Log{MaxCount: 4})
+	for v := range 10 {
+		b.put(t, publish(fmt.Sprint(v), ident.Version(v)))
+	}
+	tests := map[string]struct {
+		peer order.Accepted
+		want bool
+	}{
+		"none":               {order.Accepted{Through: -1}, false},
+		"newest":             {order.Accepted{Version: 10, Through: 9}, true},
+		"oldest that fits":   {order.Accepted{Version: 6, Through: 5}, true},
+		"trimmed behind it":  {order.Accepted{Version: 5, Through: 4}, false},
+		"ahead of this log":  {order.Accepted{Version: 11, Through: 10}, false},
+		"nothing at the end": {order.Accepted{Version: 0, Through: 9}, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got, err := Covers(b.ctx, b.log, tt.peer); err != nil || got != tt.want {
+				t.Errorf("got %v, %v, want %v", got, err, tt.want)
+			}
+		})
+	}
+}
--- a/internal/config/feed.go
+++ b/internal/config/feed.go
@@ -18,7 +18,8 @@
 	held []order.Record // records at the offset at, which may not be complete
 }
 
-// NewTail returns a tail of the stream that feeds f. Its Run has to begin at offset 0.
+// NewTail returns a tail of the stream that feeds f. Its Run has to begin at offset 0, or at the offset
+// that Trimmed was called with before.
 func NewTail(c *applog.Client, f *Feed) *applog.Tail {
 	t := applog.NewTail(c, applog.Config, f.Entry)
 	t.Trimmed, t.Caught = f.Trimmed, f.Caught
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -140,6 +140,11 @@
 	configs := config.NewTail(p.Client, feed)
 	configs.Page = configPage
 	n.config = newStream(p.Client, applog.Config, configs, p.Policy.Settle)
+	n.config.from = func(ctx context.Context) ident.Offset {
+		from := n.beginConfig(ctx)
+		feed.Trimmed(from)
+		return from
+	}
 	n.record = applog.NewWriter(p.Client, applog.Refusals)
 	n.flusher = &flush.Flusher{Ledger: p.Ledger, Append: n.record.Append, Spread: maxStartSpread, Failed: func(err error) {
 		n.Stats.Count("refusalsNotWritten")
--- a/internal/node/fault_test.go
+++ b/internal/node/fault_test.go
@@ -12,9 +12,11 @@
 
 	"briarworks.example/briarworks/internal/applog"
 	"briarworks.example/briarworks/internal/fakes"
+	"briarworks.example/briarworks/internal/record"
 	"briarworks.example/briarworks/internal/setup"
 	"briarworks.example/briarworks/pkg/fleet"
 	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/order"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -36,6 +38,7 @@
 		"mass start":                            massStart,
 		"configuration without the log":         configurationWithoutTheLog,
 		"configuration after a restart":         configurationAfterARestart,
+		"start behind a peer or a carry":        startBehind,
 		"ordinary work with the log slow":       func(f *testFleet) { ordinaryWork(f, fakes.LogFaults{Slow: fakes.Duration(3 * time.Second)}) },
 		"ordinary work with the log out":        func(f *testFleet) { ordinaryWork(f, fakes.LogFaults{Refuse: true}) },
 		"leave with the log out":                leaveWithTheLogOut,
@@ -292,6 +295,33 @@
 	f.checkNoReturn()
 }
 
+// Fails when a node that starts reads the configurations from the beginning of the log.
+func startBehind(f *testFleet) {
+	const carried, last = 40, 42
+	for v := range ident.Version(carried) {
+		f.publish(fmt.Sprint(v), v)
+	}
+	f.write(applog.Config, record.FromOrder(order.Record{Carry: &order.Carry{Accepted: order.Accepted{
+		Version: carried, Through: carried - 1, Document: document, Author: "test", ID: ident.RecordID(fmt.Sprint(carried - 1)),
+	}}}))
+	for v := ident.Version(carried); v < last; v++ {
+		f.publish(fmt.Sprint(v), v)
+	}
+	a := f.add("entry", "", nil)
+	f.within(inForceEverywhere, "in force behind the carry", func() bool { return f.inForce(last, a) })
+	if got, want := a.decided.Load(), int64(last-carried); got != want {
+		f.Errorf("publishes decided behind the carry: got %d, want %d", got, want)
+	}
+	b := f.add("middle", "", func(s *setup.Settings) { s.Seeds = []ident.Address{a.set.Listen.Peers} })
+	f.within(inForceEverywhere, "in force behind the peer", func() bool { return f.inForce(last, b) })
+	f.publish("next", last)
+	f.within(inForceEverywhere, "the next in force", func() bool { return f.inForce(last+1, a, b) })
+	f.within(inForceEverywhere, "the next decided", func() bool { return b.decided.Load() > 0 || b.node.Policy.Next() > last+1 })
+	if got, most := b.decided.Load(), int64(1); got > most {
+		f.Errorf("publishes decided behind the peer: got %d, want at most %d", got, most)
+	}
+}
+
 // Fails when a run waits for an append.
 func ordinaryWork(f *testFleet, faults fakes.LogFaults) {
 	entry, _, _ := f.chain()
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -59,6 +59,7 @@
 	backend *fakes.Backend
 	set     *setup.Settings
 	conns   conns
+	decided atomic.Int64 // publishes of the log on which the node decided
 	stopped bool
 }
 
@@ -190,6 +191,8 @@
 		f.tries.ran(req)
 		return run(ctx, req, token, now)
 	}
+	m.decided.Store(0)
+	n.Policy.Decided = func(order.Decision) { m.decided.Add(1) }
 	changed := n.Policy.Changed
 	n.Policy.Changed = func(c policy.InForce) {
 		f.mu.Lock()
--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -35,6 +35,7 @@
 	name   applog.Stream
 	tail   *applog.Tail
 	writer *applog.Writer
+	from   func(ctx context.Context) ident.Offset // where to begin; nil begins at offset 0
 	once   sync.Once
 	caught chan struct{} // closed when the stream was first read to its end
 }
@@ -59,7 +60,13 @@
 		n.Stats.Count("logRecordSkipped")
 		n.Log.Warn("logRecordSkipped", zap.String("stream", string(s.name)), zap.Int64("offset", int64(at)))
 	}
-	n.run(func() { s.tail.Run(ctx, 0) })
+	n.run(func() {
+		from := ident.Offset(0)
+		if s.from != nil {
+			from = s.from(ctx)
+		}
+		s.tail.Run(ctx, from)
+	})
 	n.run(func() { s.writer.Run(ctx) })
 }
 
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -63,10 +63,14 @@
 	}
 	n.Roster.Apply(now, joined...)
 	if c != nil {
-		n.Policy.Adopt(order.Accepted{
-			Version: ident.Version(c.GetVersion()), Through: ident.Offset(c.GetThrough()), Document: c.GetDocument(),
-			Author: c.GetAuthor(), ID: ident.RecordID(c.GetRecordId()), AcceptedAt: time.Unix(0, c.GetAcceptedUnixNs()),
-		})
+		n.Policy.Adopt(toAccepted(c))
+	}
+}
+
+func toAccepted(c *wirepb.Config) order.Accepted {
+	return order.Accepted{
+		Version: ident.Version(c.GetVersion()), Through: ident.Offset(c.GetThrough()), Document: c.GetDocument(),
+		Author: c.GetAuthor(), ID: ident.RecordID(c.GetRecordId()), AcceptedAt: time.Unix(0, c.GetAcceptedUnixNs()),
 	}
 }
 
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -93,7 +93,7 @@
 // newestUsable keeps of the accepted versions only the newest that can be used, if there is one.
 func newestUsable(read []order.Accepted) []order.Accepted {
 	for i, a := range slices.Backward(read) {
-		if _, err := compile(a); err == nil {
+		if Usable(a) {
 			return slices.Clone(read[i : i+1])
 		}
 	}
@@ -168,6 +168,12 @@
 	return ""
 }
 
+// Usable reports whether this software can use an accepted document.
+func Usable(a order.Accepted) bool {
+	_, err := compile(a)
+	return err == nil
+}
+
 func compile(a order.Accepted) (*rules.Snapshot, error) {
 	d, err := rules.Decode("configuration", []byte(a.Document))
 	if err != nil {
--- a/pkg/order/order_test.go
+++ b/pkg/order/order_test.go
@@ -125,6 +125,23 @@
 	m.readers[i], m.known[i] = &Fold{}, 0
 }
 
+// restartBehind replaces a reader by one that begins behind the state of a peer, or at any offset, as one
+// does that was told a wrong place.
+func (m *model) restartBehind(*rapid.T) {
+	i, a := m.pick(len(m.readers), "reader"), m.readers[m.pick(len(m.readers), "peer")].Current()
+	f := &Fold{}
+	if m.pick(2, "by") == 0 {
+		f.Adopt(a)
+		f.Start(a.Through + 1)
+		if !f.Decided() {
+			m.t.Fatalf("reader %d behind offset %d of a peer: got undecided, want decided", i, a.Through)
+		}
+	} else {
+		f.Start(ident.Offset(m.pick(len(m.log)+1, "from")))
+	}
+	m.readers[i], m.known[i] = f, 0
+}
+
 func (m *model) adopt(*rapid.T) {
 	i, j := m.pick(len(m.readers), "reader"), m.pick(len(m.readers), "peer")
 	_, decisions := m.readers[i].Adopt(m.readers[j].Current())
@@ -171,7 +188,7 @@
 		m := newModel(t)
 		t.Repeat(map[string]func(*rapid.T){
 			"publish": m.publish, "lateCarry": m.lateCarry, "trim": m.trim, "read": m.read,
-			"restart": m.restart, "adopt": m.adopt, "": m.check,
+			"restart": m.restart, "restartBehind": m.restartBehind, "adopt": m.adopt, "": m.check,
 		})
 		c := Carry{Accepted: m.whole.Current(), At: epoch}
 		m.append(Record{Carry: &c})
@@ -278,19 +295,31 @@
 		retention time.Duration
 		start     time.Duration // age of the last carry when the nodes begin
 		by        time.Duration // when the next one has to be written, at the latest
+		publishes int           // that follow each other by a second
+		behind    bool          // the nodes began behind the state of a peer
 		most      int
 	}{
-		"two days":       {48 * time.Hour, 12*time.Hour - time.Minute, 16 * time.Hour, 4},
-		"one hour":       {time.Hour, 0, 20 * time.Minute, 16},
-		"overdue":        {48 * time.Hour, 40 * time.Hour, 40*time.Hour + time.Minute, 64},
-		"clock in front": {48 * time.Hour, -time.Hour, 16 * time.Hour, 4},
+		"two days":        {48 * time.Hour, 12*time.Hour - time.Minute, 16 * time.Hour, 1, false, 4},
+		"one hour":        {time.Hour, 0, 20 * time.Minute, 1, false, 16},
+		"overdue":         {48 * time.Hour, 40 * time.Hour, 40*time.Hour + time.Minute, 1, false, 64},
+		"clock in front":  {48 * time.Hour, -time.Hour, 16 * time.Hour, 1, false, 4},
+		"few publishes":   {48 * time.Hour, 0, 16 * time.Hour, CarryRecords - 1, false, 4},
+		"many publishes":  {48 * time.Hour, 2 * time.Minute, 12 * time.Minute, CarryRecords, false, 4},
+		"all started new": {48 * time.Hour, 0, 4 * time.Hour, 1, true, 4},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			folds := make([]Fold, nodes)
 			for i := range folds {
+				if tt.behind {
+					folds[i].Adopt(Accepted{Version: 1, Through: 0})
+					folds[i].Start(1)
+					continue
+				}
 				folds[i].Start(0)
-				folds[i].Read(0, Record{Publish: &Publish{ID: "a", At: epoch}})
+				for p := range tt.publishes {
+					folds[i].Read(ident.Offset(p), Record{Publish: &Publish{ID: "a", Base: ident.Version(p), At: epoch.Add(time.Duration(p) * time.Second)}})
+				}
 			}
 			const answer = time.Second // until the others read a carry
 			now, written, firstAt := epoch.Add(tt.start), 0, time.Time{}
