once: forget keys after the window and bound a caller's share

A partition kept each key for the log's retention: 1.5 new keys a second of a service at 48 h, and a full partition took 32.3 MB, which brought its home to 86.6 MB. A new key is refused as keyShare (status 429, counted as every reason) when its caller holds as many as are free. Of answers beyond 2 MiB a hash of the key and the status stay, and each key has one entry in the list of those to forget.

--- a/internal/capac/keys.go
+++ b/internal/capac/keys.go
@@ -69,7 +69,7 @@
 func keysOf(t *table, n int) {
 	now := time.Unix(1_700_000_000, 0)
 	before := heap()
-	p := &once.Partition{Holder: "service-00-0000", Incarnation: 1, Retention: retention}
+	p := &once.Partition{Holder: "service-00-0000", Incarnation: 1, Window: retention}
 	start := time.Now()
 	for i := range n {
 		k := ident.Key(fmt.Sprintf("office-%02d/creditClaim/%026d", i%callers, i))
@@ -90,7 +90,7 @@
 	log := &fakes.Log{}
 	srv := httptest.NewServer(log)
 	defer srv.Close()
-	k := keeper.New(&applog.Client{Base: srv.URL}, service(0), 0, once.Partition{Holder: "service-00-0000", Incarnation: 1, Retention: retention, Keys: 1 << 20})
+	k := keeper.New(&applog.Client{Base: srv.URL}, service(0), 0, once.Partition{Holder: "service-00-0000", Incarnation: 1, Window: retention, Keys: 1 << 20})
 	run, stop := context.WithCancel(ctx)
 	var wg, askers sync.WaitGroup
 	wg.Go(func() { k.Run(run) })
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -34,6 +34,7 @@
 	reason.KeyRunning:      http.StatusConflict,
 	reason.KeyUnknown:      http.StatusConflict,
 	reason.KeyReused:       http.StatusUnprocessableEntity,
+	reason.KeyShare:        http.StatusTooManyRequests,
 	reason.DepthExceeded:   http.StatusLoopDetected,
 	reason.AnswerTooLarge:  http.StatusBadGateway,
 	reason.ServerFailed:    http.StatusBadGateway,
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -179,6 +179,12 @@
 	}
 }
 
+// Remember changes the time for which keys are remembered after their last record.
+func (k *Keeper) Remember(window time.Duration) {
+	k.init()
+	k.command(func() { k.Partition.Window = window })
+}
+
 // Ready reports whether the log has been read to its end once; requests are refused before.
 func (k *Keeper) Ready() bool { return k.ready.Load() }
 
--- a/internal/node/homes.go
+++ b/internal/node/homes.go
@@ -43,6 +43,7 @@
 	keeper *keeper.Keeper
 	cancel context.CancelFunc
 	wanted time.Time // when the partition was last to be kept here
+	window time.Duration
 }
 
 // run starts and stops keepers until ctx ends, and then waits for all.
@@ -79,6 +80,10 @@
 		switch wanted := k.wanted(p); {
 		case wanted && here:
 			r.wanted = now
+			if w := k.window(); w != r.window {
+				r.window = w
+				r.keeper.Remember(w)
+			}
 		case wanted:
 			k.running[p] = k.start(ctx, p, now)
 			changed = true
@@ -123,10 +128,20 @@
 	return false
 }
 
+// window returns the time for which keys are remembered. The log may be set to keep records for less than
+// the rules allow callers to repeat a key.
+func (k *keepers) window() time.Duration {
+	w := k.node.Settings.Log.Retention
+	if snap := k.node.Policy.Rules(); snap != nil {
+		w = min(w, snap.KeyWindow())
+	}
+	return w
+}
+
 func (k *keepers) start(ctx context.Context, p int, now time.Time) *kept {
-	n := k.node
+	n, window := k.node, k.window()
 	kp := keeper.New(n.client, n.Self.Service, p, once.Partition{
-		Holder: n.Self.Server, Incarnation: n.Self.Incarnation, Retention: n.Settings.Log.Retention, Gone: n.gone,
+		Holder: n.Self.Server, Incarnation: n.Self.Incarnation, Window: window, Gone: n.gone,
 	})
 	kp.Ignored = func(e applog.Entry) {
 		n.Stats.Count("logRecordSkipped")
@@ -135,7 +150,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	k.wg.Go(func() { kp.Run(ctx) })
 	n.Log.Info("partitionKept", zap.Int("partition", p))
-	return &kept{keeper: kp, cancel: cancel, wanted: now}
+	return &kept{keeper: kp, cancel: cancel, wanted: now, window: window}
 }
 
 // gone reports whether a holder is known to have ended.
--- a/pkg/once/doc.go
+++ b/pkg/once/doc.go
@@ -9,5 +9,7 @@
 // a Void for it. Otherwise a reader whose log was trimmed between two attempts could take the second
 // for the winner, while others see the first one voided and let a third run.
 //
-// A key is forgotten when no record of it has been read for the log's retention, by the log's time.
+// A key is forgotten when no record of it has been read for the window in which callers may repeat it,
+// by the log's time. The window is at most the log's retention: of two attempts whose Started records are
+// at most the window apart, whoever may run the later one has read the earlier one.
 package once
--- a/pkg/once/once.go
+++ b/pkg/once/once.go
@@ -1,6 +1,9 @@
 package once
 
 import (
+	"container/heap"
+	"crypto/sha256"
+	"math"
 	"time"
 
 	"briarworks.example/briarworks/pkg/call"
@@ -14,8 +17,11 @@
 	DefaultLease = 5 * time.Second
 	// MaxAnswer is the largest answer, headers and body, that a Done record keeps.
 	MaxAnswer ident.Bytes = 16 << 10
-	// DefaultAnswers bounds the memory of all kept answers; the oldest lose header and body first.
-	DefaultAnswers ident.Bytes = 4 << 20
+	// DefaultAnswers bounds the memory of all kept answers, each with its key. Of the oldest only a hash
+	// of the key and the status stay. A node has 64 MB, of which the keys of a full partition get 10 MB.
+	DefaultAnswers ident.Bytes = 2 << 20
+	// keySize is the memory of a key and its attempts that DefaultAnswers counts.
+	keySize ident.Bytes = 400
 	// DefaultKeys bounds the keys; new ones are refused over it.
 	DefaultKeys = 1 << 16
 )
@@ -105,7 +111,7 @@
 type Partition struct {
 	Holder      ident.Server
 	Incarnation ident.Incarnation
-	Retention   time.Duration // time for which the log keeps records at least; 0 forgets nothing
+	Window      time.Duration // time for which a key is remembered after its last record, at most the log's retention; 0 forgets nothing
 	Lease       time.Duration // DefaultLease when 0
 	Keys        int           // DefaultKeys when 0
 	Answers     ident.Bytes   // DefaultAnswers when 0
@@ -114,11 +120,13 @@
 	// Gone reports whether a holder is known to have ended; nil means that none is.
 	Gone func(holder ident.Server, incarnation ident.Incarnation) bool
 
-	keys    map[ident.Key]*key
+	keys    map[hash]*key
+	old     map[hash]settled // keys of which only the verdict is kept; none is in keys
+	owners  owners
 	own     map[ident.Attempt]*own
 	newest  map[ident.Server]ident.Incarnation
-	touched []touch // in log order
-	answers []*key  // keys with an answer in memory, oldest first
+	touched touches // one entry for each key that the log names
+	answers []hash  // keys with an answer in memory, oldest first
 	kept    ident.Bytes
 	voids   []Void // due, in order of need
 	logTime time.Time
@@ -132,6 +140,24 @@
 	answer Answer
 	at     time.Time     // log time of the last record; zero when there is none
 	own    ident.Attempt // this holder's attempt in progress; empty when there is none
+	owner  owner
+	kept   bool // counted in Partition.kept
+}
+
+// hash stands for a key. It is too long for two keys to be found that share one.
+type hash [16]byte
+
+func hashOf(k ident.Key) hash {
+	sum := sha256.Sum256([]byte(k))
+	return hash(sum[:16])
+}
+
+// settled is what stays of a key that is done when its answer is given up. Nothing that the log says of
+// such a key later can change the verdict.
+type settled struct {
+	at     int64 // log time of the last record, ns
+	status int16
+	owner  owner
 }
 
 type open struct {
@@ -140,9 +166,25 @@
 	incarnation ident.Incarnation
 }
 
+// touch is when a key is looked at to forget it; it may be earlier than the key's last record.
 type touch struct {
-	key ident.Key
-	at  time.Time
+	key hash
+	at  int64 // log time, ns
+}
+
+// touches is a heap, the earliest first.
+type touches []touch
+
+func (t touches) Len() int           { return len(t) }
+func (t touches) Less(i, j int) bool { return t[i].at < t[j].at }
+func (t touches) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+func (t *touches) Push(x any)        { *t = append(*t, x.(touch)) }
+
+func (t *touches) Pop() any {
+	n := len(*t) - 1
+	x := (*t)[n]
+	*t = (*t)[:n]
+	return x
 }
 
 type phase uint8
@@ -168,7 +210,8 @@
 	if p.keys != nil {
 		return
 	}
-	p.keys = map[ident.Key]*key{}
+	p.keys = map[hash]*key{}
+	p.old = map[hash]settled{}
 	p.own = map[ident.Attempt]*own{}
 	p.newest = map[ident.Server]ident.Incarnation{}
 	if p.Lease == 0 {
@@ -186,10 +229,17 @@
 // must not be made before.
 func (p *Partition) Begin(k ident.Key, attempt ident.Attempt, now time.Time) Action {
 	p.init()
-	s := p.keys[k]
+	h := hashOf(k)
+	if o, ok := p.old[h]; ok {
+		return Action{Verb: Reply, Answer: o.answer()}
+	}
+	s, free := p.keys[h], p.Keys-p.Len()
 	switch {
-	case s == nil && len(p.keys) >= p.Keys:
+	case s == nil && free <= 0:
 		return Action{Verb: Refuse, Reason: reason.Overload}
+	case s == nil && p.owners.held(ownerOf(k)) >= free:
+		// One caller gets half of the partition at most, and any new caller always some keys.
+		return Action{Verb: Refuse, Reason: reason.KeyShare}
 	case s == nil:
 		return p.begin(k, attempt, now)
 	case s.done:
@@ -211,16 +261,24 @@
 	if p.Down != nil && p.Down(now) {
 		return Action{Verb: Refuse, Reason: reason.LogUnavailable}
 	}
-	s := p.keys[k]
-	if s == nil {
-		s = &key{}
-		p.keys[k] = s
-	}
+	s := p.get(k, hashOf(k))
 	s.own = attempt
 	p.own[attempt] = &own{key: k, phase: appending, until: now.Add(p.Lease)}
 	return Action{Verb: Append, Attempt: attempt}
 }
 
+// get returns the state of a key, a new one when there is none.
+func (p *Partition) get(k ident.Key, h hash) *key {
+	s := p.keys[h]
+	if s == nil {
+		s = &key{owner: p.owners.add(ownerOf(k))}
+		p.keys[h] = s
+	}
+	return s
+}
+
+func (o settled) answer() Answer { return Answer{Status: int(o.status), Truncated: true} }
+
 // again decides on an arrival while this holder has an attempt of the same key.
 func (p *Partition) again(attempt ident.Attempt) Action {
 	o := p.own[attempt]
@@ -320,21 +378,35 @@
 	if s.done {
 		return
 	}
-	s.done, s.answer = true, r.Answer
-	p.answers = append(p.answers, s)
-	p.kept += s.answer.size()
-	// Keys that expired have no answer any more and leave the list here too.
-	for len(p.answers) > 0 && (p.kept > p.Answers || p.answers[0].answer.size() == 0) {
-		p.forget(p.answers[0])
+	s.done, s.answer, s.kept = true, r.Answer, true
+	p.answers = append(p.answers, hashOf(r.Key))
+	p.kept += keySize + s.answer.size()
+	// Keys that expired leave the list here too.
+	for len(p.answers) > 0 && (p.kept > p.Answers || p.keys[p.answers[0]] == nil) {
+		p.settle(p.answers[0])
 		p.answers = p.answers[1:]
 	}
 }
 
+// settle keeps of a key that is done only the verdict.
+func (p *Partition) settle(h hash) {
+	s := p.keys[h]
+	if s == nil || !s.kept {
+		return
+	}
+	p.forget(s)
+	if s.own != "" {
+		return // this holder's attempt, which is barred, still has to be void
+	}
+	p.old[h] = settled{at: s.at.UnixNano(), status: int16(min(s.answer.Status, math.MaxInt16)), owner: s.owner}
+	delete(p.keys, h)
+}
+
 // forget drops the header and body of an answer from memory.
 func (p *Partition) forget(s *key) {
-	if n := s.answer.size(); n > 0 {
-		p.kept -= n
-		s.answer = Answer{Status: s.answer.Status, Truncated: true}
+	if s.kept {
+		p.kept -= keySize + s.answer.size()
+		s.answer, s.kept = Answer{Status: s.answer.Status, Truncated: true}, false
 	}
 }
 
@@ -356,51 +428,70 @@
 	}
 }
 
-// touch returns the key's state, renews its time and forgets keys past the retention.
+// touch returns the key's state, renews its time and forgets keys past the window.
 func (p *Partition) touch(k ident.Key, at time.Time) *key {
 	if at.After(p.logTime) {
 		p.logTime = at
 	}
 	p.expire()
-	s := p.keys[k]
-	if s == nil {
-		s = &key{}
-		p.keys[k] = s
+	h, now := hashOf(k), p.logTime.UnixNano()
+	if o, ok := p.old[h]; ok {
+		o.at = now
+		p.old[h] = o
+		return &key{done: true, answer: o.answer()}
+	}
+	s := p.get(k, h)
+	if s.at.IsZero() {
+		heap.Push(&p.touched, touch{h, now})
 	}
 	s.at = p.logTime
-	p.touched = append(p.touched, touch{k, p.logTime})
 	return s
 }
 
 func (p *Partition) expire() {
-	if p.Retention <= 0 {
+	if p.Window <= 0 {
 		return
 	}
-	oldest := p.logTime.Add(-p.Retention)
-	n := 0
-	for ; n < len(p.touched) && p.touched[n].at.Before(oldest); n++ {
-		k := p.touched[n].key
-		s := p.keys[k]
-		if s == nil || !s.at.Before(oldest) {
-			continue
+	oldest := p.logTime.Add(-p.Window)
+	for len(p.touched) > 0 && p.touched[0].at < oldest.UnixNano() {
+		h := heap.Pop(&p.touched).(touch).key
+		if last, kept := p.look(h, oldest); kept {
+			heap.Push(&p.touched, touch{h, last})
 		}
-		if s.own != "" && p.own[s.own].phase != doubtful {
-			// An attempt in progress keeps its key; the key expires a retention later.
-			s.at = p.logTime
-			p.touched = append(p.touched, touch{k, p.logTime})
-			continue
+	}
+}
+
+// look forgets a key whose last record is older than oldest, or returns when that was.
+func (p *Partition) look(h hash, oldest time.Time) (last int64, kept bool) {
+	if o, ok := p.old[h]; ok {
+		if o.at >= oldest.UnixNano() {
+			return o.at, true
 		}
-		p.remove(k, s)
+		p.owners.drop(o.owner)
+		delete(p.old, h)
+		return 0, false
+	}
+	s := p.keys[h]
+	if s == nil {
+		return 0, false
+	}
+	if s.at.Before(oldest) && s.own != "" && p.own[s.own].phase != doubtful {
+		s.at = p.logTime // an attempt in progress keeps its key; the key expires a window later
+	}
+	if !s.at.Before(oldest) {
+		return s.at.UnixNano(), true
 	}
-	p.touched = p.touched[n:]
+	p.remove(h, s)
+	return 0, false
 }
 
-func (p *Partition) remove(k ident.Key, s *key) {
+func (p *Partition) remove(h hash, s *key) {
 	if s.own != "" {
 		delete(p.own, s.own)
 	}
 	p.forget(s)
-	delete(p.keys, k)
+	p.owners.drop(s.owner)
+	delete(p.keys, h)
 }
 
 // MayRun reports whether an attempt that won may begin to run now; it says yes once. After the lease
@@ -489,7 +580,7 @@
 // Lost reports whether the outcome of a key cannot be learned any more, because the holder of one of
 // its attempts has ended.
 func (p *Partition) Lost(k ident.Key) bool {
-	s := p.keys[k]
+	s := p.keys[hashOf(k)]
 	if s == nil || s.done {
 		return false
 	}
@@ -502,16 +593,17 @@
 }
 
 // Len returns the number of keys in memory.
-func (p *Partition) Len() int { return len(p.keys) }
+func (p *Partition) Len() int { return len(p.keys) + len(p.old) }
 
 func (p *Partition) drop(attempt ident.Attempt, o *own) {
 	delete(p.own, attempt)
-	s := p.keys[o.key]
+	h := hashOf(o.key)
+	s := p.keys[h]
 	if s == nil || s.own != attempt {
 		return
 	}
 	s.own = ""
 	if s.at.IsZero() {
-		delete(p.keys, o.key) // the log knows nothing of it and will not let it expire
+		p.remove(h, s) // the log knows nothing of it and will not let it expire
 	}
 }
--- a/pkg/once/scope.go
+++ b/pkg/once/scope.go
@@ -11,6 +11,9 @@
 // maxKey is the longest key that is kept readable; a longer one is replaced by its hash.
 const maxKey = 200
 
+// hashed begins a key that was replaced by its hash.
+const hashed = "sha256:"
+
 // Scope tells whose key it is. Two scopes never share a key.
 type Scope string
 
@@ -31,5 +34,5 @@
 		return ident.Key(k)
 	}
 	sum := sha256.Sum256([]byte(k))
-	return ident.Key("sha256:" + hex.EncodeToString(sum[:]))
+	return ident.Key(hashed + hex.EncodeToString(sum[:]))
 }
--- a/pkg/rules/snapshot.go
+++ b/pkg/rules/snapshot.go
@@ -84,6 +84,9 @@
 	return s, nil
 }
 
+// KeyWindow returns the time in which callers may repeat a key.
+func (s *Snapshot) KeyWindow() time.Duration { return s.document.Rules.KeyWindow }
+
 func (s *Snapshot) add(rule KindRule, rank ident.Rank) {
 	k := &Kind{
 		Name: rule.Name, Rank: rank, RankName: rule.Rank, Service: rule.Service, Deadline: rule.Deadline,
