peer: make a dial serve all who wait for it

TestManyCalls failed on a slow machine with noServer: the hello of the first dial took longer than 1 s. Reproduced with 8 copies of the race test binary on one core, where dial reported "read frame: i/o deadline reached". A dial belonged to the caller who began it: it ended with that caller's context, the others waited for a mutex without regard to their own deadline and then dialled one after the other, and a cancelled caller marked the address as unreachable and the peer as failed.

A dial now belongs to the link. All who wait share its end, each for as long as its own time and at most until the dial is 1 s old, as before; the dial itself goes on up to 5 s, so that a peer that is slow to answer is connected at last. A caller whose time ends gets notRun with deadlinePassed or cancelled instead of noServer. peerDialed counts only the connections that this node made.

TestManyCalls connects before it makes calls; what it checks is as before.

--- a/internal/peer/book.go
+++ b/internal/peer/book.go
@@ -63,9 +63,11 @@
 	ids      atomic.Uint64
 	links    sync.Map // ident.Address -> *Link
 	calls    calls
-	mu       sync.Mutex // guards sessions and closed
+	mu       sync.Mutex // guards sessions, closed, ctx and stop
 	sessions map[*session]struct{}
 	closed   bool
+	ctx      context.Context // of the dials; made with the first one
+	stop     context.CancelFunc
 	workers  *workers // made with the first session
 	wg       sync.WaitGroup
 }
@@ -83,6 +85,20 @@
 	return l.(*Link)
 }
 
+// enter counts a goroutine that Close waits for and returns the context that Close ends.
+func (b *Book) enter() (ctx context.Context, err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.closed {
+		return nil, ErrClosed
+	}
+	if b.ctx == nil {
+		b.ctx, b.stop = context.WithCancel(context.Background())
+	}
+	b.wg.Add(1)
+	return b.ctx, nil
+}
+
 // adopt takes a session into the book and serves the streams that the peer opens on it.
 func (b *Book) adopt(s *session) error {
 	b.mu.Lock()
@@ -99,7 +115,6 @@
 	}
 	b.sessions[s] = struct{}{}
 	b.wg.Add(1)
-	b.Event(EventDialed)
 	go b.accept(s)
 	return nil
 }
@@ -278,6 +293,9 @@
 func (b *Book) Close() {
 	b.mu.Lock()
 	b.closed = true
+	if b.stop != nil {
+		b.stop()
+	}
 	b.mu.Unlock()
 	for _, s := range b.list() {
 		_ = s.Close()
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -20,7 +20,8 @@
 
 // Time limits of a connection.
 const (
-	dialTimeout  = time.Second            // a connection costs about 1 ms
+	dialWait     = time.Second            // a caller waits for a dial until it is this old, then tries elsewhere
+	dialLimit    = 5 * time.Second        // a dial goes on for later callers, else a peer that is slow to answer would never be connected
 	quietLimit   = 500 * time.Millisecond // a call outstanding, nothing received: ping
 	idleLimit    = 5 * time.Second        // nothing outstanding, nothing received: ping
 	pingLimit    = time.Second            // a ping unanswered for longer: the connection is silent
@@ -202,42 +203,116 @@
 
 // Link is the outgoing connection to one peer; it is dialled when it is first needed.
 type Link struct {
-	addr ident.Address
-	mu   sync.Mutex // held while dialling, so that one dial serves all who wait
-	cur  atomic.Pointer[session]
-	miss atomic.Int64 // time of the last dial that failed, ns; 0 after one that succeeded
+	addr   ident.Address
+	cur    atomic.Pointer[session]
+	miss   atomic.Int64 // time of the last dial that failed or took too long, ns; 0 after one that succeeded
+	mu     sync.Mutex   // guards newest and the replacement of cur
+	newest *dialing     // the dial that callers wait for; nil when none is under way
 }
 
-// session returns the live session, dialling one if needed.
+// dialing is a dial under way. It serves all who wait and belongs to none of them, so that a caller who
+// gives up does not end it for the others.
+type dialing struct {
+	start time.Time
+	done  chan struct{} // closed when the dial has ended; s and err are set before
+	s     *session
+	err   error
+}
+
+// errSlow reports a dial that a caller does not wait for any longer.
+var errSlow = errors.New("peer: dial takes too long")
+
+// session returns the live session. If there is none it waits for a dial until ctx ends or the dial is
+// too old.
 func (l *Link) session(ctx context.Context, b *Book) (s *session, err error) {
 	if s = l.live(); s != nil {
 		return s, nil
 	}
+	d, err := l.join(b)
+	if err != nil {
+		return nil, err
+	}
+	t := time.NewTimer(d.start.Add(dialWait).Sub(b.Now()))
+	defer t.Stop()
+	select {
+	case <-d.done:
+		return d.s, d.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-t.C:
+		l.miss.Store(b.Now().UnixNano())
+		return nil, errSlow
+	}
+}
+
+// join returns the dial under way, or starts one when there is none that a caller may still wait for.
+// An older one goes on: its connection may be slow, or lost for good while a new one works.
+func (l *Link) join(b *Book) (d *dialing, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if s = l.live(); s != nil {
-		return s, nil
+	now := b.Now()
+	if s := l.live(); s != nil {
+		d = &dialing{start: now, done: make(chan struct{}), s: s}
+		close(d.done)
+		return d, nil
 	}
-	if s, err = b.dial(ctx, l.addr); err != nil {
-		l.miss.Store(b.Now().UnixNano())
+	if d = l.newest; d != nil && now.Sub(d.start) < dialWait {
+		return d, nil
+	}
+	ctx, err := b.enter()
+	if err != nil {
 		return nil, err
 	}
-	l.miss.Store(0)
-	l.cur.Store(s)
-	return s, nil
+	d = &dialing{start: now, done: make(chan struct{})}
+	l.newest = d
+	go l.dial(ctx, b, d)
+	return d, nil
+}
+
+// dial runs one dial to its end. Of several that succeed the first one's session is used.
+func (l *Link) dial(ctx context.Context, b *Book, d *dialing) {
+	defer b.wg.Done()
+	ctx, cancel := context.WithTimeout(ctx, dialLimit)
+	defer cancel()
+	s, err := b.dial(ctx, l.addr)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	live := l.live()
+	switch {
+	case live != nil:
+		if s != nil {
+			_ = s.Close()
+		}
+		s, err = live, nil
+	case err == nil:
+		if err = b.adopt(s); err != nil {
+			_ = s.Close()
+			break
+		}
+		b.Event(EventDialed)
+		l.miss.Store(0)
+		l.cur.Store(s)
+	default:
+		l.miss.Store(b.Now().UnixNano())
+	}
+	if l.newest == d {
+		l.newest = nil
+	}
+	d.s, d.err = s, err
+	close(d.done)
 }
 
 // unreachableFor is how long an address counts as unreachable after a dial that failed.
 const unreachableFor = 2 * time.Second
 
-// Unreachable reports whether a dial to the address failed just now.
+// Unreachable reports whether a dial to the address failed or took too long just now.
 func (b *Book) Unreachable(addr ident.Address, now time.Time) bool {
 	l, ok := b.links.Load(addr)
 	if !ok {
 		return false
 	}
 	miss := l.(*Link).miss.Load()
-	return miss != 0 && now.UnixNano()-miss < int64(unreachableFor)
+	return miss != 0 && l.(*Link).live() == nil && now.UnixNano()-miss < int64(unreachableFor)
 }
 
 func (l *Link) live() *session {
@@ -247,11 +322,9 @@
 	return nil
 }
 
-// dial connects, says Hello, and serves what the peer opens on the session.
+// dial connects and says Hello.
 func (b *Book) dial(ctx context.Context, addr ident.Address) (s *session, err error) {
 	defer func() { err = oops.With("address", string(addr)).Wrapf(err, "peer: dial") }()
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
 	conn, err := b.Dial(ctx, string(addr))
 	if err != nil {
 		return nil, err
@@ -264,10 +337,6 @@
 		_ = s.Close()
 		return nil, err
 	}
-	if err = b.adopt(s); err != nil {
-		_ = s.Close()
-		return nil, err
-	}
 	return s, nil
 }
 
@@ -278,9 +347,8 @@
 		return err
 	}
 	defer func() { _ = st.Close() }()
-	if d, ok := ctx.Deadline(); ok {
-		_ = st.SetDeadline(d)
-	}
+	stop := context.AfterFunc(ctx, func() { _ = st.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
 	reply, err := wire.Exchange(st, &wirepb.Envelope{Body: &wirepb.Envelope_Hello{Hello: b.hello()}})
 	if err != nil {
 		return err
--- a/internal/peer/link_test.go
+++ b/internal/peer/link_test.go
@@ -9,7 +9,6 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	"briarworks.example/briarworks/pkg/call"
 	"briarworks.example/briarworks/pkg/reason"
@@ -105,10 +104,11 @@
 		c, err := dial(ctx, addr)
 		return counted{c, &writes}, err
 	}
+	p.connect(t)
 	var wg sync.WaitGroup
 	for i := range calls {
 		wg.Go(func() {
-			req := request(10 * time.Second)
+			req := request(hangLimit)
 			req.Body = bytes.Repeat([]byte{byte(i)}, i*i*80) // up to 784 KB
 			res := p.a.Call(t.Context(), p.addr(), req)
 			if res.Outcome != reason.Ran || !bytes.Equal(res.Body, req.Body) {
@@ -119,7 +119,7 @@
 	wg.Wait()
 	before := writes.Load()
 	for range calls {
-		if res := p.a.Call(t.Context(), p.addr(), request(10*time.Second)); res.Outcome != reason.Ran {
+		if res := p.a.Call(t.Context(), p.addr(), request(hangLimit)); res.Outcome != reason.Ran {
 			t.Fatalf("call: got %v, want an answer", res.Reason)
 		}
 	}
--- a/internal/peer/out.go
+++ b/internal/peer/out.go
@@ -26,7 +26,11 @@
 	l := b.Link(addr)
 	s, st, err := b.open(ctx, l)
 	if err != nil {
-		return neverRan(req, reason.NoServer)
+		why := reason.NoServer
+		if ctx.Err() != nil {
+			why = gone(ctx).Reason // says nothing about the peer
+		}
+		return neverRan(req, why)
 	}
 	id := ident.CallID(b.ids.Add(1))
 	ans, err := b.converse(ctx, s, st, id, req)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -107,6 +107,38 @@
 
 func (p *pair) addr() ident.Address { return ident.Address(p.ln.Addr().String()) }
 
+// connect makes the connection of the pair, however long the machine takes for it.
+func (p *pair) connect(t *testing.T) *session {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), hangLimit)
+	defer cancel()
+	for {
+		s, err := p.a.Link(p.addr()).session(ctx, p.a)
+		if err == nil {
+			return s
+		}
+		if ctx.Err() != nil {
+			t.Fatalf("connect: %v", err)
+		}
+	}
+}
+
+// until waits until a condition holds.
+func until(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	hang := time.After(hangLimit)
+	for !holds() {
+		select {
+		case <-hang:
+			t.Fatalf("got none, want %s", what)
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
+
+// hangLimit only ends a test that hangs; no check depends on it.
+const hangLimit = time.Minute
+
 func request(left time.Duration) *call.Request {
 	now := time.Now()
 	return &call.Request{Key: "k", Service: "s", Born: now, Deadline: now.Add(left), Passed: 1, Path: "/x", Body: []byte("question")}
@@ -146,9 +178,7 @@
 				}
 				return call.Result{Outcome: reason.Ran, Status: 200, Body: append([]byte("answer to "), r.Body...), Fraction: 1}
 			})
-			if _, err := p.a.Link(p.addr()).session(t.Context(), p.a); err != nil {
-				t.Fatal(err)
-			}
+			p.connect(t)
 			if tt.before != nil {
 				tt.before(p)
 			}
@@ -180,6 +210,62 @@
 	}
 }
 
+// Guards against callers that wait for a dial one after the other or longer than their own time, against
+// a dial that ends with the caller who began it, and against one that is given up although the peer is
+// only slow.
+func TestSlowDial(t *testing.T) {
+	tests := map[string]struct {
+		callers int
+		cancel  bool // the callers give up
+		reason  reason.Refusal
+		dials   int64
+	}{
+		"callers wait together":   {callers: 20, reason: reason.NoServer, dials: int64(dialLimit / dialWait)},
+		"caller gives up at once": {callers: 1, cancel: true, reason: reason.Cancelled, dials: 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := newPair(t, func(context.Context, *call.Request) call.Result {
+				return call.Result{Outcome: reason.Ran, Status: 200, Fraction: 1}
+			})
+			var dials atomic.Int64
+			begun, release := make(chan struct{}, 100), make(chan struct{})
+			dial := p.a.Dial
+			p.a.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+				dials.Add(1)
+				begun <- struct{}{}
+				select {
+				case <-release:
+				case <-ctx.Done():
+				}
+				return dial(ctx, addr)
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			var wg sync.WaitGroup
+			for range tt.callers {
+				wg.Go(func() {
+					res := p.a.Call(ctx, p.addr(), request(hangLimit))
+					if res.Outcome != reason.NotRun || res.Reason != tt.reason {
+						t.Errorf("result: got %v %v, want notRun %v", res.Outcome, res.Reason, tt.reason)
+					}
+				})
+			}
+			<-begun
+			if tt.cancel {
+				cancel()
+			}
+			wg.Wait()
+			close(release)
+			until(t, "a session by the first dial", func() bool { return p.a.Link(p.addr()).live() != nil })
+			if got := dials.Load(); got > tt.dials {
+				t.Errorf("dials: got %d, want at most %d", got, tt.dials)
+			}
+		})
+	}
+}
+
 // Guards against a call that runs after its caller was told that it never would.
 func TestBarredCallNeverRuns(t *testing.T) {
 	var c calls
@@ -219,19 +305,10 @@
 // Guards against a peer of another protocol version that is believed.
 func TestVersionIsRefused(t *testing.T) {
 	p := newPair(t, nil)
-	s, err := p.a.Link(p.addr()).session(t.Context(), p.a)
-	if err != nil {
-		t.Fatal(err)
-	}
+	s := p.connect(t)
 	hello := &wirepb.Hello{Protocol: 99, Server: "x", Incarnation: 1}
 	if _, err := p.a.ask(t.Context(), s, &wirepb.Envelope{Body: &wirepb.Envelope_Hello{Hello: hello}}); err != nil {
 		t.Fatal(err)
 	}
-	for p.events[EventVersion].Load() == 0 {
-		select {
-		case <-t.Context().Done():
-			t.Fatal("no event for the version")
-		case <-time.After(time.Millisecond):
-		}
-	}
+	until(t, "an event for the version", func() bool { return p.events[EventVersion].Load() > 0 })
 }
