--- a/internal/peer/out.go
+++ b/internal/peer/out.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"time"
 
+	"github.com/hashicorp/yamux"
+
 	"briarworks.example/briarworks/internal/pause"
 	"briarworks.example/briarworks/internal/wire"
 	"briarworks.example/briarworks/internal/wire/wirepb"
@@ -24,7 +28,11 @@
 	l := b.Link(addr)
 	s, st, err := b.open(ctx, l)
 	if err != nil {
-		return neverRan(req, reason.NoServer)
+		why := reason.NoServer
+		if ctx.Err() != nil {
+			why = gone(ctx).Reason // says nothing about the peer
+		}
+		return neverRan(req, why)
 	}
 	id := ident.CallID(b.ids.Add(1))
 	ans, err := b.converse(ctx, s, st, id, req)
@@ -34,7 +42,9 @@
 	if ctx.Err() != nil {
 		return gone(ctx)
 	}
-	_ = s.Close() // what broke one call breaks the others too; they settle on one new connection
+	if !ownEnd(err) {
+		_ = s.Close() // what broke one call breaks the others too; they settle on one new connection
+	}
 	why := reason.ConnectionLost
 	if s.silent.Load() {
 		why = reason.ConnectionSilent
@@ -42,8 +52,14 @@
 	return b.settle(ctx, l, s, id, req, why)
 }
 
-// open takes a kept stream to the peer or opens one. A session may have ended without being noticed yet; nothing was sent
-// on it, so a new one is tried once.
+// ownEnd reports whether a stream ended by itself, as when the peer refused its message or took too long
+// to receive it. This says nothing about the other calls of the session.
+func ownEnd(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, yamux.ErrConnectionReset)
+}
+
+// open takes a kept stream to the peer or opens one. A session may have ended without being noticed yet;
+// nothing was sent on it, so a new one is tried once.
 func (b *Book) open(ctx context.Context, l *Link) (s *session, st *stream, err error) {
 	for range 2 {
 		if s, err = l.session(ctx, b); err != nil {
