admit: write the queue's length only when it changes

Each passage through the queue wrote the length twice, and every request reads it.

Tried and not kept: adding to the slots in use without a look before.

--- a/pkg/admit/gate.go
+++ b/pkg/admit/gate.go
@@ -191,7 +191,7 @@
 	for len(g.queue.list) > 0 {
 		// The length is published before the slots are looked at: a call that leaves afterwards
 		// sees it, and a call that left before is seen here.
-		g.waiting.Store(int32(len(g.queue.list)))
+		g.publish()
 		if !g.acquire() {
 			break
 		}
@@ -211,9 +211,17 @@
 	return woken
 }
 
+// publish makes the length of the queue known to those who do not hold g.mu. Every request reads it, so
+// it is written only when it changes. The caller holds g.mu.
+func (g *Gate) publish() {
+	if n := int32(len(g.queue.list)); n != g.waiting.Load() {
+		g.waiting.Store(n)
+	}
+}
+
 // unlock publishes the length of the queue and releases its mutex.
 func (g *Gate) unlock() {
-	g.waiting.Store(int32(len(g.queue.list)))
+	g.publish()
 	g.mu.Unlock()
 }
 
