front: measure where the time of a call goes

BenchmarkStages makes one call at a time through two nodes and reports the median and the 99 in 100 of each stage, from stamps at the function fields of the path.

--- a/internal/front/path_test.go
+++ b/internal/front/path_test.go
@@ -7,11 +7,14 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/gin-gonic/gin"
+
 	"briarworks.example/briarworks/internal/flight"
 	"briarworks.example/briarworks/internal/peer"
 	"briarworks.example/briarworks/internal/relay"
@@ -19,6 +22,7 @@
 	"briarworks.example/briarworks/internal/server"
 	"briarworks.example/briarworks/internal/wire/wirepb"
 	"briarworks.example/briarworks/pkg/admit"
+	"briarworks.example/briarworks/pkg/call"
 	"briarworks.example/briarworks/pkg/fleet"
 	"briarworks.example/briarworks/pkg/ident"
 	"briarworks.example/briarworks/pkg/reason"
@@ -125,9 +129,9 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
-// BenchmarkPath is a call over the local port of one node to the server of another one. Its processor time
-// includes the caller and the backend server, which the case "direct" shows alone.
-func BenchmarkPath(b *testing.B) {
+// pathNodes returns a calling and a called node, and the URL of a call through both.
+func pathNodes(b *testing.B, handle func(near *pathNode) gin.HandlerFunc) (near, far *pathNode, url string) {
+	b.Helper()
 	d, err := rules.Decode("test", []byte(pathRules))
 	if err != nil {
 		b.Fatal(err)
@@ -136,20 +140,84 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	near, far := newPathNode(b, "shop", snap), newPathNode(b, "stock", snap)
+	near, far = newPathNode(b, "shop", snap), newPathNode(b, "stock", snap)
 	near.list.Apply(time.Now(), far.self)
 	ln := listenLocal(b)
-	port := NewPort(Engine(near.front.Local), 64, nil)
+	port := NewPort(Engine(handle(near)), 64, nil)
 	go func() { _ = port.Serve(ln) }()
 	b.Cleanup(func() { _ = port.Server.Close() })
+	return near, far, "http://" + ln.Addr().String() + "/stock/work"
+}
+
+// BenchmarkPath is a call over the local port of one node to the server of another one. Its processor time
+// includes the caller and the backend server, which the case "direct" shows alone.
+func BenchmarkPath(b *testing.B) {
+	_, far, two := pathNodes(b, func(near *pathNode) gin.HandlerFunc { return near.front.Local })
 	for name, url := range map[string]string{
-		"twoNodes": "http://" + ln.Addr().String() + "/stock/work",
+		"twoNodes": two,
 		"direct":   "http://" + far.addr + "/work",
 	} {
 		b.Run(name, func(b *testing.B) { drive(b, url) })
 	}
 }
 
+// BenchmarkStages makes one call at a time through two nodes and reports where its time goes: the median and
+// the 99 in 100 of each stage, in microseconds.
+func BenchmarkStages(b *testing.B) {
+	var at [9]time.Time // of the stamps of one call
+	stamp := func(i int) { at[i] = time.Now() }
+	near, far, url := pathNodes(b, func(near *pathNode) gin.HandlerFunc {
+		return func(c *gin.Context) {
+			stamp(1)
+			near.front.Local(c)
+			stamp(8)
+		}
+	})
+	send, serve, run := near.front.Relay.Send, far.book.OnCall, far.front.Relay.Run
+	near.front.Relay.Send = func(ctx context.Context, addr ident.Address, req *call.Request) call.Result {
+		stamp(2)
+		defer stamp(7)
+		return send(ctx, addr, req)
+	}
+	far.book.OnCall = func(ctx context.Context, req *call.Request) call.Result {
+		stamp(3)
+		defer stamp(6)
+		return serve(ctx, req)
+	}
+	far.front.Relay.Run = func(ctx context.Context, req *call.Request, token flight.Token, now time.Time) call.Result {
+		stamp(4)
+		defer stamp(5)
+		return run(ctx, req, token, now)
+	}
+	stages := [...]string{"toNode", "callingIn", "toPeer", "calledIn", "server", "calledOut", "fromPeer", "callingOut", "fromNode"}
+	var took [len(stages)][]float64
+	t := &http.Transport{}
+	defer t.CloseIdleConnections()
+	client := &http.Client{Transport: t}
+	for b.Loop() {
+		stamp(0)
+		resp, err := client.Post(url, "application/json", strings.NewReader(pathBody))
+		if err != nil {
+			b.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		end := time.Now()
+		for i := range stages {
+			next := end
+			if i+1 < len(at) {
+				next = at[i+1]
+			}
+			took[i] = append(took[i], float64(next.Sub(at[i]).Nanoseconds())/1000)
+		}
+	}
+	for i, name := range stages {
+		slices.Sort(took[i])
+		b.ReportMetric(took[i][len(took[i])/2], name+"-p50-us")
+		b.ReportMetric(took[i][len(took[i])*99/100], name+"-p99-us")
+	}
+}
+
 // drive makes the calls from a few callers, so that there is always work at hand.
 func drive(b *testing.B, url string) {
 	t := &http.Transport{MaxIdleConnsPerHost: 64}
