peer: end kept streams from the called side too

The called side waited on a kept stream for as long as the session lived, so that a peer that never ended its streams could hold any number of them. The scan of sessions now ends those that wait for a call for more than a minute; the caller ends its own after 10 s, and after a pause of its process it takes no older one. TestVersionsTogether holds the end of such streams.

--- a/internal/peer/in.go
+++ b/internal/peer/in.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -42,12 +43,18 @@
 	defer func() { _ = st.Close() }()
 	r := wire.NewReader(st)
 	defer wire.FreeReader(r)
-	for b.request(s, st, r) {
+	var idle atomic.Int64
+	if s.keeps() {
+		s.served.Store(st, &idle)
+		defer s.served.Delete(st)
+	}
+	for b.request(s, st, r, &idle) {
 	}
 }
 
-// request handles one request of the peer and reports whether another one has begun on the stream.
-func (b *Book) request(s *session, st *yamux.Stream, r *bufio.Reader) (more bool) {
+// request handles one request of the peer and reports whether another one has begun on the stream; idle
+// holds since when the stream waits for it.
+func (b *Book) request(s *session, st *yamux.Stream, r *bufio.Reader, idle *atomic.Int64) (more bool) {
 	_ = st.SetReadDeadline(b.Now().Add(requestLimit))
 	env := &wirepb.Envelope{}
 	if err := wire.Read(r, env); err != nil {
@@ -61,7 +68,7 @@
 	case *wirepb.Envelope_Hello:
 		b.onHello(s, st, m.Hello)
 	case *wirepb.Envelope_Call:
-		return b.onCall(s, st, r, m.Call)
+		return b.onCall(s, st, r, m.Call, idle)
 	case *wirepb.Envelope_Settle:
 		b.onSettle(s, st, r, m.Settle)
 	case *wirepb.Envelope_Leave:
@@ -101,7 +108,7 @@
 // onCall runs a call once and answers on its stream. The answer is kept for Settle until the caller
 // has closed the stream or begun the next call on it, which it does when it holds the answer; the latter
 // is reported.
-func (b *Book) onCall(s *session, st *yamux.Stream, r *bufio.Reader, m *wirepb.Call) (more bool) {
+func (b *Book) onCall(s *session, st *yamux.Stream, r *bufio.Reader, m *wirepb.Call, idle *atomic.Int64) (more bool) {
 	now := b.Now()
 	server, inc := s.name()
 	id := callID{server, inc, ident.CallID(m.GetCallId())}
@@ -127,7 +134,10 @@
 	b.calls.finish(id, ans, b.Now())
 	b.reply(st, &wirepb.Envelope{Body: &wirepb.Envelope_Answer{Answer: ans}})
 	keeps := s.keeps()
-	if !keeps { // the caller ends a kept stream, or its session ends
+	if keeps {
+		idle.Store(b.Now().UnixNano()) // a deadline here would cost a timer for each call
+		defer idle.Store(0)
+	} else {
 		_ = st.SetReadDeadline(b.Now().Add(keepAnswer))
 	}
 	err := <-closed
--- a/internal/peer/kept.go
+++ b/internal/peer/kept.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -13,11 +14,14 @@
 	"briarworks.example/briarworks/pkg/ident"
 )
 
-// Bounds of the streams that a session keeps for further calls. A new stream for each call costs four
+// Bounds of the streams that a session keeps for further calls. A new stream for each call costs three
 // small writes more, on both sides together.
 const (
 	maxKeptStreams = 64
 	keepStream     = 10 * time.Second // a stream that was not used for longer is closed
+	// maxStreamIdle bounds the wait for the next call on the called side. It is longer than keepStream, so
+	// that the caller ends the stream first: a call on a stream that the peer has ended has to be settled.
+	maxStreamIdle = time.Minute
 	// maxKeptBody bounds the bodies on a stream that is kept. The peer holds the last answer, and both
 	// sides hold buffers of its size, until the next call.
 	maxKeptBody ident.Bytes = 16 << 10
@@ -31,8 +35,8 @@
 }
 
 // stream returns a kept stream or a new one.
-func (s *session) stream() (st *stream, err error) {
-	if st = s.kept.take(); st != nil && !s.IsClosed() {
+func (s *session) stream(now time.Time) (st *stream, err error) {
+	if st = s.kept.take(now.Add(-keepStream)); st != nil && !s.IsClosed() {
 		return st, nil
 	}
 	y, err := s.OpenStream()
@@ -60,10 +64,12 @@
 	list []*stream
 }
 
-func (k *kept) take() (st *stream) {
+// take returns the stream that was used last, unless that was before a time: after a pause of this process
+// the peer may have ended it.
+func (k *kept) take(before time.Time) (st *stream) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if n := len(k.list) - 1; n >= 0 {
+	if n := len(k.list) - 1; n >= 0 && !k.list[n].used.Before(before) {
 		st, k.list[n] = k.list[n], nil
 		k.list = k.list[:n]
 	}
@@ -82,6 +88,16 @@
 	return true
 }
 
+// endIdle ends the streams of the peer that wait for a call since before a time.
+func (s *session) endIdle(before time.Time) {
+	s.served.Range(func(st, idle any) bool {
+		if since := idle.(*atomic.Int64).Load(); since != 0 && since < before.UnixNano() {
+			_ = st.(*yamux.Stream).SetReadDeadline(time.Unix(1, 0))
+		}
+		return true
+	})
+}
+
 // trim closes the streams that were last used before a time, in the background since it writes.
 func (k *kept) trim(before time.Time) {
 	k.mu.Lock()
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -135,6 +135,7 @@
 	since       atomic.Int64             // time when outstanding last became non-zero, ns
 	silent      atomic.Bool              // closed because it was silent
 	kept        kept                     // streams that wait for the next call
+	served      sync.Map                 // *yamux.Stream of the peer -> *atomic.Int64, since when it waits for a call, ns; 0 when it does not
 }
 
 func newSession(conn net.Conn, client bool, now func() time.Time) (s *session, err error) {
--- a/internal/peer/out.go
+++ b/internal/peer/out.go
@@ -49,7 +49,7 @@
 		if s, err = l.session(ctx, b); err != nil {
 			return nil, nil, err
 		}
-		if st, err = s.stream(); err == nil {
+		if st, err = s.stream(b.Now()); err == nil {
 			return s, st, nil
 		}
 		_ = s.Close()
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -263,10 +263,20 @@
 			if err != nil {
 				t.Fatal(err)
 			}
+			if st := s.kept.take(time.Now().Add(time.Second)); st != nil {
+				t.Error("stream unused since before a time: got it, want none")
+			}
 			s.kept.trim(time.Now().Add(time.Second))
 			until(t, "confirmation by the end of kept streams", func() bool { return p.b.entries() == 0 })
 			until(t, "end of all streams", func() bool { return s.NumStreams() == 0 })
 			echo(40)
+			called := p.b.list()[0]
+			until(t, "end of streams that the caller does not end", func() (none bool) {
+				called.endIdle(time.Now().Add(time.Second))
+				none = true
+				called.served.Range(func(any, any) bool { none = false; return false })
+				return none
+			})
 			if got := len(p.valves); got != 1 {
 				t.Errorf("connections: got %d, want 1", got)
 			}
