node: keep news flowing when connections are silent or gone

Cause: a node that makes no calls opens no connections.

TestTrouble lets one fleet publish, carry on, start a server and let one leave under each of 11 faults and pairs of faults.

The connection that carries nothing moves from peer's tests to fakes.Valve; while shut it also hides that the other end has closed, as a silent connection does. carryOnce is split off so that a test can choose the time. A call that arrives twice runs once (TestBarredCallNeverRuns, fails when a known id may start).

--- a/internal/node/fault_test.go
+++ b/internal/node/fault_test.go
@@ -1,20 +1,25 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"go.uber.org/goleak"
 
 	"briarworks.example/briarworks/internal/applog"
+	"briarworks.example/briarworks/internal/config"
 	"briarworks.example/briarworks/internal/fakes"
+	"briarworks.example/briarworks/internal/record"
 	"briarworks.example/briarworks/internal/setup"
 	"briarworks.example/briarworks/pkg/fleet"
 	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/order"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -30,11 +35,13 @@
 func TestFleet(t *testing.T) {
 	tests := map[string]func(*testFleet){
 		"retries with cuts and shedding":        retriesWithCutsAndShedding,
+		"retries with silent connections":       retriesWithSilentConnections,
 		"retries when the entry is full":        retriesWhenTheEntryIsFull,
 		"retries when the deep service is gone": retriesWhenTheDeepServiceIsGone,
 		"answers late and out of order":         answersLateAndOutOfOrder,
 		"mass start":                            massStart,
 		"configuration without the log":         configurationWithoutTheLog,
+		"configuration when the seed is gone":   configurationWhenTheSeedIsGone,
 		"configuration after a restart":         configurationAfterARestart,
 		"ordinary work with the log slow":       func(f *testFleet) { ordinaryWork(f, fakes.LogFaults{Slow: fakes.Duration(3 * time.Second)}) },
 		"ordinary work with the log out":        func(f *testFleet) { ordinaryWork(f, fakes.LogFaults{Refuse: true}) },
@@ -124,7 +131,7 @@
 	cuts := 0
 	var all []told
 	during(func() { all = f.batch("faults", 600, 8, entry...) }, 20*time.Millisecond, func(i int) {
-		cuts += slices.Concat(entry, middle)[i%4].conns.cut()
+		cuts += slices.Concat(entry, middle)[i%4].conns.each(cut)
 		for k, m := range slices.Concat(middle, deep) {
 			v := work
 			v.Shed = (i+k)%3 == 0 || k >= 2 && i%4 == 0
@@ -143,6 +150,32 @@
 	f.checkRetries()
 }
 
+// retriesWithSilentConnections lets connections carry nothing while calls are on them, at two layers.
+// Fails when a retry needs no token.
+func retriesWithSilentConnections(f *testFleet) {
+	entry, middle, deep := f.chain()
+	for _, m := range deep {
+		m.backend.Behave(fakes.Behaviour{Work: fakes.Duration(20 * time.Millisecond)})
+	}
+	f.wholeIn(waitLimit, "before the faults", f.batch("before", 600, 8, entry...))
+	silent := 0
+	var all []told
+	during(func() { all = f.batch("faults", 96, 32, entry...) }, 20*time.Millisecond, func(i int) {
+		if i%100 < 4 { // every 2 s, longer than it takes to find the connections silent
+			silent += slices.Concat(entry, middle)[i%100].conns.each(silence)
+		}
+	})
+	for i, x := range all {
+		if x.err != nil || x.wrong {
+			f.Errorf("request %d: got %+v, want its own answer or an outcome", i, x)
+		}
+	}
+	if silent == 0 {
+		f.Error("connections made silent: got 0, want some")
+	}
+	f.checkRetries()
+}
+
 // retriesWhenTheEntryIsFull makes the entry hand requests to its other server, which spends retries below.
 // Fails when the entry keeps the whole budget after that.
 func retriesWhenTheEntryIsFull(f *testFleet) {
@@ -265,6 +298,24 @@
 	f.checkNoReturn()
 }
 
+// configurationWhenTheSeedIsGone stops the only node that an idle node without the log is connected to.
+// Fails when such a node connects to no other one.
+func configurationWhenTheSeedIsGone(f *testFleet) {
+	f.publish("first", 0)
+	a, b := f.add("entry", "", nil), f.add("entry", "", nil)
+	island := f.add("entry", "", func(s *setup.Settings) {
+		s.Log.Address = f.ports(1)[0] // nothing listens there
+		s.Seeds = []ident.Address{a.set.Listen.Peers}
+	})
+	f.within(waitLimit, "the island knows the others", func() bool {
+		return f.inForce(1, island) && island.sees(a.set.Server) && island.sees(b.set.Server)
+	})
+	f.stop(a)
+	f.publish("second", 1)
+	f.within(inForceEverywhere, "the second version in force everywhere", func() bool { return f.inForce(2, b, island) })
+	f.checkNoReturn()
+}
+
 // checkNoReturn checks that no server had a version in force after a higher one.
 func (f *testFleet) checkNoReturn() {
 	f.Helper()
@@ -371,3 +422,230 @@
 		f.Errorf("requests that ran: got %d, want %d", ran, n)
 	}
 }
+
+// trouble is a fault under which a fleet goes on with its own affairs.
+type trouble struct {
+	log   fakes.LogFaults
+	links func(*fakes.Valve) // done to each connection between nodes; nil leaves them
+	flood bool
+}
+
+// bring brings the trouble about, for the connections that there are now.
+func (f *testFleet) bring(x trouble) {
+	f.log.SetFaults(x.log)
+	for _, m := range f.all {
+		if x.links != nil {
+			m.conns.each(x.links)
+		}
+	}
+}
+
+// Guards against a configuration, an announcement or a leave that does not get through while the log, the
+// connections or the load are at fault, and against a version that comes back. The steps run one after the
+// other in one fleet, which has an island: a node that never reaches the log.
+func TestTrouble(t *testing.T) {
+	tests := map[string]trouble{
+		"log slow":                       {log: fakes.LogFaults{Slow: fakes.Duration(time.Second)}},
+		"log out":                        {log: fakes.LogFaults{Refuse: true}},
+		"answers lost":                   {log: fakes.LogFaults{LoseShare: 0.5}},
+		"connections cut":                {links: cut},
+		"connections silent":             {links: silence},
+		"surge":                          {flood: true},
+		"surge and log slow":             {flood: true, log: fakes.LogFaults{Slow: fakes.Duration(time.Second)}},
+		"connections cut and log out":    {links: cut, log: fakes.LogFaults{Refuse: true}},
+		"connections cut, answers lost":  {links: cut, log: fakes.LogFaults{LoseShare: 0.5}},
+		"connections silent, log slow":   {links: silence, log: fakes.LogFaults{Slow: fakes.Duration(time.Second)}},
+		"surge, cut connections, no log": {flood: true, links: cut, log: fakes.LogFaults{Refuse: true}},
+	}
+	for name, x := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newTestFleet(t)
+			entry, middle, deep := f.chain()
+			f.wholeIn(waitLimit, "before", f.batch("before", 40, 4, entry...)) // connects the nodes
+			f.add("deep", "", func(s *setup.Settings) {
+				s.Log.Address = f.ports(1)[0] // nothing listens there
+				s.Seeds = []ident.Address{entry[0].set.Listen.Peers}
+			})
+			f.ready(1)
+			steps := func() {
+				f.publishUnder(x)
+				f.carryUnder(x)
+				f.startUnder(x, entry[1], middle)
+				f.leaveUnder(x, deep[0], entry, middle)
+			}
+			if x.flood {
+				f.flooded(entry[0], steps)
+			} else {
+				steps()
+			}
+			f.checkNoReturn()
+		})
+	}
+}
+
+// flooded runs steps while callers ask a node for far more than it takes. Fails when the gate admits all.
+func (f *testFleet) flooded(at *member, steps func()) {
+	f.Helper()
+	at.backend.Behave(fakes.Behaviour{Work: fakes.Duration(100 * time.Millisecond)})
+	var whole, refused atomic.Int64
+	var wg sync.WaitGroup
+	end := make(chan struct{})
+	for i := range 48 {
+		wg.Go(func() {
+			for n := 0; n < 10_000; n++ {
+				select {
+				case <-end:
+					return
+				default:
+				}
+				switch x := f.ask(at, fmt.Sprintf("/lookups/flood/%d/%d", i, n)); {
+				case x.whole():
+					whole.Add(1)
+				case x.outcome == "notRun":
+					refused.Add(1)
+				default:
+					f.Errorf("flood: got %+v, want a whole answer or notRun", x)
+				}
+			}
+		})
+	}
+	defer wg.Wait()
+	defer close(end)
+	steps()
+	f.Logf("flood: %d whole answers, %d refused", whole.Load(), refused.Load())
+	if whole.Load() == 0 || refused.Load() == 0 {
+		f.Errorf("flood: got %d whole answers and %d refused, want some of both", whole.Load(), refused.Load())
+	}
+	if got, want := at.backend.Stats(false).Peak, int64(16); got > want {
+		f.Errorf("requests at a time at the server: got %d, want at most its %d slots", got, want)
+	}
+}
+
+// publishUnder publishes as an operator does. Fails when versions wait for a node without work.
+func (f *testFleet) publishUnder(x trouble) {
+	f.Helper()
+	if x.log.Refuse {
+		f.publish("second", 1) // accepted just before the fault
+		f.within(inForceEverywhere, "the second version at one node", func() bool { return f.inForce(2, f.all[0]) })
+		f.bring(x)
+	} else {
+		f.bring(x)
+		if d := f.operate("second", 1); d.Verdict != order.Taken {
+			f.Fatalf("publish: got %v, want %v", d.Verdict, order.Taken)
+		}
+	}
+	began := time.Now()
+	f.within(inForceEverywhere, "the second version in force everywhere", func() bool { return f.inForce(2, f.all...) })
+	f.Logf("in force everywhere after %v", time.Since(began))
+}
+
+// operate publishes through the faults of the log, as the command line does.
+func (f *testFleet) operate(id ident.RecordID, base ident.Version) (d order.Decision) {
+	f.Helper()
+	c := &applog.Client{Base: "http://" + string(f.logAddr)}
+	w := applog.NewWriter(c, applog.Config)
+	ctx, cancel := context.WithTimeout(f.Context(), waitLimit)
+	var wg sync.WaitGroup
+	wg.Go(func() { w.Run(ctx) })
+	defer wg.Wait()
+	defer cancel()
+	d, err := new(config.History).Publish(ctx, config.Log{
+		Read: func(ctx context.Context, from ident.Offset, limit int, wait time.Duration) (applog.Page, error) {
+			return c.Read(ctx, applog.Config, from, limit, wait)
+		},
+		Append: w.Append,
+	}, order.Publish{ID: id, Base: base, Document: document, Author: "test"})
+	if err != nil {
+		f.Fatal(err)
+	}
+	return d
+}
+
+// carryUnder lets a node write the version again when that is due by its clock, and reads it as a reader of
+// a log that keeps nothing else. Fails when a failed append counts as written.
+func (f *testFleet) carryUnder(x trouble) {
+	f.Helper()
+	f.bring(x)
+	n, due := f.all[0].node, time.Now().Add(f.all[0].set.Log.Retention/3)
+	if x.log.Refuse {
+		if n.carryOnce(f.Context(), due, 0) {
+			f.Error("carry without the log: got written")
+		}
+		f.log.SetFaults(fakes.LogFaults{})
+	}
+	f.within(inForceEverywhere, "the version is carried on", func() bool { return n.carryOnce(f.Context(), due, 0) })
+	carries := 0
+	for _, raw := range f.log.Records(string(applog.Config)).Records {
+		recs, err := record.DecodeGroup(raw.Data)
+		if err != nil {
+			f.Fatal(err)
+		}
+		for _, r := range recs {
+			o, _ := record.ToOrder(r, time.Unix(0, raw.AtUnixNs))
+			if o.Carry == nil {
+				continue
+			}
+			carries++
+			var fold order.Fold
+			fold.Start(ident.Offset(raw.Offset))
+			fold.Read(ident.Offset(raw.Offset), o)
+			if got := fold.Current().Version; !fold.Decided() || got != 2 {
+				f.Errorf("version that a new reader takes from the carry: got %d, want 2", got)
+			}
+		}
+	}
+	if carries != 1 {
+		f.Errorf("carries on the log: got %d, want 1", carries)
+	}
+}
+
+// startUnder starts a server, which knows one seed. Fails when it is made known by the log alone.
+func (f *testFleet) startUnder(x trouble, seed *member, callers []*member) {
+	f.Helper()
+	f.bring(x)
+	third := f.add("deep", "", func(s *setup.Settings) { s.Seeds = []ident.Address{seed.set.Listen.Peers} })
+	f.within(waitLimit, "the new server has the configuration and is known", func() bool {
+		return f.inForce(2, third) && callers[0].sees(third.set.Server) && callers[1].sees(third.set.Server)
+	})
+}
+
+// leaveUnder lets a server leave. Fails when a server that leaves takes new work.
+func (f *testFleet) leaveUnder(x trouble, gone *member, entry, callers []*member) {
+	f.Helper()
+	f.bring(x)
+	began := time.Now()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { f.stop(gone) })
+	if !x.log.Refuse {
+		f.publish("third", 2)
+	}
+	f.within(outOfUse, "the server leaves and has ended what it had", func() bool {
+		return gone.node.Relay.Draining() && gone.node.Relay.Active() == 0
+	})
+	ran := gone.backend.Stats(false).Ran
+	// With both the connections and the log at fault the callers find out by the refusals.
+	told := x.links == nil || x.log == (fakes.LogFaults{})
+	if told {
+		f.within(outOfUse-time.Since(began), "the callers know of the leave", func() bool {
+			return !callers[0].sees(gone.set.Server) && !callers[1].sees(gone.set.Server)
+		})
+	}
+	for i, x := range f.batch("after", 60, 4, entry...) {
+		if !x.whole() && x.outcome != "notRun" {
+			f.Errorf("after the leave, request %d: got %+v, want a whole answer or notRun", i, x)
+		}
+	}
+	if told && !x.flood {
+		f.wholeIn(waitLimit, "later", f.batch("later", 60, 4, entry...))
+	}
+	if got := gone.backend.Stats(false).Ran - ran; got != 0 {
+		f.Errorf("new work at the server that left: got %d, want 0", got)
+	}
+	if !x.log.Refuse {
+		f.within(inForceEverywhere-time.Since(began), "the version published at the leave is in force everywhere", func() bool {
+			return f.inForce(3, slices.DeleteFunc(slices.Clone(f.all), func(m *member) bool { return m == gone })...)
+		})
+	}
+}
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -65,27 +65,36 @@
 // conns keeps the connections that a node opened to its peers.
 type conns struct {
 	mu  sync.Mutex
-	all []net.Conn
+	all []*fakes.Valve
 }
 
-func (c *conns) add(x net.Conn) {
+func (c *conns) add(x *fakes.Valve) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.all = append(c.all, x)
 }
 
-// cut closes all connections and returns how many there were.
-func (c *conns) cut() int {
+// each calls f for each connection, forgets them and returns how many there were.
+func (c *conns) each(f func(*fakes.Valve)) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, x := range c.all {
-		_ = x.Close()
+		f(x)
 	}
 	n := len(c.all)
 	c.all = nil
 	return n
 }
 
+// cut closes a connection for both ends.
+func cut(x *fakes.Valve) { _ = x.Conn.Close() }
+
+// silence makes a connection carry nothing while it stays open.
+func silence(x *fakes.Valve) {
+	x.ShutIn()
+	x.ShutOut()
+}
+
 // testFleet is some nodes in this process over loopback, with a stand-in log.
 type testFleet struct {
 	*testing.T
@@ -171,10 +180,12 @@
 	dial := n.Book.Dial
 	n.Book.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
 		c, err := dial(ctx, addr)
-		if err == nil {
-			m.conns.add(c)
+		if err != nil {
+			return nil, err
 		}
-		return c, err
+		v := fakes.NewValve(c)
+		m.conns.add(v)
+		return v, nil
 	}
 	send, run := n.Relay.Send, n.Relay.Run
 	n.Relay.Send = func(ctx context.Context, addr ident.Address, req *call.Request) call.Result {
--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -146,13 +146,21 @@
 func (n *Node) carry(ctx context.Context) {
 	chance := ident.Fraction(mrand.Float64())
 	every(ctx, carryCheck, func(now time.Time) {
-		c, due := n.Policy.Due(now, chance)
-		if !due {
-			return
-		}
-		chance = ident.Fraction(mrand.Float64())
-		if _, err := n.config.writer.Append(ctx, record.FromOrder(order.Record{Carry: &c})); err != nil {
-			n.Log.Warn("carryNotWritten", zap.Error(err))
+		if n.carryOnce(ctx, now, chance) {
+			chance = ident.Fraction(mrand.Float64())
 		}
 	})
 }
+
+// carryOnce writes the accepted configuration if that is due, and reports whether it did.
+func (n *Node) carryOnce(ctx context.Context, now time.Time, chance ident.Fraction) bool {
+	c, due := n.Policy.Due(now, chance)
+	if !due {
+		return false
+	}
+	if _, err := n.config.writer.Append(ctx, record.FromOrder(order.Record{Carry: &c})); err != nil {
+		n.Log.Warn("carryNotWritten", zap.Error(err))
+		return false
+	}
+	return true
+}
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	mrand "math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -104,6 +105,9 @@
 		short, cancel := context.WithTimeout(ctx, syncTimeout)
 		defer cancel()
 		from, reply := n.Book.Sync(short, n.summary())
+		if n.Book.Connected() == 0 {
+			from, reply = n.reconnect(short)
+		}
 		if reply == nil || !n.onReply(from, reply) {
 			return
 		}
@@ -115,6 +119,22 @@
 	})
 }
 
+// reconnect exchanges with the first of some members that replies. A node without work makes no connection
+// of its own, and without one it would learn nothing more when it cannot reach the log.
+func (n *Node) reconnect(ctx context.Context) (from ident.Server, reply *wirepb.SyncReply) {
+	all := n.Roster.Table().All()
+	for _, i := range mrand.Perm(len(all)) {
+		addr, ok := n.addressOf(all[i].Server)
+		if !ok || all[i].Server == n.Self.Server {
+			continue
+		}
+		if from, reply, _ = n.Book.SyncTo(ctx, addr, n.summary()); reply != nil || ctx.Err() != nil {
+			break
+		}
+	}
+	return from, reply
+}
+
 func (n *Node) addressOf(s ident.Server) (ident.Address, bool) {
 	m, ok := n.Roster.Table().Member(s)
 	return m.Address, ok && !m.Left && m.Address != ""
@@ -199,6 +219,10 @@
 		m.Members = append(m.Members, wire.FromMember(x))
 	}
 	n.Book.SyncAll(short, m, func(from ident.Server, r *wirepb.SyncReply) {
+		if r == nil {
+			n.tellAgain(ctx, from, m)
+			return
+		}
 		n.take(r.GetMembers(), r.GetConfig())
 		if ident.Version(r.GetConfigVersion()) < n.Policy.Current().Accepted.Version {
 			n.sendConfig(short, from)
@@ -206,6 +230,20 @@
 	})
 }
 
+// tellAgain tells a peer that did not reply once more. Its connection was found silent meanwhile, so this
+// makes a new one; without it a peer learns the news only after it has noticed the silence itself.
+func (n *Node) tellAgain(ctx context.Context, to ident.Server, m *wirepb.Sync) {
+	addr, ok := n.addressOf(to)
+	if !ok {
+		return
+	}
+	short, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	if from, r, err := n.Book.SyncTo(short, addr, m); err == nil && n.onReply(from, r) {
+		n.sendConfig(short, from)
+	}
+}
+
 func (n *Node) sendConfig(ctx context.Context, to ident.Server) {
 	addr, ok := n.addressOf(to)
 	if !ok {
--- a/internal/peer/book.go
+++ b/internal/peer/book.go
@@ -225,14 +225,16 @@
 	return b.syncWith(ctx, all[rand.IntN(len(all))], m)
 }
 
-// SyncAll sends m to every connected peer and hands each reply to take.
+// SyncAll sends m to every connected peer and hands each reply to take; nil for a peer that gave none.
 func (b *Book) SyncAll(ctx context.Context, m *wirepb.Sync, take func(ident.Server, *wirepb.SyncReply)) {
 	var wg sync.WaitGroup
 	for _, s := range b.list() {
 		wg.Go(func() {
-			if from, r := b.syncWith(ctx, s, m); r != nil {
-				take(from, r)
+			from, r := b.syncWith(ctx, s, m)
+			if r == nil {
+				from, _ = s.name()
 			}
+			take(from, r)
 		})
 	}
 	wg.Wait()
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/goleak"
 
+	"briarworks.example/briarworks/internal/fakes"
 	"briarworks.example/briarworks/internal/wire/wirepb"
 	"briarworks.example/briarworks/pkg/call"
 	"briarworks.example/briarworks/pkg/ident"
@@ -18,46 +19,16 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// valve is a connection that can be made to carry nothing in one or both directions while it stays
-// open, as when something between the two ends has forgotten it.
-type valve struct {
-	net.Conn
-	shutIn, shutOut atomic.Bool
-	ended           chan struct{} // closed when the session that uses the connection has given it up
-	once            sync.Once
-}
-
-func (v *valve) Read(p []byte) (n int, err error) {
-	for {
-		if n, err = v.Conn.Read(p); err != nil || !v.shutIn.Load() {
-			return n, err
-		}
-	}
-}
-
-func (v *valve) Write(p []byte) (int, error) {
-	if v.shutOut.Load() {
-		return len(p), nil
-	}
-	return v.Conn.Write(p)
-}
-
-func (v *valve) Close() error {
-	err := v.Conn.Close()
-	v.once.Do(func() { close(v.ended) })
-	return err
-}
-
 // pair is a calling and a called book, with every connection between them.
 type pair struct {
 	a, b   *Book
 	ln     net.Listener
 	mu     sync.Mutex
-	valves []*valve
+	valves []*fakes.Valve
 	events [16]atomic.Int64
 }
 
-func (p *pair) last() *valve {
+func (p *pair) last() *fakes.Valve {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.valves[len(p.valves)-1]
@@ -81,7 +52,7 @@
 				if err != nil {
 					return nil, err
 				}
-				v := &valve{Conn: c, ended: make(chan struct{})}
+				v := fakes.NewValve(c)
 				p.mu.Lock()
 				defer p.mu.Unlock()
 				p.valves = append(p.valves, v)
@@ -125,10 +96,10 @@
 	}{
 		"no fault":                   {outcome: reason.Ran, runs: 1, within: time.Second},
 		"cut while running":          {during: cut, outcome: reason.Ran, runs: 1, within: time.Second},
-		"cut before the call":        {before: func(p *pair) { cut(p); <-p.last().ended }, outcome: reason.Ran, runs: 1, within: time.Second},
-		"silent while running":       {during: func(p *pair) { p.last().shutIn.Store(true); p.last().shutOut.Store(true) }, outcome: reason.Ran, runs: 1, within: 2500 * time.Millisecond},
-		"call swallowed":             {before: func(p *pair) { p.last().shutOut.Store(true) }, outcome: reason.NotRun, reason: reason.ConnectionSilent, runs: 0, within: 2500 * time.Millisecond},
-		"answer swallowed":           {before: func(p *pair) { p.last().shutIn.Store(true) }, outcome: reason.Ran, runs: 1, within: 2500 * time.Millisecond},
+		"cut before the call":        {before: func(p *pair) { cut(p); <-p.last().Ended }, outcome: reason.Ran, runs: 1, within: time.Second},
+		"silent while running":       {during: func(p *pair) { p.last().ShutIn(); p.last().ShutOut() }, outcome: reason.Ran, runs: 1, within: 2500 * time.Millisecond},
+		"call swallowed":             {before: func(p *pair) { p.last().ShutOut() }, outcome: reason.NotRun, reason: reason.ConnectionSilent, runs: 0, within: 2500 * time.Millisecond},
+		"answer swallowed":           {before: func(p *pair) { p.last().ShutIn() }, outcome: reason.Ran, runs: 1, within: 2500 * time.Millisecond},
 		"peer gone while it runs":    {during: func(p *pair) { _ = p.ln.Close(); cut(p) }, outcome: reason.Unknown, reason: reason.ConnectionLost, runs: 1, within: 2 * time.Second},
 		"peer started anew meantime": {during: func(p *pair) { p.b.Incarnation = 2; cut(p) }, outcome: reason.Unknown, reason: reason.ConnectionLost, runs: 1, within: 2 * time.Second},
 	}
@@ -180,7 +151,8 @@
 	}
 }
 
-// Guards against a call that runs after its caller was told that it never would.
+// Guards against a call that runs after its caller was told that it never would, and against one that
+// runs again when it arrives twice.
 func TestBarredCallNeverRuns(t *testing.T) {
 	var c calls
 	now := time.Unix(1000, 0)
@@ -191,6 +163,15 @@
 	if c.start(id, now) {
 		t.Error("start of a barred call: got true, want false")
 	}
+	twice := callID{"a", 1, 9}
+	if !c.start(twice, now) || c.start(twice, now) {
+		t.Error("a call that arrives twice: got no run or two, want one")
+	}
+	c.finish(twice, &wirepb.Answer{}, now)
+	if c.start(twice, now) {
+		t.Error("a call that arrives again after its end: got true, want false")
+	}
+	c.drop(twice)
 	c.expire(now.Add(keepBarred + time.Second))
 	if c.start(callID{"a", 1, 8}, now); len(c.of(id).m) > 1 {
 		t.Errorf("entries after expiry: got %d, want at most 1", len(c.of(id).m))
