--- a/internal/system/fleet_test.go
+++ b/internal/system/fleet_test.go
@@ -47,6 +47,7 @@
 kinds:
   - {name: lookup, rank: only, service: calendar, method: GET, path: /lookup, deadline: 6s, idempotent: true}
   - {name: run, rank: only, service: calendar, method: POST, path: /run, deadline: 6s}
+  - {name: claim, rank: only, service: calendar, method: POST, path: /claim, deadline: 6s, atMostOnce: true}
   - {name: own, rank: only, service: dispatch, method: GET, path: /own, deadline: 6s, idempotent: true}
 `
 
@@ -192,7 +193,7 @@
 		s.calendar = append(s.calendar, s.add("calendar", i, nil))
 		s.dispatch = append(s.dispatch, s.add("dispatch", i, nil))
 	}
-	s.publish(fmt.Sprintf(document, slots))
+	s.publish("first", 0, slots)
 	for _, v := range s.all() {
 		s.until("the node serves with all slots and knows the fleet", func() bool {
 			st, ok := s.status(v)
@@ -233,8 +234,8 @@
 	return v
 }
 
-// publish writes the first configuration to the log.
-func (s *system) publish(document string) {
+// publish writes a configuration to the log.
+func (s *system) publish(id ident.RecordID, base ident.Version, slots int) {
 	s.t.Helper()
 	w := applog.NewWriter(&applog.Client{Base: "http://" + string(s.logAddress)}, applog.Config)
 	ctx, cancel := context.WithCancel(s.t.Context())
@@ -242,7 +243,7 @@
 	wg.Go(func() { w.Run(ctx) })
 	defer wg.Wait()
 	defer cancel()
-	publish := &order.Publish{ID: "first", Document: document, Author: "test", At: time.Now()}
+	publish := &order.Publish{ID: id, Base: base, Document: fmt.Sprintf(document, slots), Author: "test", At: time.Now()}
 	s.until("the log takes the configuration", func() bool {
 		_, err := w.Append(ctx, record.FromOrder(order.Record{Publish: publish}))
 		return err == nil
@@ -343,7 +344,7 @@
 // ask sends one request to a node's callers' port.
 func ask(at *server, kind, key string) (t told) {
 	method, path := http.MethodGet, "/"+kind+"/"+key
-	if kind == "run" {
+	if kind == "run" || kind == "claim" {
 		method = http.MethodPost
 	}
 	t.key = "test/" + kind + "/" + key
@@ -355,7 +356,9 @@
 		return t
 	}
 	req.Header.Set("Briar-Caller", "test")
-	req.Header.Set("Idempotency-Key", key)
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
 	resp, err := caller.Do(req)
 	if err != nil {
 		t.err = err
@@ -441,12 +444,38 @@
 			s.t.Errorf("%s: told notRun (%s), but ran %d times", x.key, x.reason, n)
 		case x.outcome == "ran" && n == 0:
 			s.t.Errorf("%s: answered, but did not run", x.key)
-		case n > 1 && strings.Contains(x.key, "/run/"):
+		case n > 1 && !strings.Contains(x.key, "/lookup/"):
 			s.t.Errorf("%s: ran %d times, want at most once", x.key, n)
 		}
 	}
 }
 
+// gap returns the state of a gap at a server as the command line tells it; empty when there is none.
+func (s *system) gap(v *server) string {
+	s.t.Helper()
+	out, err := exec.Command(filepath.Join(bin, "briarworks"), "refusals", "summary", "--log", string(s.logAddress), "--output", "json").Output()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	var sum struct {
+		Gaps     []struct{ Server, State string }
+		Complete bool
+	}
+	if err = json.Unmarshal(out, &sum); err != nil {
+		s.t.Fatal(err)
+	}
+	for _, g := range sum.Gaps {
+		if g.Server != string(v.set.Server) {
+			continue
+		}
+		if sum.Complete && g.State == "missing" {
+			s.t.Errorf("record with a gap at %s: got complete", g.Server)
+		}
+		return g.State
+	}
+	return ""
+}
+
 // ranAt returns how many of the requests took effect at a server.
 func (s *system) ranAt(v *server, all []told) (n int) {
 	s.t.Helper()
--- a/internal/system/system_test.go
+++ b/internal/system/system_test.go
@@ -25,6 +25,8 @@
 	busy     = 20 * time.Millisecond
 	// outOfUse is the stated time after which a server that left gets no new work.
 	outOfUse = 3 * time.Second
+	// inForce is the stated time after which an accepted configuration is in force.
+	inForce = 10 * time.Second
 	// settled is the stated time in which a call over a silent connection ends: found silent within 2 s,
 	// settled within 1 s more. A retry elsewhere then takes its work and at most 1 s.
 	settled = 2*time.Second + time.Second + longWork + time.Second
@@ -41,11 +43,19 @@
 		slots int
 		run   func(*system)
 	}{
-		"node stops during load": {ample, stopNode},
-		"node is killed":         {ample, killNode},
-		"node freezes":           {ample, freezeNode},
-		"log stops":              {ample, stopLog},
-		"node starts by a seed":  {few, startBySeed},
+		"node stops during load":               {ample, stopNode},
+		"node is killed":                       {ample, killNode},
+		"entry is killed":                      {ample, killEntry},
+		"node freezes":                         {ample, freezeNode},
+		"node freezes as it leaves":            {ample, freezeLeaving},
+		"node freezes while the fleet changes": {ample, freezeDuringChange},
+		"node is killed with the log out": {ample, func(s *system) {
+			s.log.signal(syscall.SIGTERM)
+			s.log.exit(s.t)
+			killNode(s)
+		}},
+		"log stops":             {ample, stopLog},
+		"node starts by a seed": {few, startBySeed},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -62,8 +72,11 @@
 	s.work(longWork)
 	b := send(name, perKind, at, kinds...)
 	s.until("all requests run, some on the first server", func() bool {
-		first, second := s.running(s.dispatch[0]), s.running(s.dispatch[1])
-		return first > 0 && first+second == len(b.all)
+		first, all := s.running(s.dispatch[0]), 0
+		for _, v := range s.dispatch {
+			all += s.running(v)
+		}
+		return first > 0 && all == len(b.all)
 	})
 	s.work(quick)
 	return b
@@ -139,6 +152,110 @@
 	s.honest(slices.Concat(all, after))
 }
 
+// Callers of an entry that dies see their connections break. What they then ask again at the other entry
+// runs once more only if it is idempotent.
+func killEntry(s *system) {
+	gone, other := s.calendar[0], s.calendar[1]
+	if x := ask(gone, "claim", ""); x.outcome != "notRun" {
+		s.t.Errorf("claim without a key: got %+v, want notRun", x)
+	}
+	before := s.inFlight("before", s.calendar[:1], "lookup", "claim")
+	gone.node.signal(syscall.SIGKILL)
+	killed := time.Now()
+	all := before.wait()
+	if got := time.Since(killed); got > outOfUse {
+		s.t.Errorf("callers of the entry that was killed: got an end after %v, want within %v", got, outOfUse)
+	}
+	for _, x := range all {
+		if x.err == nil {
+			s.t.Errorf("%s: got %q %s, want a broken connection and no outcome", x.key, x.outcome, x.reason)
+		}
+	}
+	again := send("before", perKind, []*server{other}, "lookup", "claim").wait()
+	s.whole("lookups asked again at the other entry", again[:perKind])
+	for _, x := range again[perKind:] {
+		if x.outcome == "" || x.outcome == "notRun" {
+			s.t.Errorf("%s asked again: got %q %s %v, want its answer, running or unknown", x.key, x.outcome, x.reason, x.err)
+		}
+	}
+	s.honest(slices.Concat(all, again))
+	s.until("the record shows what the entry could not write", func() bool { return s.gap(gone) == "missing" })
+}
+
+// The node that should tell the others of its leave freezes before it does.
+func freezeLeaving(s *system) {
+	gone := s.dispatch[0]
+	s.whole("before", send("before", perKind, s.calendar, "lookup", "run").wait())
+	gone.node.signal(syscall.SIGSTOP)
+	gone.node.signal(syscall.SIGTERM) // taken when the process goes on
+	left := time.NewTimer(outOfUse)
+	during := send("during", perKind, s.calendar, "lookup", "run").wait()
+	<-left.C
+	after := send("after", perKind, s.calendar, "lookup", "run").wait()
+	s.whole("idempotent, sent after the server left", after[:perKind])
+	for _, x := range slices.Concat(during, after) {
+		if x.outcome == "" || x.took > settled {
+			s.t.Errorf("%s: got %q %v after %v, want an outcome within %v", x.key, x.outcome, x.err, x.took, settled)
+		}
+	}
+	gone.node.signal(syscall.SIGCONT)
+	for _, v := range s.calendar {
+		s.within(outOfUse, "the peers know of the leave", func() bool { return s.sees(v, gone) == "leaving" })
+	}
+	later := send("later", perKind, s.calendar, "lookup", "run").wait()
+	s.whole("sent when the peers know", later)
+	if got := gone.node.exit(s.t); got != 0 {
+		s.t.Errorf("exit code: got %d, want 0", got)
+	}
+	if got := s.ranAt(gone, slices.Concat(after, later)); got != 0 {
+		s.t.Errorf("new work at the server that left: got %d requests, want 0", got)
+	}
+	s.honest(slices.Concat(during, after, later))
+}
+
+// An entry is frozen while versions are published, a server starts and another one leaves.
+func freezeDuringChange(s *system) {
+	frozen, gone := s.calendar[1], s.dispatch[0]
+	s.whole("before", send("before", perKind, s.calendar, "lookup", "run").wait())
+	frozen.node.signal(syscall.SIGSTOP)
+	s.publish("second", 1, ample-1)
+	s.publish("third", 2, ample-2)
+	for _, v := range slices.Concat(s.calendar[:1], s.dispatch) {
+		s.within(inForce, "the version is in force", func() bool { st, ok := s.status(v); return ok && st.ConfigVersion == 3 })
+	}
+	third := s.add("dispatch", 2, nil)
+	s.dispatch = append(s.dispatch, third)
+	s.until("the others know the new server", func() bool { return s.sees(s.calendar[0], third) == "inService" })
+	in := s.inFlight("in", s.calendar[:1], "lookup") // keeps the server that leaves from exiting at once
+	gone.node.signal(syscall.SIGTERM)
+	s.within(outOfUse, "the peer was told of the leave", func() bool { return s.sees(s.calendar[0], gone) == "leaving" })
+	held := send("held", perKind, s.calendar[1:], "lookup", "run") // wait in the listener's queue
+	frozen.node.signal(syscall.SIGCONT)
+	atOnce := send("atOnce", perKind, s.calendar[1:], "lookup", "run")
+	last := uint64(1)
+	s.within(inForce, "the node that goes on has the newest version and members", func() bool {
+		st, ok := s.status(frozen)
+		if ok && st.ConfigVersion < last {
+			s.t.Errorf("version at the node that goes on: got %d after %d", st.ConfigVersion, last)
+		}
+		last = max(last, st.ConfigVersion)
+		return st.ConfigVersion == 3 && s.sees(frozen, gone) == "leaving" && s.sees(frozen, third) == "inService"
+	})
+	later := send("later", perKind, s.calendar[1:], "lookup", "run").wait()
+	s.whole("sent when the node knows", later)
+	sent := slices.Concat(held.wait(), atOnce.wait(), later)
+	for _, x := range sent {
+		if x.outcome == "" {
+			s.t.Errorf("%s: got no outcome, %v", x.key, x.err)
+		}
+	}
+	if got := s.ranAt(gone, sent); got != 0 {
+		s.t.Errorf("new work at the server that leaves: got %d requests, want 0", got)
+	}
+	s.whole("in flight at the leave", in.wait())
+	s.honest(slices.Concat(sent, in.all))
+}
+
 // Seen to fail without the judgement that a connection is silent (callers waited for the deadline, 6 s), and
 // with a call that could not be settled taken as not run (runs took effect twice).
 func freezeNode(s *system) {
