order, config, keeper, flush, fleet, admit: prove more faults in the tables

New rows of existing tables, each seen to fail with a mechanism off: - carry on with a slow log, a log that was out, half of the nodes gone, and the last two together: without the spread 480 to 960 carries, with a carry counted when it is due 31 h instead of 20 h, and none at all when only some nodes write. "carry that is written twice" fails when a carry is taken by a reader that has decided. - publish with a slow log, a record that takes effect late, a rival and a lost answer, an operator frozen between write and read-back and one killed there (looked up later by somebody else): told accepted when the append counts as acceptance. - keeper: records late, many keys at once, log slow, answers lost before a restart, and a stop before the record is read back (told notRun when the stop does not wait). TestGiveUp fails when the attempt is not abandoned, TestDoOnce when a run does not wait for the verdict. - flush: "out after the start".

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http/httptest"
+	"runtime"
 	"testing"
 	"time"
 
@@ -105,6 +106,51 @@
 		"answer lost after the write": {
 			base: 1, faults: fakes.LogFaults{LoseNext: 1}, verdict: order.Taken, version: 2, written: true,
 		},
+		"log slow": {
+			base: 1, faults: fakes.LogFaults{Slow: fakes.Duration(200 * time.Millisecond)}, verdict: order.Taken, version: 2, written: true,
+		},
+		"another came first, answer lost": {
+			base: 1, faults: fakes.LogFaults{LoseNext: 1},
+			append: func(t *testing.T, b *bench, next appendFunc) appendFunc {
+				return func(ctx context.Context, recs ...*recpb.Record) (ident.Offset, error) {
+					b.put(t, publish("rival", 1))
+					return next(ctx, recs...)
+				}
+			},
+			verdict: order.Refused, version: 2, by: "rival", written: true,
+		},
+		"written late": {
+			base: 1,
+			append: func(t *testing.T, b *bench, _ appendFunc) appendFunc {
+				return func(context.Context, ...*recpb.Record) (ident.Offset, error) {
+					time.AfterFunc(200*time.Millisecond, func() { b.put(t, publish("mine", 1)) })
+					return 0, applog.ErrUnknown
+				}
+			},
+			verdict: order.Taken, version: 2, written: true,
+		},
+		"frozen past its patience": {
+			base: 1,
+			append: func(_ *testing.T, b *bench, next appendFunc) appendFunc {
+				return func(ctx context.Context, recs ...*recpb.Record) (ident.Offset, error) {
+					at, err := next(ctx, recs...)
+					b.fake.SetFaults(fakes.LogFaults{Slow: fakes.Duration(1500 * time.Millisecond)}) // nothing is read in time
+					return at, err
+				}
+			},
+			verdict: order.Undecided, version: 1, written: true,
+		},
+		"killed after the write": {
+			base: 1,
+			append: func(_ *testing.T, _ *bench, next appendFunc) appendFunc {
+				return func(ctx context.Context, recs ...*recpb.Record) (ident.Offset, error) {
+					_, _ = next(ctx, recs...)
+					runtime.Goexit()
+					return 0, nil
+				}
+			},
+			verdict: order.Undecided, version: 0, written: true,
+		},
 		"unknown, but written": {
 			base: 1,
 			append: func(_ *testing.T, _ *bench, next appendFunc) appendFunc {
@@ -139,7 +185,14 @@
 				log.Append = tt.append(t, b, log.Append)
 			}
 			h := History{Patience: time.Second}
-			d, err := h.Publish(b.ctx, log, order.Publish{ID: "mine", Base: tt.base, Document: "mine", Author: "me"})
+			var d order.Decision
+			var err error
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				d, err = h.Publish(b.ctx, log, order.Publish{ID: "mine", Base: tt.base, Document: "mine", Author: "me"})
+			}()
+			<-ended
 			if !errors.Is(err, tt.err) {
 				t.Fatalf("error: got %v, want %v", err, tt.err)
 			}
@@ -161,6 +214,18 @@
 			if got := written > 0; got != tt.written {
 				t.Errorf("written: got %v, want %v", got, tt.written)
 			}
+			// Whoever looks later is told what the operator was told, and the outcome when it was not known.
+			var later History
+			if err := later.CatchUp(b.ctx, b.log, 0); err != nil {
+				t.Fatal(err)
+			}
+			want := tt.verdict
+			if want == order.Undecided && tt.written {
+				want = order.Taken
+			}
+			if got := later.Lookup("mine").Verdict; tt.written && got != want {
+				t.Errorf("looked up later: got %v, want %v", got, want)
+			}
 		})
 	}
 }
--- a/internal/flush/flush_test.go
+++ b/internal/flush/flush_test.go
@@ -80,7 +80,14 @@
 		"well":         {func(int) (bool, error) { return true, nil }, 300, nil, 0},
 		"out at first": {func(n int) (bool, error) { return n > 6, map[bool]error{true: errOut}[n <= 6] }, 300, nil, 6},
 		"answers lost": {func(n int) (bool, error) { return true, map[bool]error{true: errOut}[n%2 == 1] }, 300, nil, 2},
-		"out":          {func(int) (bool, error) { return false, errOut }, 0, nil, 3},
+		"slow":         {func(int) (bool, error) { <-time.After(20 * time.Millisecond); return true, nil }, 300, nil, 0},
+		"out, then answers lost": {func(n int) (bool, error) {
+			return n == 1 || n > 4, map[bool]error{true: errOut}[n > 1 && (n <= 4 || n%2 == 1)]
+		}, 300, nil, 4},
+		"out after the start": {func(n int) (bool, error) {
+			return n == 1 || n > 5, map[bool]error{true: errOut}[n > 1 && n <= 5]
+		}, 300, nil, 4},
+		"out": {func(int) (bool, error) { return false, errOut }, 0, nil, 3},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -109,18 +109,31 @@
 }
 
 // Guards against a second run, and against an arrival that gets another answer than the first one,
-// while the log loses answers and several holders take the same keys.
+// while the log loses answers, takes records late or gets many at once, and several holders take the same keys.
 func TestDoOnce(t *testing.T) {
+	tests := map[string]struct {
+		faults fakes.LogFaults
+		keys   int
+	}{
+		"answers lost": {fakes.LogFaults{LoseShare: 0.2}, 20},
+		"records late": {fakes.LogFaults{SlowAppend: fakes.Duration(100 * time.Millisecond)}, 20},
+		"surge":        {fakes.LogFaults{}, 200},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) { doOnce(t, tt.faults, tt.keys) })
+	}
+}
+
+func doOnce(t *testing.T, faults fakes.LogFaults, keys int) {
 	f := newFleet(t)
-	f.log.SetFaults(fakes.LogFaults{LoseShare: 0.2})
+	f.log.SetFaults(faults)
 	var keepers []*Keeper
 	for _, server := range []ident.Server{"a", "b", "c"} {
-		k, _ := f.keeper(t, server, 1, nil)
+		k, _ := f.keeper(t, server, 1, func(k *Keeper) { k.Writer.Timeout = 2 * time.Second })
 		keepers = append(keepers, k)
 	}
-	const keys, arrivals = 20, 5
-	var runs [keys]atomic.Int32
-	var ran [keys]atomic.Int32
+	const arrivals = 5
+	runs, ran := make([]atomic.Int32, keys), make([]atomic.Int32, keys)
 	var wg sync.WaitGroup
 	for i := range keys {
 		for n := range arrivals {
@@ -166,6 +179,7 @@
 		"ran":         {run: answer("x"), outcome: reason.Ran, runs: 1, done: 1},
 		"server shed": {run: call.Refuse(reason.ServerShed), outcome: reason.NotRun, why: reason.ServerShed, runs: 1, void: 1},
 		"in doubt":    {run: call.Doubt(reason.ServerFailed), outcome: reason.Unknown, why: reason.ServerFailed, runs: 1},
+		"too slow":    {run: call.Doubt(reason.DeadlinePassed), outcome: reason.Unknown, why: reason.DeadlinePassed, runs: 1},
 		"log down":    {faults: fakes.LogFaults{Down: true}, down: true, outcome: reason.NotRun, why: reason.LogUnavailable},
 		"log refuses": {faults: fakes.LogFaults{AppendRate: 0.001}, outcome: reason.NotRun, why: reason.LogUnavailable},
 		"lease over":  {lease: time.Nanosecond, outcome: reason.NotRun, why: reason.LeaseLapsed, void: 1},
@@ -200,9 +214,19 @@
 // Guards against a caller who is told notRun at its deadline while its Started is on its way, and
 // whose attempt then runs or blocks the key for good.
 func TestGiveUp(t *testing.T) {
+	tests := map[string]fakes.LogFaults{
+		"append slow": {SlowAppend: fakes.Duration(250 * time.Millisecond)},
+		"log slow":    {Slow: fakes.Duration(250 * time.Millisecond)},
+	}
+	for name, faults := range tests {
+		t.Run(name, func(t *testing.T) { giveUp(t, faults) })
+	}
+}
+
+func giveUp(t *testing.T, faults fakes.LogFaults) {
 	f := newFleet(t)
-	k, _ := f.keeper(t, "a", 1, nil)
-	f.log.SetFaults(fakes.LogFaults{SlowAppend: fakes.Duration(250 * time.Millisecond)})
+	k, _ := f.keeper(t, "a", 1, func(k *Keeper) { k.Writer.Timeout, k.Tail.Grace = 2*time.Second, bound })
+	f.log.SetFaults(faults)
 	never := func(context.Context) call.Result {
 		t.Errorf("attempt that was given up: got a run, want none")
 		return answer("never")
@@ -223,7 +247,15 @@
 
 // Guards against a restarted holder that runs a key again, or forgets an answer.
 func TestRestart(t *testing.T) {
+	tests := map[string]fakes.LogFaults{"log well": {}, "answers lost": {LoseShare: 0.5}}
+	for name, faults := range tests {
+		t.Run(name, func(t *testing.T) { restart(t, faults) })
+	}
+}
+
+func restart(t *testing.T, faults fakes.LogFaults) {
 	f := newFleet(t)
+	f.log.SetFaults(faults)
 	k, stop := f.keeper(t, "a", 1, nil)
 	k.Do(t.Context(), request("done", bound), func(context.Context) call.Result { return answer("first") })
 	k.Do(t.Context(), request("doubt", bound), func(context.Context) call.Result { return call.Doubt(reason.ServerFailed) })
@@ -274,6 +306,38 @@
 	}
 }
 
+// Guards against a stop that interrupts an attempt whose record is not read back yet, and against a later
+// holder that runs it again.
+func TestStopBeforeReadBack(t *testing.T) {
+	f := newFleet(t)
+	sent := make(chan struct{}, 16)
+	k, stop := f.keeper(t, "a", 1, func(k *Keeper) {
+		k.Writer.Timeout = 2 * time.Second
+		send := k.Writer.Send
+		k.Writer.Send = func(ctx context.Context, data []byte) (ident.Offset, error) {
+			sent <- struct{}{}
+			return send(ctx, data)
+		}
+	})
+	f.log.SetFaults(fakes.LogFaults{SlowAppend: fakes.Duration(250 * time.Millisecond)})
+	runs := 0
+	run := func(context.Context) call.Result { runs++; return answer("x") }
+	var wg sync.WaitGroup
+	var res call.Result
+	wg.Go(func() { res = k.Do(t.Context(), request("k", bound), run) })
+	<-sent
+	stop()
+	wg.Wait()
+	if res.Outcome != reason.Ran || runs != 1 {
+		t.Errorf("attempt at the stop: got %v for %v after %d runs, want an answer after 1", res.Outcome, res.Reason, runs)
+	}
+	f.log.SetFaults(fakes.LogFaults{})
+	k, _ = f.keeper(t, "a", 2, nil)
+	if again := k.Do(t.Context(), request("k", bound), run); runs != 1 || again.Outcome != reason.Ran {
+		t.Errorf("repeat after the stop: got %v for %v and %d runs in all, want an answer and 1 run", again.Outcome, again.Reason, runs)
+	}
+}
+
 // Guards against a repeat that runs beside the first arrival, or that waits past its own deadline.
 func TestRunning(t *testing.T) {
 	f := newFleet(t)
--- a/pkg/admit/chain_test.go
+++ b/pkg/admit/chain_test.go
@@ -213,6 +213,7 @@
 	calls  int        // to a ledger by each request
 	sort   float64    // own time at a narrow service that packs also use, 0 for none
 	slower float64    // factor of the ledgers' own time during the fault
+	lost   int        // ledgers that are gone during the fault
 	ideal  [4]float64 // answers per second during the fault
 }
 
@@ -248,6 +249,14 @@
 			ideal: [4]float64{1000, 250, 250, 0},
 		},
 	}
+	tests["flood and a slow service"] = chainCase{
+		usual: [4]float64{1000, 750, 750, 500}, fault: [4]float64{1000, 750, 12500, 500}, calls: 1, slower: 2,
+		ideal: [4]float64{1000, 750, 1250, 0},
+	}
+	tests["flood and a server gone"] = chainCase{
+		usual: [4]float64{1000, 750, 750, 500}, fault: [4]float64{1000, 750, 12500, 500}, calls: 1, slower: 1, lost: 1,
+		ideal: [4]float64{1000, 750, 2250, 0},
+	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) { tc.run(t, 1) })
 		t.Run(name+", small servers", func(t *testing.T) { tc.run(t, small) })
@@ -276,8 +285,15 @@
 	if tc.sort > 0 {
 		c.paths["pack"] = append(c.paths["pack"], c.add("sorting", 3, ident.Slots(ledgerSlots*part), tc.sort))
 	}
-	c.after(faultFrom, func() { ledger.slow(tc.slower) })
-	c.after(faultTo, func() { ledger.slow(1 / tc.slower) })
+	all := ledger.stations
+	c.after(faultFrom, func() {
+		ledger.slow(tc.slower)
+		ledger.stations = all[tc.lost:]
+	})
+	c.after(faultTo, func() {
+		ledger.stations = all
+		ledger.slow(1 / tc.slower)
+	})
 	c.run(faultTo + 4)
 	ideal := tc.ideal
 	for i := range ideal {
--- a/pkg/admit/gate_test.go
+++ b/pkg/admit/gate_test.go
@@ -21,6 +21,7 @@
 // member is one request in the model of the gate.
 type member struct {
 	Ticket
+	until   time.Time // deadline of the request
 	woken   int
 	verdict Verdict
 }
@@ -42,6 +43,7 @@
 		Born:     m.now.Add(-time.Duration(rapid.IntRange(0, 50).Draw(t, "age")) * time.Millisecond),
 		Deadline: m.now.Add(time.Duration(rapid.IntRange(-1, 200).Draw(t, "left")) * time.Millisecond),
 	}
+	p.until = req.Deadline
 	// The request is in the model before the decision, since it may be evicted at once.
 	m.waiting = append(m.waiting, p)
 	switch v := m.gate.Enter(req, &p.Ticket, m.now); v {
@@ -75,6 +77,9 @@
 	if v != Run {
 		return
 	}
+	if !p.until.After(m.now) {
+		m.Fatalf("run: got one %v after the deadline, want none", m.now.Sub(p.until))
+	}
 	m.running = append(m.running, p)
 	if got, want := ident.Slots(len(m.running)), m.gate.Limit(); got > want {
 		m.Fatalf("calls started: got %d running, want at most %d", got, want)
@@ -145,7 +150,7 @@
 }
 
 // Guards against a slot that is lost or used twice, a wake that is lost or doubled, a queue out of
-// order, and requests that wait while a slot is free.
+// order, requests that wait while a slot is free, and requests that run after their deadline.
 func TestGateModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := &model{T: t, now: start, gate: New(Config{Slots: 3, QueueLen: 4, Kinds: chainKinds})}
--- a/pkg/audit/audit_test.go
+++ b/pkg/audit/audit_test.go
@@ -136,25 +136,28 @@
 	}}
 }
 
-// Guards against a loss that the reader does not show, and against a gap where nothing is missing.
+// Guards against a loss that the reader does not show, against a gap where nothing is missing, and against a
+// record that counts as complete for a time whose refusals a node may not have written yet.
 func TestGaps(t *testing.T) {
 	end := start.Add(time.Hour)
+	read := end.Add(OpenEnd / 2)
 	tests := map[string]struct {
-		fold func(*Reader)
-		want []Gap
+		fold  func(*Reader)
+		want  []Gap
+		until time.Time // zero for the time of the reading
 	}{
 		"complete": {func(r *Reader) {
 			r.Open(Open{"s", 1}, start)
 			r.Batch(part(1, 3, start))
 			r.Batch(part(1, 3, start))
 			r.Close(Close{"s", 1, 3}, end)
-		}, nil},
+		}, nil, time.Time{}},
 		"batch lost": {func(r *Reader) {
 			r.Open(Open{"s", 1}, start)
 			r.Batch(part(6, 9, end))
 			r.Batch(part(1, 3, start))
 			r.Close(Close{"s", 1, 9}, end)
-		}, []Gap{{Server: "s", Incarnation: 1, First: 4, Last: 5, After: start, Before: end, Ended: true}}},
+		}, []Gap{{Server: "s", Incarnation: 1, First: 4, Last: 5, After: start, Before: end, Ended: true}}, time.Time{}},
 		"killed, seen by a peer": {func(r *Reader) {
 			r.Open(Open{"s", 1}, start)
 			r.Batch(part(1, 3, start))
@@ -164,20 +167,27 @@
 		}, []Gap{
 			{Server: "s", Incarnation: 1, First: 4, Last: 7, After: start, Before: end, Ended: true},
 			{Server: "s", Incarnation: 1, First: 8, After: start, Before: end, Ended: true},
-		}},
+		}, time.Time{}},
 		"killed, unseen": {func(r *Reader) {
 			r.Open(Open{"s", 1}, start)
 			r.Open(Open{"s", 2}, end)
 			r.Close(Close{"s", 2, 0}, end)
-		}, []Gap{{Server: "s", Incarnation: 1, First: 1, After: start, Before: end, Ended: true}}},
+		}, []Gap{{Server: "s", Incarnation: 1, First: 1, After: start, Before: end, Ended: true}}, time.Time{}},
 		"running": {func(r *Reader) {
 			r.Open(Open{"s", 1}, start)
 			r.Batch(part(1, 3, end))
-		}, []Gap{{Server: "s", Incarnation: 1, First: 4, After: end}}},
+		}, []Gap{{Server: "s", Incarnation: 1, First: 4, After: end}}, end},
+		"running, one of them quiet": {func(r *Reader) {
+			r.Open(Open{"s", 1}, start)
+			r.Batch(part(1, 3, end))
+			r.Open(Open{"t", 1}, start)
+		}, []Gap{
+			{Server: "s", Incarnation: 1, First: 4, After: end}, {Server: "t", Incarnation: 1, First: 1, After: start},
+		}, read.Add(-OpenEnd)},
 		"trimmed": {func(r *Reader) {
 			r.Batch(part(4, 5, start))
 			r.Close(Close{"s", 1, 5}, end)
-		}, []Gap{{Server: "s", Incarnation: 1, First: 1, Last: 3, Before: start, Ended: true, Trimmed: true}}},
+		}, []Gap{{Server: "s", Incarnation: 1, First: 1, Last: 3, Before: start, Ended: true, Trimmed: true}}, time.Time{}},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -186,6 +196,12 @@
 			if got := r.Gaps(); !slices.Equal(got, tt.want) {
 				t.Errorf("gaps: got %+v, want %+v", got, tt.want)
 			}
+			if tt.until.IsZero() {
+				tt.until = read
+			}
+			if got := r.Until(read); !got.Equal(tt.until) {
+				t.Errorf("until: got %v, want %v", got, tt.until)
+			}
 		})
 	}
 }
--- a/pkg/audit/ledger.go
+++ b/pkg/audit/ledger.go
@@ -20,6 +20,9 @@
 	CutSize ident.Bytes = 256 << 10
 	// CutPeriod is the time after which a batch is cut.
 	CutPeriod = 10 * time.Second
+	// OpenEnd is the time after which the refusals of a node that reaches the log are on it: CutPeriod, and as
+	// much again for the tick of the writer, the append, and the spread of the first appends of a fleet.
+	OpenEnd = 2 * CutPeriod
 	// SingleBudget is the size of single entries of unprotected kinds in one period. What exceeds it is
 	// merged at once: a node may spend 12 KB/s on control, and a flood alone would take more.
 	SingleBudget ident.Bytes = 64 << 10
--- a/pkg/audit/reader.go
+++ b/pkg/audit/reader.go
@@ -277,6 +277,25 @@
 	return gaps
 }
 
+// Until returns the time up to which the record, read at the given time, holds what it can: nodes that still
+// run, and reach the log, may have refusals after it that they have not written. Gaps tells what is missing.
+func (r *Reader) Until(read time.Time) time.Time {
+	end := read
+	for _, g := range r.Gaps() {
+		if g.Last != 0 || g.Ended {
+			continue
+		}
+		at := read.Add(-OpenEnd)
+		if g.After.After(at) {
+			at = g.After // the time of its newest batch
+		}
+		if at.Before(end) {
+			end = at
+		}
+	}
+	return end
+}
+
 func (u *run) endBy(next *run) time.Time {
 	switch {
 	case u.isShut:
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -122,6 +122,13 @@
 			s.Apply(later, start)
 			s.Expire(start.Add(retention+1), retention)
 		}, 1, 1},
+		"announced again after it expired": {func(s *State) {
+			s.Apply(live, start)
+			s.Expire(start.Add(retention+1), retention)
+			later := live
+			later.Announced = start.Add(retention + time.Minute)
+			s.Apply(later, start.Add(retention+time.Minute))
+		}, 1, 1},
 		"expired announcement from a peer": {func(s *State) {
 			s.Apply(live, start)
 			s.Expire(start.Add(retention+1), retention)
--- a/pkg/order/order_test.go
+++ b/pkg/order/order_test.go
@@ -225,6 +225,11 @@
 			log:   []Record{pub("a", 4), carry(4, 8), pub("b", 4)},
 			want:  []want{{Undecided, 0, ""}, {Undecided, 0, ""}},
 		},
+		"carry that is written twice": {
+			first: 10,
+			log:   []Record{carry(4, 9), carry(4, 9), pub("a", 4), carry(4, 9), pub("b", 5)},
+			want:  []want{{Taken, 5, ""}, {Taken, 6, ""}},
+		},
 		"carry that claims records after itself": {
 			first: 10,
 			log:   []Record{carry(4, 10), pub("b", 4)},
@@ -279,11 +284,18 @@
 		start     time.Duration // age of the last carry when the nodes begin
 		by        time.Duration // when the next one has to be written, at the latest
 		most      int
+		answer    time.Duration  // until the others read a carry
+		gone      ident.Fraction // of the nodes, those whose turn comes first: killed or frozen
+		out       time.Duration  // the log takes nothing before
 	}{
-		"two days":       {48 * time.Hour, 12*time.Hour - time.Minute, 16 * time.Hour, 4},
-		"one hour":       {time.Hour, 0, 20 * time.Minute, 16},
-		"overdue":        {48 * time.Hour, 40 * time.Hour, 40*time.Hour + time.Minute, 64},
-		"clock in front": {48 * time.Hour, -time.Hour, 16 * time.Hour, 4},
+		"two days":                      {48 * time.Hour, 12*time.Hour - time.Minute, 16 * time.Hour, 4, time.Second, 0, 0},
+		"one hour":                      {time.Hour, 0, 20 * time.Minute, 16, time.Second, 0, 0},
+		"overdue":                       {48 * time.Hour, 40 * time.Hour, 40*time.Hour + time.Minute, 64, time.Second, 0, 0},
+		"clock in front":                {48 * time.Hour, -time.Hour, 16 * time.Hour, 4, time.Second, 0, 0},
+		"log slow":                      {48 * time.Hour, 12*time.Hour - time.Minute, 16 * time.Hour, 8, 30 * time.Second, 0, 0},
+		"half are gone":                 {48 * time.Hour, 12*time.Hour - time.Minute, 16 * time.Hour, 4, time.Second, 0.5, 0},
+		"log was out":                   {48 * time.Hour, 19*time.Hour + 50*time.Minute, 20*time.Hour + time.Minute, 64, time.Second, 0, 20 * time.Hour},
+		"log was out and half are gone": {48 * time.Hour, 19*time.Hour + 50*time.Minute, 20*time.Hour + time.Minute, 64, time.Second, 0.5, 20 * time.Hour},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -292,11 +304,16 @@
 				folds[i].Start(0)
 				folds[i].Read(0, Record{Publish: &Publish{ID: "a", At: epoch}})
 			}
-			const answer = time.Second // until the others read a carry
 			now, written, firstAt := epoch.Add(tt.start), 0, time.Time{}
-			for firstAt.IsZero() || now.Before(firstAt.Add(answer)) {
+			for firstAt.IsZero() || now.Before(firstAt.Add(tt.answer)) {
 				for i := range folds {
-					_, due := folds[i].Due(now, tt.retention, ident.Fraction(float64(i*617%nodes)/nodes))
+					chance := ident.Fraction(float64(i*617%nodes) / nodes)
+					// After an outage all are late, and what spreads them is that each looks once a minute.
+					if chance < tt.gone || tt.out > 0 && (now.Unix()+int64(i))%60 != 0 {
+						continue
+					}
+					_, due := folds[i].Due(now, tt.retention, chance)
+					due = due && !now.Before(epoch.Add(tt.out))
 					if due {
 						written++
 					}
@@ -304,8 +321,8 @@
 						firstAt = now
 					}
 				}
-				now = now.Add(answer)
-				if written == 0 && now.Before(epoch.Add(tt.start+tt.retention/5)) {
+				now = now.Add(tt.answer)
+				if written == 0 && tt.out == 0 && now.Before(epoch.Add(tt.start+tt.retention/5)) {
 					now = now.Add(time.Minute)
 				}
 				if now.After(epoch.Add(tt.retention)) {
