relay: test the retry budget of at-most-once work

Nothing tested that the homes of a key share the budget of the request. TestOnceBudget, at the entry and for calls of a server: each further home takes a token, gets what is left, and is asked only after proof that the one before did not run it. Seen to fail with the budget ignored (a home more than tokens), with what was spent below ignored (budgets 3 2 1, want 3 0) and with an unknown outcome taken as proof.

--- a/internal/relay/lease_test.go
+++ b/internal/relay/lease_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
 	"briarworks.example/briarworks/pkg/call"
+	"briarworks.example/briarworks/pkg/ident"
 	"briarworks.example/briarworks/pkg/reason"
 )
 
@@ -39,3 +41,64 @@
 		})
 	}
 }
+
+// Guards against at-most-once work that spends more retries than its budget has, that is given more below
+// than is left, or that is brought to another home without proof that it did not run.
+func TestOnceBudget(t *testing.T) {
+	refuse := func(why reason.Refusal, left ident.Tokens) call.Result {
+		res := call.Refuse(why)
+		res.TokensLeft = left
+		return res
+	}
+	ran := call.Result{Outcome: reason.Ran, TokensLeft: 0}
+	tests := map[string]struct {
+		budget  ident.Tokens
+		results []call.Result // of the homes, in order; the last one is the node itself
+		given   []ident.Tokens
+		outcome reason.Outcome
+		retries int
+	}{
+		"first home runs it":        {3, []call.Result{ran}, []ident.Tokens{3}, reason.Ran, 0},
+		"each try takes a token":    {3, []call.Result{refuse(reason.NoServer, 3), refuse(reason.Draining, 2), ran}, []ident.Tokens{3, 2, 1}, reason.Ran, 2},
+		"no token":                  {0, []call.Result{refuse(reason.NoServer, 0)}, []ident.Tokens{0}, reason.NotRun, 0},
+		"last token":                {1, []call.Result{refuse(reason.NoServer, 1), refuse(reason.Starting, 0)}, []ident.Tokens{1, 0}, reason.NotRun, 1},
+		"tokens spent below":        {3, []call.Result{refuse(reason.ServerDown, 1), refuse(reason.Draining, 0)}, []ident.Tokens{3, 0}, reason.NotRun, 1},
+		"all spent below":           {3, []call.Result{refuse(reason.ConnectionLost, 0)}, []ident.Tokens{3}, reason.NotRun, 0},
+		"more given back than had":  {2, []call.Result{refuse(reason.NoServer, 9), refuse(reason.NoServer, 9), ran}, []ident.Tokens{2, 1, 0}, reason.Ran, 2},
+		"may have run":              {3, []call.Result{{Outcome: reason.Unknown, Reason: reason.ConnectionLost, TokensLeft: 3}}, []ident.Tokens{3}, reason.Unknown, 0},
+		"never ran, by settlement":  {3, []call.Result{refuse(reason.ConnectionSilent, 3), ran}, []ident.Tokens{3, 2}, reason.Ran, 1},
+		"shed by the server":        {3, []call.Result{refuse(reason.ServerShed, 3)}, []ident.Tokens{3}, reason.NotRun, 0},
+		"without the log":           {3, []call.Result{refuse(reason.LogUnavailable, 3)}, []ident.Tokens{3}, reason.NotRun, 0},
+		"own server, not reachable": {3, []call.Result{refuse(reason.NoServer, 3), refuse(reason.NoServer, 2), refuse(reason.ServerDown, 1)}, []ident.Tokens{3, 2, 1}, reason.NotRun, 2},
+	}
+	for name, tt := range tests {
+		for way, enter := range map[string]func(*Relay) func(context.Context, *call.Request) call.Result{
+			"at the entry":  func(r *Relay) func(context.Context, *call.Request) call.Result { return r.Enter },
+			"from a server": func(r *Relay) func(context.Context, *call.Request) call.Result { return r.Originate },
+		} {
+			t.Run(name+", "+way, func(t *testing.T) {
+				var given []ident.Tokens
+				retries := 0
+				next := func(req *call.Request) call.Result {
+					given = append(given, req.Budget)
+					if len(given) > len(tt.results) {
+						t.Fatalf("tries: got %d, want %d", len(given), len(tt.results))
+					}
+					return tt.results[len(given)-1]
+				}
+				r := newRelay(nil)
+				r.Homes = func(*call.Request) []Home { return []Home{{Addr: "a"}, {Addr: "b"}, {Self: true}} }
+				r.Send = func(_ context.Context, _ ident.Address, req *call.Request) call.Result { return next(req) }
+				r.Once = func(_ context.Context, req *call.Request, _ func(context.Context) call.Result) call.Result {
+					return next(req)
+				}
+				r.Retried = func(reason.Retry) { retries++ }
+				res := enter(r)(t.Context(), request("k", func(q *call.Request) { q.Once, q.Budget = true, tt.budget }))
+				if res.Outcome != tt.outcome || retries != tt.retries || !slices.Equal(given, tt.given) {
+					t.Errorf("got %v after %d retries with budgets %v, want %v after %d with %v",
+						res.Outcome, retries, given, tt.outcome, tt.retries, tt.given)
+				}
+			})
+		}
+	}
+}
