briarworks: say up to which time the refusal record is complete

refusals summary said "complete: true" while running nodes had refusals that they had not written. It now names the time: 20 s (audit.OpenEnd) before the log was read, or the newest batch of each running node where that is later, and the node whose newest batch is the oldest. JSON has until, expired and lost.

Records that expired between two pages left a hole that export and summary only mentioned on stderr; a node whose whole record lay in it was not missed at all. Both count them now, and such a record is not complete.

--- a/cmd/briarworks/refusals.go
+++ b/cmd/briarworks/refusals.go
@@ -220,8 +220,11 @@
 type summary struct {
 	Totals   []totalRow `json:"totals"`
 	Gaps     []gapRow   `json:"gaps"`
-	Complete bool       `json:"complete"` // no refusal is missing, besides the newest of running nodes
+	Complete bool       `json:"complete"` // no refusal up to Until is missing
+	Until    *time.Time `json:"until"`    // running nodes may not have written later ones yet; nil for an empty record
 	Skipped  int        `json:"skipped"`  // appends that did not decode
+	Expired  int64      `json:"expired"`  // appends that had expired when the reading began
+	Lost     int64      `json:"lost"`     // appends that expired while it went on
 }
 
 type totalRow struct {
@@ -260,7 +263,10 @@
 }
 
 func summarise(sum *audit.Sum, a *account) summary {
-	s := summary{Totals: []totalRow{}, Gaps: gapsOf(&a.reader), Skipped: a.skipped, Complete: a.skipped == 0}
+	s := summary{
+		Totals: []totalRow{}, Gaps: gapsOf(&a.reader), Skipped: a.skipped, Expired: a.expired, Lost: a.lost,
+		Complete: a.skipped == 0 && a.lost == 0, Until: timeOrNil(a.reader.Until(a.read)),
+	}
 	for _, t := range sum.Totals() {
 		s.Totals = append(s.Totals, totalRow{string(t.Kind), t.Outcome.String(), t.Reason.String(), t.Count})
 	}
@@ -276,13 +282,21 @@
 	for _, t := range s.Totals {
 		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d\n", dash(t.Kind), t.Outcome, t.Reason, t.Count)
 	}
+	running, oldest := 0, gapRow{}
 	for _, g := range s.Gaps {
 		if g.State == "running" {
+			if running++; running == 1 || g.After == nil || oldest.After != nil && g.After.Before(*oldest.After) {
+				oldest = g
+			}
 			continue
 		}
 		_, _ = fmt.Fprintf(w, "gap\t%s\t%s\t%s\n", g.Server, g.State, g.bounds())
 	}
-	_, _ = fmt.Fprintf(w, "complete: %t, undecodable appends: %d\n", s.Complete, s.Skipped)
+	if running > 0 {
+		_, _ = fmt.Fprintf(w, "running: %d nodes, oldest of their newest batches: %s at %s\n", running, at(oldest.After), oldest.Server)
+	}
+	_, _ = fmt.Fprintf(w, "complete: %t, until: %s, undecodable appends: %d, expired: %d, expired while reading: %d\n",
+		s.Complete, at(s.Until), s.Skipped, s.Expired, s.Lost)
 	return w.Flush()
 }
 
@@ -325,14 +339,14 @@
 			}()
 			w := bufio.NewWriter(f)
 			n := 0
-			next, skipped, err := from.each(c.Context(), func(r *recpb.Record) error {
+			x, err := from.each(c.Context(), func(r *recpb.Record) error {
 				n++
 				return writeLine(w, r)
 			})
 			if err = errors.Join(err, w.Flush()); err != nil {
 				return err
 			}
-			return printExport(c, exported{Records: n, Skipped: skipped, Next: int64(next)})
+			return printExport(c, exported{Records: n, Skipped: x.skipped, Expired: x.expired, Lost: x.lost, Next: int64(x.next)})
 		},
 	}
 	from.flags(c)
@@ -354,6 +368,8 @@
 type exported struct {
 	Records int   `json:"records"`
 	Skipped int   `json:"skipped"`
+	Expired int64 `json:"expired"` // appends that had expired when the export began
+	Lost    int64 `json:"lost"`    // appends that expired while it went on
 	Next    int64 `json:"next"`
 }
 
@@ -361,6 +377,7 @@
 	if isJSON(c) {
 		return json.NewEncoder(c.OutOrStdout()).Encode(e)
 	}
-	_, err := fmt.Fprintf(c.OutOrStdout(), "%d records, %d undecodable appends; export next with --from %d\n", e.Records, e.Skipped, e.Next)
+	_, err := fmt.Fprintf(c.OutOrStdout(), "%d records, %d undecodable appends, %d expired, %d expired while reading; export next with --from %d\n",
+		e.Records, e.Skipped, e.Expired, e.Lost, e.Next)
 	return err
 }
--- a/cmd/briarworks/source.go
+++ b/cmd/briarworks/source.go
@@ -53,46 +53,57 @@
 	return checkAddress("log", s.log)
 }
 
-// each hands every record to take, in order, and returns the next offset of the log and how many appends
-// did not decode.
-func (s *source) each(ctx context.Context, take func(*recpb.Record) error) (next ident.Offset, skipped int, err error) {
+// each hands every record to take, in order, and returns what of the log that was.
+func (s *source) each(ctx context.Context, take func(*recpb.Record) error) (x extent, err error) {
 	if err = s.check(); err != nil {
-		return 0, 0, err
+		return x, err
 	}
 	if len(s.files) > 0 {
-		return 0, 0, s.eachFile(take)
+		return x, s.eachFile(take)
 	}
 	return s.eachPage(ctx, take)
 }
 
-func (s *source) eachPage(ctx context.Context, take func(*recpb.Record) error) (next ident.Offset, skipped int, err error) {
+// extent is what a reading of the log covered, in appends.
+type extent struct {
+	next    ident.Offset // to read from next time
+	skipped int          // did not decode
+	expired int64        // had expired when the reading began
+	lost    int64        // expired while it went on, so that there is a hole between what was read
+}
+
+func (s *source) eachPage(ctx context.Context, take func(*recpb.Record) error) (x extent, err error) {
 	client := &applog.Client{Base: "http://" + s.log}
-	next = ident.Offset(s.from)
-	for {
+	x.next = ident.Offset(s.from)
+	for begun := false; ; begun = true {
 		short, cancel := context.WithTimeout(ctx, readTimeout)
-		page, err := client.Read(short, applog.Refusals, next, readPage, 0)
+		page, err := client.Read(short, applog.Refusals, x.next, readPage, 0)
 		cancel()
 		if err != nil {
-			return next, skipped, noLog(s.log, err)
+			return x, noLog(s.log, err)
 		}
-		if page.First > next {
-			fmt.Fprintf(os.Stderr, "records before offset %d have expired; export earlier to keep them\n", page.First)
-			next = page.First
+		if n := int64(page.First - x.next); n > 0 {
+			if begun {
+				x.lost += n
+			} else {
+				x.expired = n
+			}
+			x.next = page.First
 		}
 		for _, raw := range page.Records {
 			recs, err := record.DecodeGroup(raw.Data)
 			if err != nil {
-				skipped++
+				x.skipped++
 			}
 			for _, r := range recs {
 				if err = take(r); err != nil {
-					return next, skipped, err
+					return x, err
 				}
 			}
-			next = raw.Offset + 1
+			x.next = raw.Offset + 1
 		}
-		if len(page.Records) == 0 || next >= page.Next {
-			return next, skipped, nil
+		if len(page.Records) == 0 || x.next >= page.Next {
+			return x, nil
 		}
 	}
 }
@@ -128,9 +139,9 @@
 
 // account is the record as it was read.
 type account struct {
-	reader  audit.Reader
-	next    ident.Offset
-	skipped int
+	reader audit.Reader
+	extent
+	read time.Time // when the reading began; of exported files, when their newest record was written
 }
 
 // read folds the record and hands each selected item to take.
@@ -141,15 +152,22 @@
 			take(it)
 		}
 	}
-	a.next, a.skipped, err = s.each(ctx, func(r *recpb.Record) error {
+	began := time.Now()
+	a.extent, err = s.each(ctx, func(r *recpb.Record) error {
 		a.take(r)
 		return nil
 	})
+	if len(s.files) == 0 {
+		a.read = began
+	}
 	return a, err
 }
 
 func (a *account) take(r *recpb.Record) {
 	at := time.Unix(0, r.GetWrittenUnixNs())
+	if at.After(a.read) {
+		a.read = at
+	}
 	if b, ok := record.ToBatch(r); ok {
 		a.reader.Batch(b)
 	}
