keeper, relay: prove a log that is out before read-back, and a stop with a queue

TestGiveUp "log out after the write": the caller is told notRun and the key is usable later; without the barring of the attempt it stays blocked (20 s). TestDrainWithQueue: a request that waits at the gate when the stop begins is answered; seen to fail (notRun for draining) when the stop refuses what waits.

--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -214,18 +214,34 @@
 // Guards against a caller who is told notRun at its deadline while its Started is on its way, and
 // whose attempt then runs or blocks the key for good.
 func TestGiveUp(t *testing.T) {
-	tests := map[string]fakes.LogFaults{
-		"append slow": {SlowAppend: fakes.Duration(250 * time.Millisecond)},
-		"log slow":    {Slow: fakes.Duration(250 * time.Millisecond)},
+	tests := map[string]struct {
+		faults fakes.LogFaults
+		out    bool // nothing is read back
+	}{
+		"append slow":             {faults: fakes.LogFaults{SlowAppend: fakes.Duration(250 * time.Millisecond)}},
+		"log slow":                {faults: fakes.LogFaults{Slow: fakes.Duration(250 * time.Millisecond)}},
+		"log out after the write": {out: true},
 	}
-	for name, faults := range tests {
-		t.Run(name, func(t *testing.T) { giveUp(t, faults) })
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) { giveUp(t, tt.faults, tt.out) })
 	}
 }
 
-func giveUp(t *testing.T, faults fakes.LogFaults) {
+func giveUp(t *testing.T, faults fakes.LogFaults, noRead bool) {
 	f := newFleet(t)
-	k, _ := f.keeper(t, "a", 1, func(k *Keeper) { k.Writer.Timeout, k.Tail.Grace = 2*time.Second, bound })
+	var out atomic.Bool
+	k, _ := f.keeper(t, "a", 1, func(k *Keeper) {
+		k.Writer.Timeout, k.Tail.Grace = 2*time.Second, bound
+		read := k.Tail.Read
+		k.Tail.Read = func(ctx context.Context, from ident.Offset, limit int, wait time.Duration) (applog.Page, error) {
+			page, err := read(ctx, from, limit, wait)
+			if out.Load() {
+				return applog.Page{}, context.DeadlineExceeded
+			}
+			return page, err
+		}
+	})
+	out.Store(noRead)
 	f.log.SetFaults(faults)
 	never := func(context.Context) call.Result {
 		t.Errorf("attempt that was given up: got a run, want none")
@@ -236,6 +252,7 @@
 		t.Fatalf("result: got %v for %v, want %v for %v", res.Outcome, res.Reason, reason.NotRun, reason.DeadlinePassed)
 	}
 	f.log.SetFaults(fakes.LogFaults{})
+	out.Store(false)
 	waitFor(t, "a later attempt", func() bool {
 		res = k.Do(t.Context(), request("k", bound), func(context.Context) call.Result { return answer("later") })
 		return res.Outcome == reason.Ran
--- a/internal/matrix/spec.go
+++ b/internal/matrix/spec.go
@@ -253,6 +253,7 @@
 			leave:      by(in(pkgNode, "TestTrouble/log_out"), in(pkgNode, "TestFleet/leave_with_the_log_out")),
 			fold:       by(in(pkgNode, "TestFleet/configuration_without_the_log")),
 			carryOn:    by(in(pkgNode, "TestTrouble/log_out"), in(pkgOrder, "TestCarryIsWrittenInTimeByFew/log_was_out")),
+			readBack:   by(in(pkgKeeper, "TestGiveUp/log_out_after_the_write")),
 		},
 		answerLost: {
 			accepted:   never(noRecord),
@@ -369,6 +370,7 @@
 			readBack:   by(in(pkgKeeper, "TestStopBeforeReadBack")),
 			fold:       by(in(pkgNode, "TestTrouble/log_slow", "TestTrouble/connections_cut", "TestTrouble/surge")),
 			carryOn:    by(in(pkgOrder, "TestCarryIsWrittenInTimeByFew/half_are_gone")),
+			admitted:   by(in(pkgRelay, "TestDrainWithQueue")),
 		},
 		surge: {
 			accepted: by(in(pkgAdmit, "TestEntryCallers"), in(pkgRelay, "TestBound"), in(pkgFront, "TestConnectionBound")),
@@ -424,14 +426,14 @@
 		{"R5", "A credit claim or a name approval runs at most once", map[Fault][]Step{
 			killed: {appended, readBack, run}, frozen: {appended, readBack}, repeated: {appended, readBack, run},
 			answerLost: {appended, readBack, run}, expired: {appended, readBack}, lapsed: {appended, readBack, run},
-			logOut: {appended}, two: {appended, readBack, run, recorded}, late: {appended, readBack}, leaving: {readBack},
+			logOut: {appended, readBack}, two: {appended, readBack, run, recorded}, late: {appended, readBack}, leaving: {readBack},
 		}},
 		{"R6", "A server leaving the fleet receives no new work after a few seconds (3 s)", map[Fault][]Step{
 			leaving: {handedOver, leave}, late: {leave}, logOut: {leave}, logSlow: {leave}, killed: {leave}, frozen: {leave},
 			cut: {leave}, silent: {leave}, answerLost: {leave}, surge: {leave}, two: {leave},
 		}},
 		{"R7", "A planned stop is a graceful shutdown: it interrupts no request in flight", map[Fault][]Step{
-			leaving: {accepted, run, answered, recorded},
+			leaving: {accepted, admitted, readBack, run, answered, recorded},
 		}},
 		{"R8", "An accepted configuration is in force everywhere within seconds (10 s) and never reverts", map[Fault][]Step{
 			killed: {fold, carryOn}, frozen: {publish, fold, carryOn}, cut: {fold}, silent: {fold}, late: {publish, fold, carryOn},
--- a/internal/relay/join_test.go
+++ b/internal/relay/join_test.go
@@ -191,6 +191,34 @@
 	}
 }
 
+// Guards against a stop that interrupts a request which waits at the gate, or that lets another one in.
+func TestDrainWithQueue(t *testing.T) {
+	open := make(chan struct{})
+	r := newRelay(func(context.Context, *call.Request) call.Result {
+		<-open
+		return call.Result{Outcome: reason.Ran}
+	})
+	r.Gate = admit.New(admit.Config{Service: "s", Slots: 1, Paths: &share.Paths{}})
+	left := make(chan call.Result, 2)
+	for _, key := range []ident.Key{"a", "b"} {
+		go func() { left <- r.Enter(t.Context(), request(key, nil)) }()
+	}
+	waitFor(t, "one request runs and one waits", func() bool { return r.Gate.Inflight() == 1 && r.Gate.Queued() == 1 })
+	r.Drain()
+	if got, want := r.Enter(t.Context(), request("c", nil)).Reason, reason.Draining; got != want {
+		t.Errorf("new request: got %v, want %v", got, want)
+	}
+	close(open)
+	for range 2 {
+		if res := <-left; res.Outcome != reason.Ran {
+			t.Errorf("request in flight at the stop: got %v for %v, want an answer", res.Outcome, res.Reason)
+		}
+	}
+	if !r.Idle(t.Context()) {
+		t.Error("idle at the end: got false, want true")
+	}
+}
+
 // Guards against races between callers that join, leave and find the run ended: at any moment at most
 // one run of a key has callers, and nobody waits for ever.
 func TestJoinRace(t *testing.T) {
