peer: let one failed dial serve all who wait for it

Cause: callers of a peer wait for the lock of its link while one dials. A dial to a frozen peer takes 1 s and fails, and then the next one dialled: with GOMAXPROCS=2 at a load of 43, TestSystem "node freezes as it leaves" had an answer after 5.04 s (want 5 s), and the node that went on found 8 connections without a name. A dial that ended because its caller's time was over does not count, since it says nothing of the peer.

--- a/internal/matrix/spec.go
+++ b/internal/matrix/spec.go
@@ -157,7 +157,7 @@
 		frozen: {
 			appended:   by(model),
 			readBack:   by(model, in(pkgOnce, "TestLease")),
-			handedOver: by(in(pkgSystem, "TestSystem/node_freezes")),
+			handedOver: by(in(pkgPeer, "TestFailedDialServesAll"), in(pkgSystem, "TestSystem/node_freezes")),
 			run:        by(in(pkgSystem, "TestSystem/node_freezes")),
 			answered:   by(in(pkgSystem, "TestSystem/node_freezes")),
 			accepted:   by(in(pkgSystem, "TestSystem/node_freezes_while_the_fleet_changes")),
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -32,6 +32,9 @@
 // errVersion reports a peer that speaks another protocol version.
 var errVersion = errors.New("peer: protocol version differs")
 
+// errNoAnswer reports a dial that failed while the caller waited for it.
+var errNoAnswer = errors.New("peer: no answer to a dial")
+
 // watched stamps the time of the last read, which is what silence is judged by, and joins the writes of
 // one message.
 type watched struct {
@@ -203,9 +206,11 @@
 // Link is the outgoing connection to one peer; it is dialled when it is first needed.
 type Link struct {
 	addr ident.Address
-	mu   sync.Mutex // held while dialling, so that one dial serves all who wait
+	mu   sync.Mutex // held while dialling, so that one dial serves all who wait, also when it fails
 	cur  atomic.Pointer[session]
 	miss atomic.Int64 // time of the last dial that failed, ns; 0 after one that succeeded
+
+	failed int64 // time of the last dial that failed by the peer's fault, ns; guarded by mu
 }
 
 // session returns the live session, dialling one if needed.
@@ -213,13 +218,22 @@
 	if s = l.live(); s != nil {
 		return s, nil
 	}
+	began := b.Now().UnixNano()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if s = l.live(); s != nil {
 		return s, nil
 	}
+	// A dial to a frozen peer takes dialTimeout; those who waited for it must not each try again in turn.
+	if l.failed > began {
+		return nil, errNoAnswer
+	}
 	if s, err = b.dial(ctx, l.addr); err != nil {
-		l.miss.Store(b.Now().UnixNano())
+		now := b.Now().UnixNano()
+		l.miss.Store(now)
+		if ctx.Err() == nil { // the peer's fault, and not the end of this caller's time
+			l.failed = now
+		}
 		return nil, err
 	}
 	l.miss.Store(0)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -151,6 +151,28 @@
 	}
 }
 
+// Guards against calls to a frozen peer that wait for one dial after the other.
+func TestFailedDialServesAll(t *testing.T) {
+	p := newPair(t, nil)
+	ln, err := net.Listen("tcp", "127.0.0.1:0") // connects, and nobody answers
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	const limit = 2 * time.Second // stated time in which a silent connection is found
+	var wg sync.WaitGroup
+	for range 5 {
+		wg.Go(func() {
+			start := time.Now()
+			res := p.a.Call(t.Context(), ident.Address(ln.Addr().String()), request(10*time.Second))
+			if got := time.Since(start); res.Outcome != reason.NotRun || res.Reason != reason.NoServer || got > limit {
+				t.Errorf("got %v %v after %v, want %v %v within %v", res.Outcome, res.Reason, got, reason.NotRun, reason.NoServer, limit)
+			}
+		})
+	}
+	wg.Wait()
+}
+
 // Guards against a call that runs after its caller was told that it never would, and against one that
 // runs again when it arrives twice.
 func TestBarredCallNeverRuns(t *testing.T) {
