--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	mrand "math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -148,6 +149,9 @@
 		short, cancel := context.WithTimeout(ctx, syncTimeout)
 		defer cancel()
 		from, reply := n.Book.Sync(short, n.summary())
+		if n.Book.Connected() == 0 {
+			from, reply = n.reconnect(short)
+		}
 		if reply == nil {
 			return
 		}
@@ -159,6 +163,22 @@
 	})
 }
 
+// reconnect exchanges with the first of some members that replies. A node without work makes no connection
+// of its own, and without one it would learn nothing more when it cannot reach the log.
+func (n *Node) reconnect(ctx context.Context) (from ident.Server, reply *wirepb.SyncReply) {
+	all := n.Roster.Table().All()
+	for _, i := range mrand.Perm(len(all)) {
+		addr, ok := n.addressOf(all[i].Server)
+		if !ok || all[i].Server == n.Self.Server {
+			continue
+		}
+		if from, reply, _ = n.Book.SyncTo(ctx, addr, n.summary()); reply != nil || ctx.Err() != nil {
+			break
+		}
+	}
+	return from, reply
+}
+
 func (n *Node) addressOf(s ident.Server) (ident.Address, bool) {
 	m, ok := n.Roster.Table().Member(s)
 	return m.Address, ok && !m.Left && m.Address != ""
@@ -245,13 +265,36 @@
 		m.Members = append(m.Members, wire.FromMember(x))
 	}
 	n.Book.SyncAll(short, m, func(from ident.Server, r *wirepb.SyncReply) {
-		n.take(r.GetMembers(), r.GetConfig())
-		if ident.Version(r.GetConfigVersion()) < n.Policy.Current().Accepted.Version {
-			n.sendConfig(short, from)
+		if r == nil {
+			n.tellAgain(ctx, from, m)
+			return
 		}
+		n.onNewsReply(short, from, r)
 	})
 }
 
+// onNewsReply joins what a peer replied to news, and sends it the document when it holds an older version.
+func (n *Node) onNewsReply(ctx context.Context, from ident.Server, r *wirepb.SyncReply) {
+	n.take(r.GetMembers(), r.GetConfig())
+	if ident.Version(r.GetConfigVersion()) < n.Policy.Current().Accepted.Version {
+		n.sendConfig(ctx, from)
+	}
+}
+
+// tellAgain tells a peer that did not reply once more. Its connection was found silent meanwhile, so this
+// makes a new one; without it a peer learns the news only after it has noticed the silence itself.
+func (n *Node) tellAgain(ctx context.Context, to ident.Server, m *wirepb.Sync) {
+	addr, ok := n.addressOf(to)
+	if !ok {
+		return
+	}
+	short, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	if from, r, err := n.Book.SyncTo(short, addr, m); err == nil {
+		n.onNewsReply(short, from, r)
+	}
+}
+
 func (n *Node) sendConfig(ctx context.Context, to ident.Server) {
 	addr, ok := n.addressOf(to)
 	if !ok {
--- a/pkg/order/order_test.go
+++ b/pkg/order/order_test.go
@@ -242,6 +242,11 @@
 			log:   []Record{pub("a", 4), carry(4, 8), pub("b", 4)},
 			want:  []want{{Undecided, 0, ""}, {Undecided, 0, ""}},
 		},
+		"carry that is written twice": {
+			first: 10,
+			log:   []Record{carry(4, 9), carry(4, 9), pub("a", 4), carry(4, 9), pub("b", 5)},
+			want:  []want{{Taken, 5, ""}, {Taken, 6, ""}},
+		},
 		"carry that claims records after itself": {
 			first: 10,
 			log:   []Record{carry(4, 10), pub("b", 4)},
@@ -298,14 +303,23 @@
 		publishes int           // that follow each other by a second
 		behind    bool          // the nodes began behind the state of a peer
 		most      int
+		answer    time.Duration  // until the others read a carry; 1 s when 0
+		gone      ident.Fraction // of the nodes, those whose turn comes first: killed or frozen
+		out       time.Duration  // the log takes nothing before
 	}{
-		"two days":        {48 * time.Hour, 12*time.Hour - time.Minute, 16 * time.Hour, 1, false, 4},
-		"one hour":        {time.Hour, 0, 20 * time.Minute, 1, false, 16},
-		"overdue":         {48 * time.Hour, 40 * time.Hour, 40*time.Hour + time.Minute, 1, false, 64},
-		"clock in front":  {48 * time.Hour, -time.Hour, 16 * time.Hour, 1, false, 4},
-		"few publishes":   {48 * time.Hour, 0, 16 * time.Hour, CarryRecords - 1, false, 4},
-		"many publishes":  {48 * time.Hour, 2 * time.Minute, 12 * time.Minute, CarryRecords, false, 4},
-		"all started new": {48 * time.Hour, 0, 4 * time.Hour, 1, true, 4},
+		"two days":        {retention: 48 * time.Hour, start: 12*time.Hour - time.Minute, by: 16 * time.Hour, publishes: 1, most: 4},
+		"one hour":        {retention: time.Hour, by: 20 * time.Minute, publishes: 1, most: 16},
+		"overdue":         {retention: 48 * time.Hour, start: 40 * time.Hour, by: 40*time.Hour + time.Minute, publishes: 1, most: 64},
+		"clock in front":  {retention: 48 * time.Hour, start: -time.Hour, by: 16 * time.Hour, publishes: 1, most: 4},
+		"few publishes":   {retention: 48 * time.Hour, by: 16 * time.Hour, publishes: CarryRecords - 1, most: 4},
+		"many publishes":  {retention: 48 * time.Hour, start: 2 * time.Minute, by: 12 * time.Minute, publishes: CarryRecords, most: 4},
+		"all started new": {retention: 48 * time.Hour, by: 4 * time.Hour, publishes: 1, behind: true, most: 4},
+		"log slow":        {retention: 48 * time.Hour, start: 12*time.Hour - time.Minute, by: 16 * time.Hour, publishes: 1, most: 8, answer: 30 * time.Second},
+		"half are gone":   {retention: 48 * time.Hour, start: 12*time.Hour - time.Minute, by: 16 * time.Hour, publishes: 1, most: 4, gone: 0.5},
+		"log was out":     {retention: 48 * time.Hour, start: 19*time.Hour + 50*time.Minute, by: 20*time.Hour + time.Minute, publishes: 1, most: 64, out: 20 * time.Hour},
+		"log was out and half are gone": {
+			retention: 48 * time.Hour, start: 19*time.Hour + 50*time.Minute, by: 20*time.Hour + time.Minute, publishes: 1, most: 64, gone: 0.5, out: 20 * time.Hour,
+		},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -321,11 +335,17 @@
 					folds[i].Read(ident.Offset(p), Record{Publish: &Publish{ID: "a", Base: ident.Version(p), At: epoch.Add(time.Duration(p) * time.Second)}})
 				}
 			}
-			const answer = time.Second // until the others read a carry
+			answer := max(tt.answer, time.Second)
 			now, written, firstAt := epoch.Add(tt.start), 0, time.Time{}
 			for firstAt.IsZero() || now.Before(firstAt.Add(answer)) {
 				for i := range folds {
-					_, due := folds[i].Due(now, tt.retention, ident.Fraction(float64(i*617%nodes)/nodes))
+					chance := ident.Fraction(float64(i*617%nodes) / nodes)
+					// After an outage all are late, and what spreads them is that each looks once a minute.
+					if chance < tt.gone || tt.out > 0 && (now.Unix()+int64(i))%60 != 0 {
+						continue
+					}
+					_, due := folds[i].Due(now, tt.retention, chance)
+					due = due && !now.Before(epoch.Add(tt.out))
 					if due {
 						written++
 					}
@@ -334,7 +354,7 @@
 					}
 				}
 				now = now.Add(answer)
-				if written == 0 && now.Before(epoch.Add(tt.start+tt.retention/5)) {
+				if written == 0 && tt.out == 0 && now.Before(epoch.Add(tt.start+tt.retention/5)) {
 					now = now.Add(time.Minute)
 				}
 				if now.After(epoch.Add(tt.retention)) {
