audit: write no faster than a node may, and merge a flood without its callers

27 unprotected kinds by 50 callers filled a batch each second: each shard held its own entry for the same refusals, and the memory of 1,350 entries passes the size at which a batch is cut early. Entries that are merged now share a shard by kind, and new ones keep the caller only within 64 KiB a period. A ledger cuts batches at 8,800 bytes/s on average; protected kinds wait in memory as single entries and are merged only when it is full. The same bound spaces the batches after an outage. A batch takes merged entries before single ones, which would otherwise be merged further while a flood lasts.

TestWriteRate fails without the bound (6.1 MB of protected refusals in 300 s, at most 2.8 MB) and without the bound of entries with a caller (1.5 MB left in memory, at most 256 KiB). Its bound of batches is 300 appends/s over 960 nodes.

--- a/internal/flush/flush.go
+++ b/internal/flush/flush.go
@@ -15,8 +15,7 @@
 )
 
 const (
-	// defaultTick is the time between two looks at the ledger. After an outage it also spaces the
-	// batches of one node, since all nodes catch up at the same time.
+	// defaultTick is the time between two looks at the ledger, which spaces the batches itself.
 	defaultTick = time.Second
 	// defaultSpread is the time over which the nodes of a mass restart spread their first append.
 	defaultSpread = 10 * time.Second
--- a/pkg/audit/audit_test.go
+++ b/pkg/audit/audit_test.go
@@ -249,6 +249,88 @@
 	}
 }
 
+// Guards against a flood whose record takes more of the network than a node may use, against detail that is
+// given up although it fits, and against a storm of batches after an outage of the log.
+func TestWriteRate(t *testing.T) {
+	const callers = 50
+	tests := map[string]struct {
+		rate, kinds int // refusals a second, of so many kinds
+		protected   bool
+		outage      time.Duration // before the first cut
+		exact       bool          // each refusal keeps its own entry
+		named       bool          // each entry keeps its caller
+		left        ident.Bytes   // in memory after 5 minutes, at most
+	}{
+		"protected, fits":             {80, 7, true, 0, true, true, CutSize},
+		"protected, three times more": {300, 7, true, 0, false, true, DefaultLimit},
+		"one kind":                    {1000, 1, false, 0, false, true, CutSize},
+		"27 kinds":                    {300, 27, false, 0, false, false, CutSize},
+		"27 kinds, flood":             {1000, 27, false, 0, false, false, CutSize},
+		"after an outage":             {100, 27, false, 30 * time.Minute, false, false, DefaultLimit},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := &Ledger{Server: "s", Incarnation: 1}
+			now, noted := start, uint64(0)
+			second := func() {
+				for range tt.rate {
+					caller := strconv.Itoa(int(noted / 27 % callers))
+					l.Note(Entry{
+						Caller: ident.Caller(caller), Key: ident.Key("office/" + strconv.FormatUint(noted, 10)), Remote: "10.20.30.40",
+						Kind: ident.Kind("kind" + strconv.Itoa(int(noted)%tt.kinds)), Protected: tt.protected,
+						Reason: reason.Overload, Outcome: reason.NotRun,
+					}, now)
+					noted++
+				}
+				now = now.Add(time.Second)
+			}
+			for range int(tt.outage / time.Second) {
+				second()
+			}
+			var written ident.Bytes
+			var counted uint64
+			batches, exact, named := 0, true, true
+			take := func(b Batch) {
+				for _, e := range b.Entries {
+					written += wireOf(&e)
+					counted += e.Count
+					exact, named = exact && e.Count == 1, named && e.Caller != ""
+				}
+				l.Written()
+			}
+			const seconds = 300
+			for range seconds {
+				second()
+				if b, ok := l.Cut(now); ok {
+					take(b)
+					batches++
+				}
+			}
+			// A quiet ledger may write two batches at once.
+			if most := seconds*WriteRate + 2*maxCredit; written > most {
+				t.Errorf("bytes in %d s: got %d, want at most %d", seconds, written, most)
+			}
+			// 300 appends a second for 960 nodes.
+			if most := seconds*300/960 + 2; batches > most {
+				t.Errorf("batches: got %d, want at most %d", batches, most)
+			}
+			if exact != tt.exact || named != tt.named {
+				t.Errorf("each refusal by itself %v, callers kept %v, want %v, %v", exact, named, tt.exact, tt.named)
+			}
+			if got := l.Size(); got > tt.left {
+				t.Errorf("left in memory: got %d, want at most %d", got, tt.left)
+			}
+			for b, ok := l.Flush(now); ok; b, ok = l.Flush(now) {
+				take(b)
+			}
+			if counted != noted {
+				t.Errorf("counted: got %d, want %d", counted, noted)
+			}
+			t.Logf("%d bytes in %d batches", written, batches)
+		})
+	}
+}
+
 // Guards against a refusal that falls between a cut and the next one while others are noted.
 func TestConcurrent(t *testing.T) {
 	const writers, each = 8, 4000
--- a/pkg/audit/ledger.go
+++ b/pkg/audit/ledger.go
@@ -23,6 +23,12 @@
 	// SingleBudget is the size of single entries of unprotected kinds in one period. What exceeds it is
 	// merged at once: a node may spend 12 KB/s on control, and a flood alone would take more.
 	SingleBudget ident.Bytes = 64 << 10
+	// NamedBudget is the size of new merged entries of unprotected kinds in one period that keep the
+	// caller. What exceeds it is merged without the caller: 27 kinds and 50 callers would fill a batch each second.
+	NamedBudget ident.Bytes = 64 << 10
+	// WriteRate is how many bytes of records a second a node writes on average: 12 KB/s less the 3 KB/s
+	// that its other control takes. Entries wait in memory meanwhile.
+	WriteRate ident.Bytes = 8800
 )
 
 const (
@@ -31,6 +37,10 @@
 	entrySize ident.Bytes = 256
 	// maxText bounds what a caller's own texts take.
 	maxText = 128
+	// entryWire is what an entry takes in a record without its texts.
+	entryWire ident.Bytes = 38
+	// maxCredit is what a ledger may write at once after a quiet time; one more batch may follow it.
+	maxCredit = WriteRate * ident.Bytes(CutPeriod/time.Second)
 )
 
 // Ledger is the refusal record of one node. Its exported fields are set before first use; the zero
@@ -46,11 +56,15 @@
 	seq    atomic.Uint64
 	size   atomic.Int64 // bytes of the entries in all shards
 	shards [shards]shard
+	period atomic.Int64 // number of the present period
+	named  atomic.Int64 // bytes of entries with a caller that were made by merging in the present period
 
-	cutAt   time.Time // last cut
-	sent    ident.Seq // last number in a cut batch
-	pending *Batch    // cut but not known to be written
-	given   bool      // pending is with the caller of Cut
+	cutAt   time.Time   // last cut
+	credit  ident.Bytes // what may be written now; negative when a batch took more
+	paidAt  time.Time   // until when the credit was counted; zero before the first cut
+	sent    ident.Seq   // last number in a cut batch
+	pending *Batch      // cut but not known to be written
+	given   bool        // pending is with the caller of Cut
 }
 
 type shard struct {
@@ -104,11 +118,22 @@
 	e.Count, e.First, e.Last = 1, now, now
 	e.Caller, e.Key, e.Remote = short(e.Caller), short(e.Key), short(e.Remote)
 	e.Kind = short(e.Kind)
-	s := &l.shards[xxhash.Sum64String(string(e.Key))%shards]
+	if s := l.shard(string(e.Key)); e.Protected || s.reserve(sizeOf(&e)) {
+		return l.note(s, func() { s.single(e) })
+	}
+	// All shards would otherwise hold an entry for the same refusals.
+	s := l.shard(string(e.Kind))
+	return l.note(s, func() { s.merge(e, l.level(s, e, now)) })
+}
+
+func (l *Ledger) shard(text string) *shard { return &l.shards[xxhash.Sum64String(text)%shards] }
+
+// note adds to a shard and returns the number of the refusal that was added.
+func (l *Ledger) note(s *shard, add func()) ident.Seq {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before := s.size
-	s.add(e)
+	add()
 	if limit := l.limit() / shards; s.size > limit {
 		s.compact(limit * 3 / 4)
 	}
@@ -117,6 +142,22 @@
 	return ident.Seq(l.seq.Add(1))
 }
 
+// level returns how a refusal of an unprotected kind is merged: with its caller while the period has room.
+func (l *Ledger) level(s *shard, e Entry, now time.Time) int {
+	if p := now.Unix() / int64(CutPeriod/time.Second); l.period.Swap(p) != p {
+		l.named.Store(0)
+	}
+	k := keyAt(&e, byCaller)
+	if _, ok := s.merged[k]; ok {
+		return byCaller
+	}
+	size := k.entry(now)
+	if ident.Bytes(l.named.Add(int64(sizeOf(&size)))) > NamedBudget {
+		return byMinute
+	}
+	return byCaller
+}
+
 // Seq returns the number of the last refusal, 0 when there was none.
 func (l *Ledger) Seq() ident.Seq { return ident.Seq(l.seq.Load()) }
 
@@ -138,21 +179,28 @@
 	return T(strings.ToValidUTF8(string(s), "?"))
 }
 
-func sizeOf(e *Entry) ident.Bytes {
-	return entrySize + ident.Bytes(len(e.Caller)+len(e.Key)+len(e.Remote)+len(e.Kind))
+func sizeOf(e *Entry) ident.Bytes { return entrySize + texts(e) }
+
+func wireOf(e *Entry) ident.Bytes { return entryWire + texts(e) }
+
+func texts(e *Entry) ident.Bytes {
+	return ident.Bytes(len(e.Caller) + len(e.Key) + len(e.Remote) + len(e.Kind))
 }
 
-func (s *shard) add(e Entry) {
-	size := sizeOf(&e)
-	if !e.Protected {
-		if s.loose+size > SingleBudget/shards {
-			s.merge(e, byCaller)
-			return
-		}
-		s.loose += size
+// reserve reports whether a single entry of an unprotected kind still fits, and counts it.
+func (s *shard) reserve(size ident.Bytes) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.loose+size > SingleBudget/shards {
+		return false
 	}
+	s.loose += size
+	return true
+}
+
+func (s *shard) single(e Entry) {
 	s.singles = append(s.singles, e)
-	s.size += size
+	s.size += sizeOf(&e)
 }
 
 func (s *shard) merge(e Entry, level int) {
@@ -226,19 +274,36 @@
 }
 
 // Cut returns the next batch when one is due: a batch given to Restore, else a new one every
-// CutPeriod or at CutSize. There is no other batch until Written or Restore is called.
+// CutPeriod or at CutSize, as far as WriteRate allows. There is no other batch until Written or Restore
+// is called.
 func (l *Ledger) Cut(now time.Time) (Batch, bool) {
 	if l.pending == nil {
 		if l.cutAt.IsZero() {
 			l.cutAt = now
 		}
-		if now.Sub(l.cutAt) < CutPeriod && l.Size() < CutSize {
+		if !l.pay(now) || now.Sub(l.cutAt) < CutPeriod && l.Size() < CutSize {
 			return Batch{}, false
 		}
 	}
 	return l.Flush(now)
 }
 
+// pay adds to the credit what the time has brought and reports whether there is any.
+func (l *Ledger) pay(now time.Time) bool {
+	if l.paidAt.IsZero() {
+		l.credit, l.paidAt = l.credit+maxCredit, now
+	}
+	if d := now.Sub(l.paidAt); d > 0 {
+		more := min(d, 1000*CutPeriod) / time.Millisecond
+		l.credit = min(l.credit+WriteRate*ident.Bytes(more)/1000, maxCredit)
+		l.paidAt = l.paidAt.Add(more * time.Millisecond)
+		if d > 1000*CutPeriod {
+			l.paidAt = now
+		}
+	}
+	return l.credit > 0
+}
+
 // Flush is Cut without waiting until a batch is due.
 func (l *Ledger) Flush(now time.Time) (Batch, bool) {
 	switch {
@@ -267,8 +332,17 @@
 		First: l.sent + 1,
 	}
 	merged := map[mergeKey]Entry{}
-	for i := range l.shards {
-		l.size.Add(-int64(l.shards[i].take(b, merged, CutSize/shards)))
+	// Each shard gives its part first, and then those with more fill the batch.
+	for left, part := CutSize, CutSize/shards; left > 0 && part > 0; part = left {
+		before := left
+		for i := range l.shards {
+			freed := l.shards[i].take(b, merged, min(part, left))
+			l.size.Add(-int64(freed))
+			left -= freed
+		}
+		if left == before {
+			break
+		}
 	}
 	for _, e := range merged {
 		b.Entries = append(b.Entries, e)
@@ -276,6 +350,7 @@
 	count := uint64(0)
 	for i := range b.Entries {
 		count += b.Entries[i].Count
+		l.credit -= wireOf(&b.Entries[i])
 	}
 	if count == 0 {
 		return nil
@@ -285,17 +360,12 @@
 	return b
 }
 
-// take moves entries of at most room bytes into the batch, oldest singles first, and returns the
-// bytes that it freed.
+// take moves entries of at most room bytes into the batch, merged ones and then the oldest singles, and
+// returns the bytes that it freed. Merged entries are older, and would otherwise be merged further while
+// a flood lasts.
 func (s *shard) take(b *Batch, merged map[mergeKey]Entry, room ident.Bytes) (freed ident.Bytes) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n := 0
-	for ; n < len(s.singles) && freed < room; n++ {
-		freed += sizeOf(&s.singles[n])
-	}
-	b.Entries = append(b.Entries, s.singles[:n]...)
-	s.singles = append([]Entry(nil), s.singles[n:]...)
 	for k, e := range s.merged {
 		if freed >= room {
 			break
@@ -308,6 +378,12 @@
 		merged[k] = join(old, e)
 		delete(s.merged, k)
 	}
+	n := 0
+	for ; n < len(s.singles) && freed < room; n++ {
+		freed += sizeOf(&s.singles[n])
+	}
+	b.Entries = append(b.Entries, s.singles[:n]...)
+	s.singles = append([]Entry(nil), s.singles[n:]...)
 	s.size -= freed
 	s.loose = 0
 	return freed
