node: spread the witnesses of a lost data centre

When 120 servers are lost, each of the other 840 nodes loses about 9 connections and wrote its witnesses 3 s later: 840 appends in a second of 300 (TestWitnessSpread without the spread).

capac gives its members addresses on loopback, since a node that starts now asks some of them.

--- a/internal/capac/members.go
+++ b/internal/capac/members.go
@@ -33,7 +33,7 @@
 	return fleet.Member{
 		Server:  ident.Server(fmt.Sprintf("service-%02d-%04d", i%services, i)),
 		Service: service(i % services), DataCentre: ident.DataCentre(fmt.Sprintf("centre-%d", i/services%dataCentres)),
-		Address:     ident.Address(fmt.Sprintf("10.%d.%d.%d:7003", i%8, i/250, i%250+1)),
+		Address:     ident.Address(fmt.Sprintf("127.%d.%d.%d:7003", i%8+1, i/250, i%250+1)), // nobody listens there
 		Incarnation: ident.Incarnation(now.UnixNano()), Slots: 100, Conns: 700, Announced: now,
 	}
 }
--- a/internal/node/fault_test.go
+++ b/internal/node/fault_test.go
@@ -270,6 +270,35 @@
 	}
 }
 
+// Guards against a lost data centre whose witnesses take more appends in a second than the log gives to the
+// whole fleet, and against a witness that is written before its peer could write a leave.
+func TestWitnessSpread(t *testing.T) {
+	const size, left, lost, budget = 960, 840, 9, 300 // each node had connections to 9 of the 120 servers that were lost
+	rng := rand.New(rand.NewPCG(1, 2))
+	seconds := map[int64]int{}
+	for range left {
+		var due witnessTime
+		mine := map[int64]bool{} // a node writes once a second
+		for i := range lost {
+			at := time.Unix(100, int64(i)*int64(100*time.Millisecond))
+			w := due.of(at, startWait(size, rng.Float64()))
+			if got := w.Sub(at); got < lostGrace {
+				t.Fatalf("witness: got after %v, want at least %v", got, lostGrace)
+			}
+			mine[w.Unix()] = true
+		}
+		for s := range mine {
+			seconds[s]++
+		}
+	}
+	for s, got := range seconds {
+		if got > budget {
+			t.Errorf("appends in second %d: got %d, want at most %d", s, got, budget)
+		}
+	}
+	t.Logf("appends by second: %v", seconds)
+}
+
 // starts returns when the nodes of a fleet announce themselves that start at the same time.
 func starts(rng *rand.Rand, nodes, known, listed int, lag time.Duration) (at []time.Duration) {
 	const step = 10 * time.Millisecond
--- a/internal/node/witness.go
+++ b/internal/node/witness.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	mrand "math/rand/v2"
 	"sync"
 	"time"
 
@@ -79,12 +80,14 @@
 // witness writes what it saw of peers that ended without a leave, so that the refusal record shows what
 // they could not write as a gap with its bounds.
 func (n *Node) witness(ctx context.Context) {
+	var due witnessTime
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case l := <-n.lost:
-			if !pause.For(ctx, lostGrace-time.Since(l.at)) {
+			size := len(n.Roster.Table().All())
+			if !pause.For(ctx, time.Until(due.of(l.at, startWait(size, mrand.Float64())))) {
 				return
 			}
 			n.testify(ctx, l)
@@ -92,6 +95,20 @@
 	}
 }
 
+// witnessTime is when the peers that were lost last are witnessed. Those that are lost together share it, so that
+// they are one append, and nodes spread it: the loss of a data centre is seen by all others at once.
+type witnessTime struct {
+	at time.Time
+}
+
+// of returns when a peer that was lost at a time is witnessed; spread is this node's random wait.
+func (w *witnessTime) of(lost time.Time, spread time.Duration) time.Time {
+	if lost.After(w.at.Add(-lostGrace)) {
+		w.at = lost.Add(lostGrace + spread)
+	}
+	return w.at
+}
+
 func (n *Node) testify(ctx context.Context, l lostPeer) {
 	m, ok := n.Roster.Table().Member(l.server)
 	if !ok || m.Incarnation == l.incarnation && m.Left {
