--- /dev/null
+++ b/internal/capac/cli.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"briarworks.example/briarworks/internal/applog"
+	"briarworks.example/briarworks/internal/pause"
+	"briarworks.example/briarworks/internal/peer"
+	"briarworks.example/briarworks/internal/record"
+	"briarworks.example/briarworks/internal/record/recpb"
+	"briarworks.example/briarworks/pkg/ident"
+)
+
+const (
+	peerPort    = firstPort + 500 // first port of the peers that only answer
+	peersOfHost = 200             // on one address of loopback
+	afterCLI    = 2 * time.Second // until the memory of the node is looked at
+)
+
+// answerers are peers at addresses of their own, which answer every comparison with what the asker holds.
+type answerers struct {
+	crowd
+	lns []net.Listener
+	wg  sync.WaitGroup
+}
+
+func (a *answerers) listen(n int) (all []ident.Address, err error) {
+	for i := range n {
+		addr := fmt.Sprintf("127.0.0.%d:%d", 2+i/peersOfHost, peerPort+i%peersOfHost)
+		ln, err := net.Listen("tcp", addr)
+		if err != nil {
+			return nil, err
+		}
+		b := &peer.Book{
+			Server: ident.Server(fmt.Sprintf("peer-%04d", i)), Incarnation: 1, Now: time.Now,
+			Event: func(peer.Event) {}, OnLeave: func(ident.Server, ident.Incarnation) {}, OnSync: a.onSync,
+			Dial: func(context.Context, string) (net.Conn, error) { return nil, net.ErrClosed },
+		}
+		a.books, a.lns = append(a.books, b), append(a.lns, ln)
+		a.wg.Go(func() { _ = b.Serve(ln) })
+		all = append(all, ident.Address(addr))
+	}
+	return all, nil
+}
+
+func (a *answerers) stop() {
+	for _, ln := range a.lns {
+		_ = ln.Close()
+	}
+	a.close()
+	a.wg.Wait()
+}
+
+// commands measures the command line against a node, by the members of its fleet.
+func commands(ctx context.Context, t *table, dir string) error {
+	for i, n := range []int{60, 240, 960} {
+		if err := commandsOf(ctx, t, dir, i, n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func commandsOf(ctx context.Context, t *table, dir string, i, n int) (err error) {
+	p, a := &procs{dir: dir}, &answerers{}
+	defer a.stop()
+	defer p.stop()
+	address, c, err := p.log(ctx, i, "--appendRate", "0")
+	if err != nil {
+		return err
+	}
+	peers, err := a.listen(n)
+	if err != nil {
+		return err
+	}
+	if err = announceAt(ctx, c, peers); err != nil {
+		return err
+	}
+	file := filepath.Join(dir, "cli.yaml")
+	if err = os.WriteFile(file, []byte(document(services)), 0o644); err != nil {
+		return err
+	}
+	o, err := p.node(i, fmt.Sprintf("cli-%d", n), string(service(0)), address)
+	if err != nil {
+		return err
+	}
+	if err = waitHTTP(ctx, "http://"+o.operator+"/status"); err != nil {
+		return err
+	}
+	pause.For(ctx, settleTime)
+	for _, run := range []struct {
+		name string
+		args []string
+	}{
+		{"fleet status", []string{"fleet", "status", "--node", o.operator}},
+		{"config publish", []string{"config", "publish", file, "--log", address, "--author", "operator", "--node", o.operator}},
+	} {
+		x, by := float64(n), "members"
+		began := time.Now()
+		cmd := exec.CommandContext(ctx, filepath.Join("bin", "briarworks"), run.args...)
+		all, err := observe([]int{o.pid}, func() error {
+			out, err := cmd.CombinedOutput()
+			if err != nil {
+				return fmt.Errorf("%s: %w: %s", run.name, err, out)
+			}
+			t.add(run.name+": time", "s", by, x, time.Since(began).Seconds())
+			pause.For(ctx, afterCLI)
+			return nil
+		})
+		if err != nil {
+			return err
+		}
+		t.add(run.name+": processor time of the command", "s", by, x, (cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()).Seconds())
+		t.add(run.name+": processor time of the node", "s", by, x, all[0].cores*all[0].seconds)
+		t.add(run.name+": bytes of the node", "bytes", by, x, all[0].read+all[0].written)
+		t.add(run.name+": resident memory of the node after it", "bytes", by, x, all[0].rss)
+	}
+	return nil
+}
+
+func announceAt(ctx context.Context, c *applog.Client, peers []ident.Address) error {
+	now := time.Now()
+	var recs []*recpb.Record
+	for i, addr := range peers {
+		m := member(i, now)
+		m.Address = addr
+		r := record.FromMember(m)
+		r.Id = fmt.Sprintf("cli-%d", i)
+		recs = append(recs, r)
+	}
+	return appendTo(ctx, c, applog.Members, recs...)
+}
--- a/internal/capac/main.go
+++ b/internal/capac/main.go
@@ -47,6 +47,7 @@
 		{"idle", func(ctx context.Context, t *table) error { return idle(ctx, t, dir) }},
 		{"start", func(ctx context.Context, t *table) error { return starts(ctx, t, dir) }},
 		{"sessions", func(ctx context.Context, t *table) error { return sessions(ctx, t, dir) }},
+		{"cli", func(ctx context.Context, t *table) error { return commands(ctx, t, dir) }},
 		{"calls", func(ctx context.Context, t *table) error { return calls(ctx, t, dir) }},
 	}
 	for _, g := range groups {
