--- a/internal/capac/sessions.go
+++ b/internal/capac/sessions.go
@@ -14,6 +14,7 @@
 	"briarworks.example/briarworks/internal/peer"
 	"briarworks.example/briarworks/internal/record"
 	"briarworks.example/briarworks/internal/wire/wirepb"
+	"briarworks.example/briarworks/pkg/fleet"
 	"briarworks.example/briarworks/pkg/ident"
 )
 
@@ -33,8 +34,9 @@
 	node     ident.Address
 	digest   atomic.Uint64
 	version  atomic.Uint64
-	told     atomic.Int64 // Sync messages from the node
-	toldMany atomic.Int64 // members in them
+	buckets  fleet.Digests // what the peers last knew; belongs to join and then to exchange
+	told     atomic.Int64  // Sync messages from the node
+	toldMany atomic.Int64  // members in them
 }
 
 // join connects n peers to a node.
@@ -48,12 +50,12 @@
 			},
 		}
 		c.books = append(c.books, b)
-		// News without members only asks for the node's digest.
-		_, r, err := b.SyncTo(ctx, c.node, &wirepb.Sync{From: string(b.Server), News: true})
+		_, r, err := b.SyncTo(ctx, c.node, &wirepb.Sync{From: string(b.Server), Buckets: true})
 		if err != nil {
 			return err
 		}
 		c.learn(r.GetDigest(), r.GetConfigVersion())
+		c.differ(r)
 	}
 	return nil
 }
@@ -71,13 +73,29 @@
 	return &wirepb.SyncReply{Digest: m.GetDigest(), ConfigVersion: m.GetConfigVersion(), ConfigThrough: m.GetConfigThrough(), InForce: m.GetConfigVersion()}
 }
 
-// exchange lets one peer at a time compare its state with the node's until ctx ends.
+// differ returns the buckets that changed since the last reply with buckets.
+func (c *crowd) differ(r *wirepb.SyncReply) (m fleet.Mask) {
+	if len(r.GetBucket()) == fleet.Buckets {
+		now := (*fleet.Digests)(r.GetBucket())
+		m = now.Differ(&c.buckets)
+		c.buckets = *now
+	}
+	return m
+}
+
+// exchange lets one peer at a time compare its state with the node's until ctx ends, and ask for the
+// members that changed since the last time. Peers that read the log as well ask for fewer.
 func (c *crowd) exchange(ctx context.Context) {
 	for pause.For(ctx, syncPeriod) {
 		b := c.books[rand.IntN(len(c.books))]
-		m := &wirepb.Sync{Digest: c.digest.Load(), ConfigVersion: c.version.Load(), From: string(b.Server), FromIncarnation: 1}
-		if _, r, err := b.SyncTo(ctx, c.node, m); err == nil {
-			c.learn(r.GetDigest(), r.GetConfigVersion())
+		m := &wirepb.Sync{Digest: c.digest.Load(), ConfigVersion: c.version.Load(), From: string(b.Server), FromIncarnation: 1, Buckets: true}
+		_, r, err := b.SyncTo(ctx, c.node, m)
+		if err != nil {
+			continue
+		}
+		c.learn(r.GetDigest(), r.GetConfigVersion())
+		if m.Want = uint64(c.differ(r)); m.Want != 0 {
+			_, _, _ = b.SyncTo(ctx, c.node, m)
 		}
 	}
 }
