--- a/internal/node/begin.go
+++ b/internal/node/begin.go
@@ -67,11 +67,13 @@
 // askConfig asks a few peers for the configuration that they hold until one has a usable one, and puts
 // it in force.
 func (n *Node) askConfig(ctx context.Context) (a order.Accepted, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
 	for _, addr := range n.beginAddresses() {
 		short, cancel := context.WithTimeout(ctx, beginTimeout)
 		ask := n.summary()
 		ask.News, ask.ConfigVersion = true, 0
-		_, reply, err := n.Book.SyncTo(short, addr, ask)
+		reply, err := n.Book.SyncOnce(short, addr, ask)
 		cancel()
 		if err != nil || reply.GetConfig() == nil {
 			continue
--- a/internal/node/inforce.go
+++ b/internal/node/inforce.go
@@ -54,7 +54,7 @@
 	defer cancel()
 	ask := n.summary()
 	ask.News = true
-	_, reply, err := n.Book.SyncTo(ctx, m.Address, ask)
+	reply, err := n.Book.SyncOnce(ctx, m.Address, ask)
 	if err != nil {
 		return 0, false
 	}
--- a/internal/peer/book.go
+++ b/internal/peer/book.go
@@ -110,14 +110,13 @@
 	closed := b.closed
 	b.mu.Unlock()
 	_ = s.Close()
-	if closed {
+	if closed || s.short {
 		return
 	}
 	if s.outstanding.Load() > 0 {
 		b.Event(EventLost)
 	}
-	if b.OnLost != nil {
-		server, inc := s.name()
+	if server, inc := s.name(); b.OnLost != nil && server != "" {
 		b.OnLost(server, inc, s.silent.Load())
 	}
 }
@@ -251,6 +250,23 @@
 	return from, reply, nil
 }
 
+// SyncOnce is SyncTo for asking many peers: a connection that it has to make is closed again.
+func (b *Book) SyncOnce(ctx context.Context, addr ident.Address, m *wirepb.Sync) (reply *wirepb.SyncReply, err error) {
+	if l, ok := b.links.Load(addr); ok && l.(*Link).live() != nil {
+		_, reply, err = b.SyncTo(ctx, addr, m)
+		return reply, err
+	}
+	s, err := b.dialAs(ctx, addr, &wirepb.Hello{Protocol: wire.Protocol}, true)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = s.Close() }()
+	if _, reply = b.syncWith(ctx, s, m); reply == nil {
+		return nil, oops.Errorf("peer: no reply to sync from %s", addr)
+	}
+	return reply, nil
+}
+
 func (b *Book) syncWith(ctx context.Context, s *session, m *wirepb.Sync) (ident.Server, *wirepb.SyncReply) {
 	reply, err := b.ask(ctx, s, &wirepb.Envelope{Body: &wirepb.Envelope_Sync{Sync: m}})
 	if err != nil {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -127,6 +127,7 @@
 	outstanding atomic.Int64             // calls that wait for their answer
 	since       atomic.Int64             // time when outstanding last became non-zero, ns
 	silent      atomic.Bool              // closed because it was silent
+	short       bool                     // opened for one exchange; its end is no loss of the peer
 }
 
 func newSession(conn net.Conn, client bool, now func() time.Time) (s *session, err error) {
@@ -249,6 +250,12 @@
 
 // dial connects, says Hello, and serves what the peer opens on the session.
 func (b *Book) dial(ctx context.Context, addr ident.Address) (s *session, err error) {
+	return b.dialAs(ctx, addr, b.hello(), false)
+}
+
+// dialAs connects with a Hello. That of a short session names no server, so that the peer does not take
+// its end for the loss of this node.
+func (b *Book) dialAs(ctx context.Context, addr ident.Address, hello *wirepb.Hello, short bool) (s *session, err error) {
 	defer func() { err = oops.With("address", string(addr)).Wrapf(err, "peer: dial") }()
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
@@ -260,7 +267,8 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	if err = b.greet(ctx, s); err != nil {
+	s.short = short
+	if err = b.greet(ctx, s, hello); err != nil {
 		_ = s.Close()
 		return nil, err
 	}
@@ -272,7 +280,7 @@
 }
 
 // greet exchanges Hello and learns who answers.
-func (b *Book) greet(ctx context.Context, s *session) (err error) {
+func (b *Book) greet(ctx context.Context, s *session, hello *wirepb.Hello) (err error) {
 	st, err := s.OpenStream()
 	if err != nil {
 		return err
@@ -281,7 +289,7 @@
 	if d, ok := ctx.Deadline(); ok {
 		_ = st.SetDeadline(d)
 	}
-	reply, err := wire.Exchange(st, &wirepb.Envelope{Body: &wirepb.Envelope_Hello{Hello: b.hello()}})
+	reply, err := wire.Exchange(st, &wirepb.Envelope{Body: &wirepb.Envelope_Hello{Hello: hello}})
 	if err != nil {
 		return err
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -235,3 +235,41 @@
 		}
 	}
 }
+
+// Guards against connections that stay open after many peers were asked, and against a closed one that is
+// taken for the loss of a node.
+func TestSyncOnce(t *testing.T) {
+	p := newPair(t, nil)
+	var lost atomic.Int64
+	onLost := func(ident.Server, ident.Incarnation, bool) { lost.Add(1) }
+	p.a.OnLost, p.b.OnLost = onLost, onLost
+	until := func(what string, holds func() bool) {
+		for !holds() {
+			select {
+			case <-t.Context().Done():
+				t.Fatal(what)
+			case <-time.After(time.Millisecond):
+			}
+		}
+	}
+	for range 3 {
+		if _, err := p.a.SyncOnce(t.Context(), p.addr(), &wirepb.Sync{From: "a"}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	until("connections stay open", func() bool { return p.a.Connected() == 0 && p.b.Connected() == 0 })
+	if _, _, err := p.a.SyncTo(t.Context(), p.addr(), &wirepb.Sync{From: "a"}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := p.a.SyncOnce(t.Context(), p.addr(), &wirepb.Sync{From: "a"}); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := p.a.Connected(), 1; got != want {
+		t.Errorf("connections after an ask over an open one: got %d, want %d", got, want)
+	}
+	if got := lost.Load(); got != 0 {
+		t.Errorf("losses after short connections: got %d, want 0", got)
+	}
+	_ = p.last().Close()
+	until("the loss is not told", func() bool { return lost.Load() == 2 })
+}
