node: take the members from a peer at a start

It now takes the whole list from a peer, with the offset before which the peer has read everything, and reads from there; an offset that the log does not have, or a peer without one, leads to the beginning as before. Nodes of the version before send no offset and ignore the field.

The test of TestFleet fails (begin at 0) when the members are read from the beginning.

--- a/internal/node/begin.go
+++ b/internal/node/begin.go
@@ -1,8 +1,11 @@
 package node
 
 import (
+	"cmp"
 	"context"
+	"math"
 	mrand "math/rand/v2"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -11,6 +14,9 @@
 	"briarworks.example/briarworks/internal/config"
 	"briarworks.example/briarworks/internal/pause"
 	"briarworks.example/briarworks/internal/policy"
+	"briarworks.example/briarworks/internal/record"
+	"briarworks.example/briarworks/internal/wire/wirepb"
+	"briarworks.example/briarworks/pkg/fleet"
 	"briarworks.example/briarworks/pkg/ident"
 	"briarworks.example/briarworks/pkg/order"
 )
@@ -20,8 +26,70 @@
 	beginPeers   = 3 // peers that are asked for their configuration at the start
 	beginTimeout = time.Second
 	beginPause   = time.Second // between two tries while the log does not answer
+	fewMembers   = 512         // records of members that are read rather than asked for
+	lookMembers  = 64          // newest ones among which peers are looked for
 )
 
+// beginMembers returns the offset from which the members are read. The list of a peer makes all records
+// before its place needless, since the order in which members are joined does not matter. Without a peer
+// this is the beginning of the log.
+func (n *Node) beginMembers(ctx context.Context) ident.Offset {
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	page, err := n.client.Read(ctx, applog.Members, 0, 0, 0)
+	if err != nil || page.Next-page.First <= fewMembers {
+		return 0
+	}
+	recent, err := n.client.Read(ctx, applog.Members, page.Next-lookMembers, lookMembers, 0)
+	if err != nil {
+		return 0
+	}
+	for _, addr := range append(n.Settings.Seeds[:len(n.Settings.Seeds):len(n.Settings.Seeds)], n.oldest(recent)...) {
+		short, cancel := context.WithTimeout(ctx, beginTimeout)
+		ask := n.summary()
+		ask.Buckets, ask.ConfigVersion = false, math.MaxUint64 // all members and no configuration
+		reply, err := n.Book.SyncOnce(short, addr, ask)
+		cancel()
+		if err != nil || !reaches(reply, page) {
+			continue
+		}
+		n.Roster.Learn(time.Now(), toMembers(reply.GetMembers())...)
+		n.Log.Info("membersBegin", zap.Int64("offset", reply.GetMembersNext()))
+		return ident.Offset(reply.GetMembersNext())
+	}
+	return 0
+}
+
+// reaches reports whether the log keeps what follows the place of a peer's list and does not end before.
+func reaches(reply *wirepb.SyncReply, log applog.Page) bool {
+	next := ident.Offset(reply.GetMembersNext())
+	return next > 0 && len(reply.GetMembers()) > 0 && next >= log.First && next <= log.Next
+}
+
+// oldest returns the addresses of a few members that were announced lately and have run for longest:
+// those that are just starting have no list yet.
+func (n *Node) oldest(page applog.Page) (all []ident.Address) {
+	var some []fleet.Member
+	for _, raw := range page.Records {
+		recs, err := record.DecodeGroup(raw.Data)
+		if err != nil {
+			continue
+		}
+		for _, r := range recs {
+			if m, ok := record.ToMember(r); ok && !m.Left && m.Address != "" && m.Server != n.Self.Server {
+				some = append(some, m)
+			}
+		}
+	}
+	slices.SortFunc(some, func(a, b fleet.Member) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	some = some[:(len(some)+1)/2]
+	mrand.Shuffle(len(some), func(i, j int) { some[i], some[j] = some[j], some[i] })
+	for _, m := range some[:min(len(some), beginPeers)] {
+		all = append(all, m.Address)
+	}
+	return all
+}
+
 // beginConfig returns the offset from which the configuration is read. What a peer holds makes all
 // records before it needless; without a peer this is the newest Carry, and without one of those the
 // beginning of the log. It waits until the log answers.
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -135,7 +135,12 @@
 	p.Policy.Changed = n.onConfig
 	members := applog.NewTail(p.Client, applog.Members, n.onMember)
 	members.Gap = memberGap
-	n.members = newStream(p.Client, applog.Members, members, n.joinRead)
+	members.Caught = func(next ident.Offset) {
+		n.joinRead()
+		n.joinedTo.Store(int64(next))
+	}
+	n.members = newStream(p.Client, applog.Members, members, func() {})
+	n.members.from = n.beginMembers
 	feed := &config.Feed{Start: p.Policy.Start, Next: p.Policy.Next, Read: p.Policy.Read}
 	configs := config.NewTail(p.Client, feed)
 	configs.Page = configPage
--- a/internal/node/fault_test.go
+++ b/internal/node/fault_test.go
@@ -9,11 +9,14 @@
 	"time"
 
 	"go.uber.org/goleak"
+	"go.uber.org/zap"
 
 	"briarworks.example/briarworks/internal/applog"
 	"briarworks.example/briarworks/internal/fakes"
+	"briarworks.example/briarworks/internal/peer"
 	"briarworks.example/briarworks/internal/record"
 	"briarworks.example/briarworks/internal/setup"
+	"briarworks.example/briarworks/internal/wire/wirepb"
 	"briarworks.example/briarworks/pkg/fleet"
 	"briarworks.example/briarworks/pkg/ident"
 	"briarworks.example/briarworks/pkg/order"
@@ -39,6 +42,7 @@
 		"configuration without the log":         configurationWithoutTheLog,
 		"configuration after a restart":         configurationAfterARestart,
 		"start behind a peer or a carry":        startBehind,
+		"start behind the members of a peer":    startBehindMembers,
 		"ordinary work with the log slow":       func(f *testFleet) { ordinaryWork(f, fakes.LogFaults{Slow: fakes.Duration(3 * time.Second)}) },
 		"ordinary work with the log out":        func(f *testFleet) { ordinaryWork(f, fakes.LogFaults{Refuse: true}) },
 		"leave with the log out":                leaveWithTheLogOut,
@@ -394,6 +398,71 @@
 	}
 }
 
+// Fails when a node that starts reads all members, or begins where a peer does not hold what came before.
+func startBehindMembers(f *testFleet) {
+	f.publish("first", 0)
+	known := []fleet.Member{}
+	for i := range 4 * fewMembers {
+		m := syncMember(time.Now(), i%fewMembers, ident.Incarnation(i))
+		m.Address = "127.0.0.1:1"
+		f.announce(m)
+		known = append(known, m)
+	}
+	a := f.add("entry", "", nil)
+	f.within(waitLimit, "read by the first", func() bool { return a.node.joinedTo.Load() > int64(len(known)) && a.sees(a.set.Server) })
+	all := a.node.joinedTo.Load()
+	b := syncNode("b")
+	b.Settings = &setup.Settings{Seeds: []ident.Address{"127.0.0.1:1", a.set.Listen.Peers}}
+	b.Log, b.client, b.Book = zap.NewNop(), a.node.client, &peer.Book{Server: "b", Incarnation: 1, Now: time.Now, Event: func(peer.Event) {}, Dial: a.node.Book.Dial}
+	defer b.Book.Close()
+	if got := int64(b.beginMembers(f.Context())); got != all {
+		f.Errorf("begin behind a peer: got %d, want %d", got, all)
+	}
+	if got, want := b.Roster.Table().Digest(), a.node.Roster.Table().Digest(); got != want {
+		f.Errorf("members behind a peer: got digest %x, want %x", got, want)
+	}
+	b.Settings.Seeds = nil
+	for i := range lookMembers {
+		m := syncMember(time.Now(), i, ident.Incarnation(4*fewMembers))
+		m.Address = a.set.Listen.Peers
+		f.announce(m)
+	}
+	f.within(waitLimit, "read by the first again", func() bool { return a.node.joinedTo.Load() >= all+lookMembers })
+	if got, want := int64(b.beginMembers(f.Context())), a.node.joinedTo.Load(); got != want {
+		f.Errorf("begin behind a peer that the log names: got %d, want %d", got, want)
+	}
+	a.node.joinedTo.Store(0) // as a node of the version before, or one that is starting
+	b.Settings.Seeds = []ident.Address{a.set.Listen.Peers}
+	if got := b.beginMembers(f.Context()); got != 0 {
+		f.Errorf("begin behind a peer without a place: got %d, want 0", got)
+	}
+}
+
+// Guards against a place that the log does not have.
+func TestReaches(t *testing.T) {
+	log := applog.Page{First: 10, Next: 20}
+	some := []*wirepb.Member{{Server: "a"}}
+	tests := map[string]struct {
+		reply *wirepb.SyncReply
+		want  bool
+	}{
+		"at the end":         {&wirepb.SyncReply{Members: some, MembersNext: 20}, true},
+		"at the first":       {&wirepb.SyncReply{Members: some, MembersNext: 10}, true},
+		"trimmed":            {&wirepb.SyncReply{Members: some, MembersNext: 9}, false},
+		"ahead of this log":  {&wirepb.SyncReply{Members: some, MembersNext: 21}, false},
+		"no members":         {&wirepb.SyncReply{MembersNext: 20}, false},
+		"version before":     {&wirepb.SyncReply{Members: some}, false},
+		"below every offset": {&wirepb.SyncReply{Members: some, MembersNext: -1}, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := reaches(tt.reply, log); got != tt.want {
+				t.Errorf("got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
 // Fails when a run waits for an append.
 func ordinaryWork(f *testFleet, faults fakes.LogFaults) {
 	entry, _, _ := f.chain()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/oops"
@@ -61,6 +62,7 @@
 	seen       sightings
 	lost       chan lostPeer       // full means that a loss gets no witness
 	joined     []fleet.Member      // read from the log, not joined yet; belongs to the tail's goroutine
+	joinedTo   atomic.Int64        // the list holds what the stream of members has before this offset; 0 before its end was read
 	spread     chan []fleet.Member // news to tell the peers; full means that a periodic sync carries them
 	peers      net.Listener
 	servers    []*http.Server
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -81,6 +81,7 @@
 func (n *Node) onSync(from ident.Server, m *wirepb.Sync) *wirepb.SyncReply {
 	n.seen.saw(from, ident.Incarnation(m.GetFromIncarnation()), ident.Seq(m.GetRefusalSeq()))
 	n.take(m.GetMembers(), m.GetConfig())
+	joined := n.joinedTo.Load() // before the table, which holds at least that
 	c, table := n.Policy.Current().Accepted, n.Roster.Table()
 	reply := &wirepb.SyncReply{
 		Digest: table.Digest(), ConfigVersion: uint64(c.Version), ConfigThrough: int64(c.Through),
@@ -93,8 +94,8 @@
 			reply.Members = fromMembers(table.In(want, toMembers(m.GetMembers())...))
 		case m.GetBuckets():
 			reply.Bucket = table.Digests()[:]
-		default: // a node of a version without buckets
-			reply.Members = fromMembers(table.All())
+		default: // a node that starts, or one of a version without buckets
+			reply.Members, reply.MembersNext = fromMembers(table.All()), joined
 		}
 	}
 	if c.Version > ident.Version(m.GetConfigVersion()) {
