--- a/internal/capac/cli.go
+++ b/internal/capac/cli.go
@@ -21,7 +21,8 @@
 const (
 	peerPort    = firstPort + 500 // first port of the peers that only answer
 	peersOfHost = 200             // on one address of loopback
-	afterCLI    = 2 * time.Second // until the memory of the node is looked at
+	afterCLI    = time.Second     // until the memory of the node is looked at
+	readMembers = 2 * time.Second // until a node has read the members
 )
 
 // answerers are peers at addresses of their own, which answer every comparison with what the asker holds.
@@ -60,7 +61,7 @@
 
 // commands measures the command line against a node, by the members of its fleet.
 func commands(ctx context.Context, t *table, dir string) error {
-	for i, n := range []int{60, 240, 960} {
+	for i, n := range []int{60, 240, 480, 960} {
 		if err := commandsOf(ctx, t, dir, i, n); err != nil {
 			return err
 		}
@@ -94,7 +95,7 @@
 	if err = waitHTTP(ctx, "http://"+o.operator+"/status"); err != nil {
 		return err
 	}
-	pause.For(ctx, settleTime)
+	pause.For(ctx, readMembers)
 	for _, run := range []struct {
 		name string
 		args []string
--- a/internal/capac/keys.go
+++ b/internal/capac/keys.go
@@ -26,6 +26,7 @@
 	answerBytes = 200
 	writeTime   = 2 * time.Second
 	keyDeadline = 4 * time.Second
+	busyCallers = 256                             // requests at a time
 	busyRate    = 160.0 / (2 * keeper.Partitions) // appends/s that a node gives a partition when two services have keys
 )
 
@@ -47,11 +48,8 @@
 		if err := writeKeys(ctx, t, n, 0, ""); err != nil {
 			return err
 		}
-		if err := writeKeys(ctx, t, n, busyRate, "two busy services: "); err != nil {
-			return err
-		}
 	}
-	return nil
+	return writeKeys(ctx, t, busyCallers, busyRate, "two busy services: ")
 }
 
 func repeat[T any](v T, n int) (out []T) {
--- a/internal/capac/start.go
+++ b/internal/capac/start.go
@@ -18,9 +18,9 @@
 
 const (
 	catchUpLimit  = 30 * time.Second
-	startRest     = 3 * time.Second // after the start, for the exchanges that follow it
-	memberRecords = 4 * fleetSize   // what the log holds at least of a fleet that announces itself every 12 h to 16 h for 48 h
-	carryEvery    = 80              // publishes between two carries that running nodes write
+	startRest     = time.Second   // after the start, for the exchanges that follow it
+	memberRecords = 4 * fleetSize // what the log holds at least of a fleet that announces itself every 12 h to 16 h for 48 h
+	carryEvery    = 80            // publishes between two carries that running nodes write
 )
 
 // starts measures how long a node needs until the newest configuration is in force, by the configurations
@@ -28,7 +28,7 @@
 func starts(ctx context.Context, t *table, dir string) error {
 	p := &procs{dir: dir}
 	defer p.stop()
-	sizes := []int{250, 500, 1000, 2000, 7000}
+	sizes := []int{250, 1000, 2000, 7000}
 	logs := make([]string, len(sizes))
 	for i, n := range sizes {
 		address, c, err := p.log(ctx, i, "--appendRate", "0")
