--- a/internal/node/fault_test.go
+++ b/internal/node/fault_test.go
@@ -11,12 +11,15 @@
 	"time"
 
 	"go.uber.org/goleak"
+	"go.uber.org/zap"
 
 	"briarworks.example/briarworks/internal/applog"
 	"briarworks.example/briarworks/internal/config"
 	"briarworks.example/briarworks/internal/fakes"
+	"briarworks.example/briarworks/internal/peer"
 	"briarworks.example/briarworks/internal/record"
 	"briarworks.example/briarworks/internal/setup"
+	"briarworks.example/briarworks/internal/wire/wirepb"
 	"briarworks.example/briarworks/pkg/fleet"
 	"briarworks.example/briarworks/pkg/ident"
 	"briarworks.example/briarworks/pkg/order"
@@ -44,6 +47,7 @@
 		"configuration when the seed is gone":   configurationWhenTheSeedIsGone,
 		"configuration after a restart":         configurationAfterARestart,
 		"start behind a peer or a carry":        startBehind,
+		"start behind the members of a peer":    startBehindMembers,
 		"ordinary work with the log slow":       func(f *testFleet) { ordinaryWork(f, fakes.LogFaults{Slow: fakes.Duration(3 * time.Second)}) },
 		"ordinary work with the log out":        func(f *testFleet) { ordinaryWork(f, fakes.LogFaults{Refuse: true}) },
 		"leave with the log out":                leaveWithTheLogOut,
@@ -257,29 +261,101 @@
 	}
 }
 
-// Guards against a mass restart of the design's 960 nodes that takes more appends in a second than the
-// log gives to the whole fleet.
+// Guards against a start of the design's 960 nodes at the same time that takes more appends in a second than
+// the log gives to the whole fleet, and against a small fleet that waits as long as a large one.
 func TestMassStart(t *testing.T) {
-	const nodes, budget, rounds = 960, 300, 20
+	const budget, rounds = 300, 10
+	const lag = 500 * time.Millisecond // until an announcement is read
+	tests := map[string]struct {
+		nodes, known, listed int
+		within               time.Duration // the last announcement
+	}{
+		"members on the log":             {960, 960, 960, maxStartSpread},
+		"empty log with an inventory":    {960, 0, 960, maxStartSpread},
+		"empty log":                      {960, 0, 0, maxStartSpread},
+		"small fleet on an empty log":    {13, 0, 0, 2 * time.Second},
+		"small fleet with its inventory": {13, 0, 13, 200 * time.Millisecond},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(1, 2))
+			most, last := 0, time.Duration(0)
+			for range rounds {
+				at := starts(rng, tt.nodes, tt.known, tt.listed, lag)
+				last = max(last, slices.Max(at))
+				for range tt.nodes {
+					at = append(at, time.Duration(rng.Float64()*float64(maxStartSpread))) // Open
+				}
+				slices.Sort(at)
+				for i, j := 0, 0; i < len(at); i++ {
+					for j < len(at) && at[j] < at[i]+time.Second {
+						j++
+					}
+					most = max(most, j-i)
+				}
+			}
+			t.Logf("most appends in a second: %d, budget: %d, last announcement after %v", most, budget, last)
+			if most > budget {
+				t.Errorf("appends in a second: got %d, want at most %d", most, budget)
+			}
+			if last > tt.within {
+				t.Errorf("last announcement: got after %v, want within %v", last, tt.within)
+			}
+		})
+	}
+}
+
+// Guards against a lost data centre whose witnesses take more appends in a second than the log gives to the
+// whole fleet, and against a witness that is written before its peer could write a leave.
+func TestWitnessSpread(t *testing.T) {
+	const size, left, lost, budget = 960, 840, 9, 300 // each node had connections to 9 of the 120 servers that were lost
 	rng := rand.New(rand.NewPCG(1, 2))
-	most := 0
-	for range rounds {
-		var at []time.Duration // of all first appends
-		for range nodes {
-			at = append(at, startWait(nodes, rng.Float64()), time.Duration(rng.Float64()*float64(maxStartSpread)))
-		}
-		slices.Sort(at)
-		for i, j := 0, 0; i < len(at); i++ {
-			for j < len(at) && at[j] < at[i]+time.Second {
-				j++
+	seconds := map[int64]int{}
+	for range left {
+		var due witnessTime
+		mine := map[int64]bool{} // a node writes once a second
+		for i := range lost {
+			at := time.Unix(100, int64(i)*int64(100*time.Millisecond))
+			w := due.of(at, startWait(size, rng.Float64()))
+			if got := w.Sub(at); got < lostGrace {
+				t.Fatalf("witness: got after %v, want at least %v", got, lostGrace)
 			}
-			most = max(most, j-i)
+			mine[w.Unix()] = true
+		}
+		for s := range mine {
+			seconds[s]++
 		}
 	}
-	t.Logf("most appends in a second: %d, budget: %d", most, budget)
-	if most > budget {
-		t.Errorf("appends in a second: got %d, want at most %d", most, budget)
+	for s, got := range seconds {
+		if got > budget {
+			t.Errorf("appends in second %d: got %d, want at most %d", s, got, budget)
+		}
 	}
+	t.Logf("appends by second: %v", seconds)
+}
+
+// starts returns when the nodes of a fleet announce themselves that start at the same time.
+func starts(rng *rand.Rand, nodes, known, listed int, lag time.Duration) (at []time.Duration) {
+	const step = 10 * time.Millisecond
+	rnds := make([]float64, nodes)
+	for i := range rnds {
+		rnds[i] = rng.Float64()
+	}
+	for now := time.Duration(0); len(rnds) > 0; now += step {
+		read := 0
+		for read < len(at) && at[read]+lag <= now {
+			read++
+		}
+		wait := startWait(expected(known, listed, known+read, now), 1)
+		rnds = slices.DeleteFunc(rnds, func(r float64) bool {
+			due := time.Duration(r*float64(wait)) <= now
+			if due {
+				at = append(at, now)
+			}
+			return due
+		})
+	}
+	return at
 }
 
 // Fails when peers do not send the accepted document.
@@ -371,6 +447,71 @@
 	}
 }
 
+// Fails when a node that starts reads all members, or begins where a peer does not hold what came before.
+func startBehindMembers(f *testFleet) {
+	f.publish("first", 0)
+	known := []fleet.Member{}
+	for i := range 4 * fewMembers {
+		m := syncMember(time.Now(), i%fewMembers, ident.Incarnation(i))
+		m.Address = "127.0.0.1:1"
+		f.announce(m)
+		known = append(known, m)
+	}
+	a := f.add("entry", "", nil)
+	f.within(waitLimit, "read by the first", func() bool { return a.node.joinedTo.Load() > int64(len(known)) && a.sees(a.set.Server) })
+	all := a.node.joinedTo.Load()
+	b := syncNode("b")
+	b.Settings = &setup.Settings{Seeds: []ident.Address{"127.0.0.1:1", a.set.Listen.Peers}}
+	b.Log, b.client, b.Book = zap.NewNop(), a.node.client, &peer.Book{Server: "b", Incarnation: 1, Now: time.Now, Event: func(peer.Event) {}, Dial: a.node.Book.Dial}
+	defer b.Book.Close()
+	if got := int64(b.beginMembers(f.Context())); got != all {
+		f.Errorf("begin behind a peer: got %d, want %d", got, all)
+	}
+	if got, want := b.Roster.Table().Digest(), a.node.Roster.Table().Digest(); got != want {
+		f.Errorf("members behind a peer: got digest %x, want %x", got, want)
+	}
+	b.Settings.Seeds = nil
+	for i := range lookMembers {
+		m := syncMember(time.Now(), i, ident.Incarnation(4*fewMembers))
+		m.Address = a.set.Listen.Peers
+		f.announce(m)
+	}
+	f.within(waitLimit, "read by the first again", func() bool { return a.node.joinedTo.Load() >= all+lookMembers })
+	if got, want := int64(b.beginMembers(f.Context())), a.node.joinedTo.Load(); got != want {
+		f.Errorf("begin behind a peer that the log names: got %d, want %d", got, want)
+	}
+	a.node.joinedTo.Store(0) // as a node of the version before, or one that is starting
+	b.Settings.Seeds = []ident.Address{a.set.Listen.Peers}
+	if got := b.beginMembers(f.Context()); got != 0 {
+		f.Errorf("begin behind a peer without a place: got %d, want 0", got)
+	}
+}
+
+// Guards against a place that the log does not have.
+func TestReaches(t *testing.T) {
+	log := applog.Page{First: 10, Next: 20}
+	some := []*wirepb.Member{{Server: "a"}}
+	tests := map[string]struct {
+		reply *wirepb.SyncReply
+		want  bool
+	}{
+		"at the end":         {&wirepb.SyncReply{Members: some, MembersNext: 20}, true},
+		"at the first":       {&wirepb.SyncReply{Members: some, MembersNext: 10}, true},
+		"trimmed":            {&wirepb.SyncReply{Members: some, MembersNext: 9}, false},
+		"ahead of this log":  {&wirepb.SyncReply{Members: some, MembersNext: 21}, false},
+		"no members":         {&wirepb.SyncReply{MembersNext: 20}, false},
+		"version before":     {&wirepb.SyncReply{Members: some}, false},
+		"below every offset": {&wirepb.SyncReply{Members: some, MembersNext: -1}, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := reaches(tt.reply, log); got != tt.want {
+				t.Errorf("got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
 // Fails when a run waits for an append.
 func ordinaryWork(f *testFleet, faults fakes.LogFaults) {
 	entry, _, _ := f.chain()
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -154,6 +154,7 @@
 	silent      atomic.Bool              // closed because it was silent
 	kept        kept                     // streams that wait for the next call
 	served      sync.Map                 // *yamux.Stream of the peer -> *atomic.Int64, since when it waits for a call, ns; 0 when it does not
+	short       bool                     // opened for one exchange; its end is no loss of the peer
 }
 
 func newSession(conn net.Conn, client bool, now func() time.Time) (s *session, err error) {
@@ -359,6 +360,12 @@
 
 // dial connects and says Hello.
 func (b *Book) dial(ctx context.Context, addr ident.Address) (s *session, err error) {
+	return b.dialAs(ctx, addr, b.hello(), false)
+}
+
+// dialAs connects with a Hello. That of a short session names no server, so that the peer does not take
+// its end for the loss of this node.
+func (b *Book) dialAs(ctx context.Context, addr ident.Address, hello *wirepb.Hello, short bool) (s *session, err error) {
 	defer func() { err = oops.With("address", string(addr)).Wrapf(err, "peer: dial") }()
 	conn, err := b.Dial(ctx, string(addr))
 	if err != nil {
@@ -368,7 +375,8 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	if err = b.greet(ctx, s); err != nil {
+	s.short = short
+	if err = b.greet(ctx, s, hello); err != nil {
 		_ = s.Close()
 		return nil, err
 	}
@@ -376,7 +384,7 @@
 }
 
 // greet exchanges Hello and learns who answers.
-func (b *Book) greet(ctx context.Context, s *session) (err error) {
+func (b *Book) greet(ctx context.Context, s *session, hello *wirepb.Hello) (err error) {
 	st, err := s.OpenStream()
 	if err != nil {
 		return err
@@ -384,7 +392,7 @@
 	defer func() { _ = st.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = st.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
-	reply, err := wire.Exchange(st, &wirepb.Envelope{Body: &wirepb.Envelope_Hello{Hello: b.hello()}})
+	reply, err := wire.Exchange(st, &wirepb.Envelope{Body: &wirepb.Envelope_Hello{Hello: hello}})
 	if err != nil {
 		return err
 	}
