--- a/pkg/route/set.go
+++ b/pkg/route/set.go
@@ -116,19 +116,20 @@
 // are left out; rnd is uniform over all 64-bit values. It returns false when no peer is left.
 func (s *Set) Pick(now time.Time, avoid Avoid, rnd uint64) (*Peer, bool) {
 	t := now.UnixNano()
+	if s.near < 2 {
+		return s.pickAny(t, avoid, rnd, rnd)
+	}
 	if p := s.pickNear(t, avoid, rnd); p != nil {
 		return p, true
 	}
-	return s.pickAny(t, avoid, rnd)
+	// Another draw, since the first one has led to a peer that cannot be used.
+	return s.pickAny(t, avoid, rnd, mix(rnd^s.seed))
 }
 
 // pickNear draws two peers in the own data centre and returns the better one when both may be used and
 // have room. It reads the state of two peers, which other processors write, instead of that of all. Given
 // that it returns one, every pair of such peers is as likely as when they are chosen from a list.
 func (s *Set) pickNear(t int64, avoid Avoid, rnd uint64) *Peer {
-	if s.near < 2 {
-		return nil
-	}
 	i, j := two(rnd, uint32(s.near))
 	p, q := s.peers[i], s.peers[j]
 	if !p.ready(t, avoid, rnd) || !q.ready(t, avoid, rnd) {
@@ -146,9 +147,8 @@
 		!p.state.heldBack(t, rnd) && p.state.roomAt(t) > 0
 }
 
-// pickAny chooses among all peers. The same peers are held back as in pickNear, but the draw is another
-// one, since that of pickNear has led to a peer that cannot be used.
-func (s *Set) pickAny(t int64, avoid Avoid, rnd uint64) (*Peer, bool) {
+// pickAny chooses among all peers by draw; rnd decides which ones are held back, as in pickNear.
+func (s *Set) pickAny(t int64, avoid Avoid, rnd, draw uint64) (*Peer, bool) {
 	var near, far, full, held choice
 	ejected := 0
 	for i, p := range s.peers {
@@ -174,7 +174,7 @@
 	}
 	for _, c := range [...]*choice{&near, &far, &full, &held} {
 		if c.n > 0 {
-			return s.peers[c.better(mix(rnd^s.seed))], true
+			return s.peers[c.better(draw)], true
 		}
 	}
 	return nil, false
