admit: drop no request whose earlier calls fitted

TestFourCallsOnSmallServers lost 69 of 1200 answers. No protected request was lost. Ruled out: start-up (lost evenly over the fault), the least urgent kind (0.2% of the slots), idle slots (0.5%), the rounding of the limit (it stays at 20).

The drop now goes by the widest part since the request was born and two windows before.

The test keeps its seed and bound and gains nine seeds. With the rule switched off (only the last window counts) it fails as before with 1131 of 1200.

--- a/pkg/admit/chain_test.go
+++ b/pkg/admit/chain_test.go
@@ -63,8 +63,8 @@
 	{Name: "claim", Rank: 0, Protected: true}, {Name: "lookup", Rank: 1}, {Name: "pack", Rank: 1}, {Name: "guide", Rank: 2},
 }
 
-func newChain() *chain {
-	return &chain{rng: rand.New(rand.NewPCG(1, 2)), paths: map[ident.Kind][]*tier{}}
+func newChain(seed uint64) *chain {
+	return &chain{rng: rand.New(rand.NewPCG(seed, 2)), paths: map[ident.Kind][]*tier{}}
 }
 
 // add adds a service; its servers hold slots and take own seconds for a call on average.
@@ -204,6 +204,7 @@
 	faultFrom, faultTo = 3, 8 // seconds of the fault
 	ledgerSlots        = 100  // of each of 3 ledgers, which answer 6000 calls per second
 	small              = 0.2  // part of every size and rate, for ledgers of 20 slots
+	usualSeed          = 1
 )
 
 // chainCase is one kind of overload. Rates are per second, by kind in the order of chainKinds.
@@ -249,19 +250,25 @@
 		},
 	}
 	for name, tc := range tests {
-		t.Run(name, func(t *testing.T) { tc.run(t, 1) })
-		t.Run(name+", small servers", func(t *testing.T) { tc.run(t, small) })
+		t.Run(name, func(t *testing.T) { tc.run(t, 1, usualSeed) })
+		t.Run(name+", small servers", func(t *testing.T) { tc.run(t, small, usualSeed) })
 	}
-	t.Run("flood of requests with four calls", func(t *testing.T) { fourCalls.run(t, 1) })
+	t.Run("flood of requests with four calls", func(t *testing.T) { fourCalls.run(t, 1, usualSeed) })
 }
 
-// Guards against the same for requests that pass a server of 20 slots four times.
-func TestFourCallsOnSmallServers(t *testing.T) { fourCalls.run(t, small) }
+// Guards against the same for requests that pass a server of 20 slots four times, and against requests
+// refused at a later call after their first ones have run. Answers scatter by 0.01 between seeds, so one
+// seed would prove little.
+func TestFourCallsOnSmallServers(t *testing.T) {
+	for seed := uint64(usualSeed); seed < usualSeed+10; seed++ {
+		t.Run("seed "+strconv.FormatUint(seed, 10), func(t *testing.T) { fourCalls.run(t, small, seed) })
+	}
+}
 
 // run brings the overload about, with every size and rate multiplied by part, and holds the answers
 // against the ideal.
-func (tc chainCase) run(t *testing.T, part float64) {
-	c := newChain()
+func (tc chainCase) run(t *testing.T, part float64, seed uint64) {
+	c := newChain(seed)
 	entry := c.add("calendar", 3, ident.Slots(650*part), 0.02)
 	ledger := c.add("ledger", 3, ident.Slots(ledgerSlots*part), 0.05)
 	for i, k := range chainKinds {
--- a/pkg/admit/gate.go
+++ b/pkg/admit/gate.go
@@ -156,7 +156,7 @@
 		g.queue.remove(t)
 		t.refuse(reason.DeadlineTooShort)
 	}
-	if t.queued && req.Hop > 0 && g.pressed.Load() && t.kind.thins(req) {
+	if t.queued && req.Hop > 0 && g.pressed.Load() && t.kind.thins(req, g.cfg.Window, now) {
 		g.queue.remove(t)
 		g.drop(t, reason.Overload)
 	}
--- a/pkg/admit/kind.go
+++ b/pkg/admit/kind.go
@@ -61,7 +61,7 @@
 	share.Kind
 
 	own      fraction                  // admitted fraction at this server
-	thin     fraction                  // part of the begun work that fits, see thins
+	thin     atomic.Pointer[thinned]   // part of the begun work that fits, see thins; nil before the first window
 	local    fraction                  // part of the passed new requests that came to this server
 	expected atomic.Int64              // expected slot time of a call in ns, 0 when unknown
 	split    atomic.Pointer[callerMap] // nil when all callers get the same fraction
@@ -90,10 +90,43 @@
 	return max(req.Passed, share.Floor)
 }
 
+const (
+	thinWindows = 10 // windows for which a published part is remembered
+	thinBefore  = 2  // windows before a request's birth that count for it too
+)
+
+// thinned is the part of the begun work that fits, over the last windows, the newest first.
+type thinned [thinWindows]ident.Fraction
+
+// push returns the history with the part of one more window.
+func (h *thinned) push(part ident.Fraction) *thinned {
+	next := &thinned{part}
+	if h != nil {
+		copy(next[1:], h[:])
+	}
+	return next
+}
+
+// widest returns the largest part since a request of the given age was born.
+func (h *thinned) widest(age, window time.Duration) (part ident.Fraction) {
+	n := max(0, int(age/window)) + 1 + thinBefore
+	for _, p := range h[:min(n, thinWindows)] {
+		part = max(part, p)
+	}
+	return part
+}
+
 // thins reports whether a begun request lies outside the part that fits. Requests that passed the
-// entry have cohorts spread evenly below Passed, so all nodes at one depth drop the same ones.
-func (k *kindState) thins(req *call.Request) bool {
-	thin := k.thin.load()
+// entry have cohorts spread evenly below Passed, so all nodes at one depth drop the same ones. The
+// widest part since its birth counts: a request may call one service several times, and a part that
+// narrows in between must not drop it after its first calls have run. Servers of one service publish
+// different parts, which is why some windows before its birth count too.
+func (k *kindState) thins(req *call.Request, window time.Duration, now time.Time) bool {
+	h := k.thin.Load()
+	if h == nil {
+		return false
+	}
+	thin := h.widest(now.Sub(req.Born), window)
 	return thin < 1 && ident.Cohort(req.Key, req.Born) >= thin*passed(req)
 }
 
--- a/pkg/admit/window.go
+++ b/pkg/admit/window.go
@@ -304,7 +304,7 @@
 	// Upstream nodes learn a fraction about one window after it is published.
 	e.shown += (float64(k.own.load()) - e.shown) * 0.5
 	k.own.store(own)
-	k.thin.store(thin)
+	k.thin.Store(k.thin.Load().push(thin))
 	k.divideCallers(g.entry(k, now))
 }
 
--- a/pkg/admit/window_test.go
+++ b/pkg/admit/window_test.go
@@ -78,3 +78,31 @@
 		t.Errorf("own time of a call after a shift of the mix: got %.3f of the time before, want 1", got)
 	}
 }
+
+// Guards against a request that is dropped at a later call because the part that fits has narrowed
+// since its first call ran, and against new requests that keep the wider part.
+func TestThinsByWidestSinceBirth(t *testing.T) {
+	tests := map[string]struct {
+		parts []ident.Fraction // by window, the newest last
+		age   time.Duration
+		want  ident.Fraction
+	}{
+		"no window yet":            {nil, 0, 0},
+		"new":                      {[]ident.Fraction{0.9, 0.2, 0.2, 0.2}, 0, 0.2},
+		"born in the wide window":  {[]ident.Fraction{0.9, 0.2, 0.2, 0.2}, 100 * time.Millisecond, 0.9},
+		"widened since":            {[]ident.Fraction{0.1, 0.1, 0.4, 0.1}, 200 * time.Millisecond, 0.4},
+		"older than what is known": {[]ident.Fraction{0.9, 0.1, 0.1, 0.1, 0.1, 0.1, 0.1, 0.1, 0.1, 0.1, 0.1}, time.Hour, 0.1},
+		"born later than now":      {[]ident.Fraction{0.9, 0.2, 0.2, 0.2}, -time.Second, 0.2},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := &thinned{}
+			for _, part := range tc.parts {
+				h = h.push(part)
+			}
+			if got := h.widest(tc.age, DefaultWindow); got != tc.want {
+				t.Errorf("widest part: got %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
