admit: withdraw the slot of a shed call at once

A server above its own bound refuses within half a millisecond, so a slot that the limit still allowed shed one request after the other, of all ranks, until the window ended. Each shed call now takes its slot off the limit at once, and the limiter falls by the calls that were shed, by at most half in a window, instead of by a tenth or a quarter. A probe upwards then costs a call for each slot above the server's bound.

TestShedWithdrawsSlot fails with the withdrawal switched off (limit 10 where 7 and 5 are wanted).

--- a/pkg/admit/gate.go
+++ b/pkg/admit/gate.go
@@ -23,10 +23,11 @@
 	_        [64]byte
 	inflight atomic.Int32
 	_        [60]byte
-	limit    atomic.Int32 // read on every decision, written once a window
+	limit    atomic.Int32 // read on every decision, written once a window and for each shed call
+	floor    atomic.Int32 // lowest limit that shed calls leave in this window
 	waiting  atomic.Int32 // length of the queue
 	pressed  atomic.Bool  // demand exceeds the limit
-	_        [48]byte
+	_        [44]byte
 
 	mu      sync.Mutex // guards the queue
 	queue   queue
@@ -44,7 +45,7 @@
 	g := &Gate{cfg: cfg, limiter: limit.New(cfg.Slots)}
 	g.queue.list = make([]*Ticket, 0, cfg.QueueLen+1)
 	g.window.gain = 1
-	g.limit.Store(int32(g.limiter.Limit()))
+	g.setLimit()
 	g.Configure(cfg.Kinds)
 	return g
 }
@@ -251,12 +252,34 @@
 // Leave ends a call that ran.
 func (g *Gate) Leave(t *Ticket, u Usage, now time.Time) {
 	t.kind.leave(shardOf(t), u)
+	if u.Shed {
+		g.withdraw()
+	}
 	g.inflight.Add(-1)
 	if g.waiting.Load() > 0 {
 		g.release(now)
 	}
 }
 
+// withdraw takes the slot of a shed call off the limit until the window ends, down to the floor. A server
+// sheds in less time than it takes to answer, so a slot that stays in use would shed many requests of all
+// ranks within one window.
+func (g *Gate) withdraw() {
+	floor := g.floor.Load()
+	for {
+		n := g.limit.Load()
+		if n <= floor || g.limit.CompareAndSwap(n, n-1) {
+			return
+		}
+	}
+}
+
+// setLimit puts the limiter's limit in force. The caller holds g.windowMu.
+func (g *Gate) setLimit() {
+	g.limit.Store(int32(g.limiter.Limit()))
+	g.floor.Store(int32(g.limiter.Floor()))
+}
+
 // release hands free slots to waiting requests.
 func (g *Gate) release(now time.Time) {
 	g.mu.Lock()
@@ -332,7 +355,7 @@
 	g.windowMu.Lock()
 	defer g.windowMu.Unlock()
 	g.limiter.SetSlots(n)
-	g.limit.Store(int32(g.limiter.Limit()))
+	g.setLimit()
 }
 
 // StartCold begins a cold start of the server.
@@ -340,7 +363,7 @@
 	g.windowMu.Lock()
 	defer g.windowMu.Unlock()
 	g.limiter.StartCold(now)
-	g.limit.Store(int32(g.limiter.Limit()))
+	g.setLimit()
 }
 
 // Configure sets the kinds of the rules. Requests of other kinds share one entry of the lowest rank.
--- a/pkg/admit/window.go
+++ b/pkg/admit/window.go
@@ -107,7 +107,7 @@
 	}
 	s.Full = used >= fullUse
 	g.limiter.Roll(w.standard(s, &m), now)
-	g.limit.Store(int32(g.limiter.Limit()))
+	g.setLimit()
 	g.divide(used, waits > 0, refused, s, now)
 }
 
--- a/pkg/admit/window_test.go
+++ b/pkg/admit/window_test.go
@@ -106,3 +106,41 @@
 		})
 	}
 }
+
+// Guards against a server that sheds one request after the other on the same slot until the window
+// ends, and against one burst of sheds that takes the whole limit.
+func TestShedWithdrawsSlot(t *testing.T) {
+	tests := map[string]struct {
+		shed int
+		want ident.Slots
+	}{
+		"none":       {0, 10},
+		"some":       {3, 7},
+		"at the end": {9, 5},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := New(Config{Slots: 10, Kinds: []share.Kind{{Name: "any"}}})
+			var running []*Ticket
+			enter := func() {
+				tk := &Ticket{}
+				tk.Wake = func(Verdict, time.Time) { running = append(running, tk) }
+				if g.Enter(&call.Request{Kind: "any", Hop: 1, Passed: 1, Born: start}, tk, start) == Run {
+					running = append(running, tk)
+				}
+			}
+			for range 25 {
+				enter()
+			}
+			for _, tk := range running[:tc.shed] {
+				g.Leave(tk, Usage{Shed: true}, start)
+			}
+			if got := g.Limit(); got != tc.want {
+				t.Errorf("limit: got %v, want %v", got, tc.want)
+			}
+			if got := g.Inflight(); got > tc.want {
+				t.Errorf("in flight: got %v, want at most %v", got, tc.want)
+			}
+		})
+	}
+}
--- a/pkg/limit/doc.go
+++ b/pkg/limit/doc.go
@@ -1,7 +1,7 @@
 // Package limit finds how many requests a backend server should run at the same time.
 //
-// The announced slots are the upper bound. The limit falls by a tenth in each window in which the
-// server sheds, is held for a short time and then grows in steps that double. It falls to the knee of
+// The announced slots are the upper bound. The limit falls by one for each call that the server
+// sheds, by at most half in a window, is held for a short time and then grows in steps that double. It falls to the knee of
 // the server's throughput by trial: when own time has risen while the limit is in full use, a part of
 // the limit is taken off, and the trial stands only if own time fell and throughput did not. A slow
 // server alone is no reason: with slots as the resource, fewer requests in flight only lose
--- a/pkg/limit/limit.go
+++ b/pkg/limit/limit.go
@@ -10,8 +10,7 @@
 
 // Constants of the limiter. Shares are of the limit.
 const (
-	shedFall       = 0.9                    // limit after a window in which the server shed
-	floodFall      = 0.75                   // the same when it shed more than a third of the calls
+	shedFall       = 0.5                    // lowest limit after one window in which the server shed
 	lowerStep      = 0.1                    // part taken off the limit by a first trial of lower concurrency; it doubles while trials succeed
 	lowerMost      = 0.3                    // largest such part
 	raiseStep      = 1.25                   // limit during a trial of higher concurrency
@@ -240,12 +239,19 @@
 	l.set(l.limit)
 }
 
-// shed lowers the limit. A server that sheds again right after growth is given more time.
+// Floor returns the lowest limit that sheds in the present window can bring about. The owner may take
+// the slot of each call that the server sheds off the limit at once, down to the floor; Roll does the
+// same to the limiter.
+func (l *Limiter) Floor() ident.Slots { return ident.Slots(l.floor()) }
+
+func (l *Limiter) floor() float64 {
+	n := float64(l.Limit())
+	return max(1, shedFall*n, min(l.good, n-1))
+}
+
+// shed lowers the limit by the calls that were shed, down to the floor. A server that sheds again right after growth is given more time.
 func (l *Limiter) shed(s Sample, now time.Time) {
-	fall := shedFall
-	if 2*s.Shed > s.Done {
-		fall = floodFall
-	}
+	least := l.floor()
 	switch {
 	case !l.held || l.hold == 0:
 		l.hold = firstHold
@@ -254,7 +260,7 @@
 	}
 	l.state, l.held, l.knee, l.falling, l.growth, l.idle = noTrial, true, false, false, 0, 0
 	l.until = now.Add(l.hold)
-	l.set(max(fall*float64(l.Limit()), min(l.good, float64(l.Limit())-1)))
+	l.set(max(float64(l.Limit())-float64(s.Shed), least))
 	l.good = 0
 	l.reset(now)
 }
