admit: hand protected requests on from a cold server

Requests were handed on only while a peer reported room, which nobody did, so protected requests timed out in the cold node's queue (488) or were refused by its own fraction (551) while the other servers ran less urgent work. A node in its cold start now hands them on also without reported room, unless the others admit less of the kind. The hop count stays, so the relay's check of Once and Hop is as it was.

bench gets two cases: coldBreaks (a cold server breaks off what it cannot run) and breaksLate (a broken service fails after its own time).

--- a/internal/bench/cases.go
+++ b/internal/bench/cases.go
@@ -28,8 +28,10 @@
 	logOut  bool          // the platform's log is out
 	broken  ident.Service // service of which one server breaks off most answers
 	all     bool          // all servers of that service are broken
+	late    bool          // broken servers break off at the end of their own time
 	shed    ident.Service // service whose servers shed above part of their slots
 	cold    ident.Service // service of which one server is replaced by a cold one
+	fragile bool          // a cold server breaks off calls above what it is able to run
 }
 
 // Details of the scenarios in which servers misbehave.
@@ -54,8 +56,10 @@
 		{name: "logOut", logOut: true},
 		{name: "brokenServer", broken: d.services[1].name},
 		{name: "brokenService", broken: d.deep, all: true},
+		{name: "breaksLate", broken: d.deep, all: true, late: true},
 		{name: "shedding", surge: 3, shed: d.services[0].name},
 		{name: "coldServer", surge: 1.5, cold: d.services[0].name},
+		{name: "coldBreaks", surge: 1.5, cold: d.services[0].name, fragile: true},
 	}
 }
 
--- a/internal/bench/control.go
+++ b/internal/bench/control.go
@@ -132,7 +132,7 @@
 }
 
 // enterControl takes a request from a caller: it runs here while there is a free slot, else on
-// another server of the service that has one, else it waits here.
+// another server of the service that has one or is to take it all the same, else it waits here.
 func enterControl(n *node, t *trip, r call.Request, re reply) {
 	w, c := n.w, n.ctl
 	if r.Once && w.log {
@@ -152,7 +152,7 @@
 		return
 	}
 	p, ok := c.sets[r.Service].Pick(w.now, route.Avoid{}, w.choose.Uint64())
-	if !ok || p.Room(w.now) <= 0 {
+	if !ok || p.Room(w.now) <= 0 && !c.gate.Offload(&r, w.now) {
 		visit(n, t, r, re)
 		return
 	}
--- a/internal/bench/world.go
+++ b/internal/bench/world.go
@@ -130,13 +130,14 @@
 		*busy--
 		re(res)
 	}
-	if n.broken && w.faulty() && w.work.Float64() < brokenShare {
+	at := t.at(r.Service)
+	own := t.kind.path[at].own
+	if took, breaks := n.breaks(own); breaks {
 		t.failed = n.server
-		w.after(brokenTime, func() { release(call.Doubt(reason.ServerFailed)) })
+		w.after(took, func() { release(call.Doubt(reason.ServerFailed)) })
 		return
 	}
-	at := t.at(r.Service)
-	w.after(n.ownTime(t.kind.path[at].own), func() {
+	w.after(n.ownTime(own), func() {
 		if at+1 == len(t.kind.path) {
 			release(call.Result{Outcome: reason.Ran, Status: 200, TokensLeft: r.Budget, Fraction: 1})
 			return
@@ -145,6 +146,29 @@
 	})
 }
 
+// breaks tells whether the server breaks off a call with the given mean own time, and after how long.
+func (n *node) breaks(own time.Duration) (after time.Duration, breaks bool) {
+	w := n.w
+	switch {
+	case !w.faulty():
+		return 0, false
+	case n.broken && w.work.Float64() < brokenShare:
+		if w.s.late {
+			return n.ownTime(own), true
+		}
+		return brokenTime, true
+	case n.cold && w.s.fragile && float64(*n.busy) > n.able():
+		return n.ownTime(own), true
+	}
+	return 0, false
+}
+
+// able returns the slots on which a cold server is at present as fast as a warm one.
+func (n *node) able() float64 {
+	warm := min(1, n.w.now.Sub(n.first).Seconds()/coldFor.Seconds())
+	return float64(n.svc.slots) * (coldPart + (1-coldPart)*warm)
+}
+
 // ownTime draws the server's own time: half is constant and half exponential around the mean.
 func (n *node) ownTime(mean time.Duration) time.Duration {
 	w := n.w
@@ -154,9 +178,7 @@
 	}
 	if n.cold {
 		// A cold server works as fast as a warm one only on part of its slots.
-		warm := min(1, w.now.Sub(n.first).Seconds()/coldFor.Seconds())
-		able := float64(n.svc.slots) * (coldPart + (1-coldPart)*warm)
-		f *= max(1, float64(*n.busy)/able)
+		f *= max(1, float64(*n.busy)/n.able())
 	}
 	return time.Duration(f * float64(mean))
 }
--- a/internal/relay/onward.go
+++ b/internal/relay/onward.go
@@ -38,12 +38,12 @@
 }
 
 // place runs a request of the entry on the own server or, when that is full, on another one of the
-// service that has room. A second try, here or there, is a retry like any other.
+// service. A second try, here or there, is a retry like any other.
 func (r *Relay) place(ctx context.Context, req *call.Request) (res call.Result) {
 	var pool retry.Pool
 	pool.Fill(req.Budget)
 	t := r.tries(req, &pool)
-	if p, ok := r.roomElsewhere(); ok {
+	if p, ok := r.elsewhereFirst(req); ok {
 		res = t.there(ctx, p)
 		if t.again(ctx, res) {
 			res = t.here(ctx)
@@ -57,13 +57,15 @@
 	return res
 }
 
-// roomElsewhere returns a server of the own service that has room while the own one has none.
-func (r *Relay) roomElsewhere() (*route.Peer, bool) {
+// elsewhereFirst returns the server of the own service that a request of the entry goes to first: one
+// that has room while the own one has none, or one that is to take it all the same.
+func (r *Relay) elsewhereFirst(req *call.Request) (*route.Peer, bool) {
 	if r.Gate.Free() > 0 {
 		return nil, false
 	}
 	p, ok := r.pick(r.Self.Service, route.Avoid{})
-	return p, ok && p.Room(r.Now()) > 0
+	now := r.Now()
+	return p, ok && (p.Room(now) > 0 || r.Gate.Offload(req, now))
 }
 
 // attempts makes a call to another service, and makes it again on another server while that is safe,
--- a/pkg/admit/gate.go
+++ b/pkg/admit/gate.go
@@ -27,7 +27,8 @@
 	floor    atomic.Int32 // lowest limit that shed calls leave in this window
 	waiting  atomic.Int32 // length of the queue
 	pressed  atomic.Bool  // demand exceeds the limit
-	_        [44]byte
+	cold     atomic.Bool  // the server is in its cold start
+	_        [40]byte
 
 	mu      sync.Mutex // guards the queue
 	queue   queue
@@ -274,10 +275,11 @@
 	}
 }
 
-// setLimit puts the limiter's limit in force. The caller holds g.windowMu.
+// setLimit puts the limiter's limit and state in force. The caller holds g.windowMu.
 func (g *Gate) setLimit() {
 	g.limit.Store(int32(g.limiter.Limit()))
 	g.floor.Store(int32(g.limiter.Floor()))
+	g.cold.Store(g.limiter.Cold())
 }
 
 // release hands free slots to waiting requests.
@@ -337,6 +339,18 @@
 	return min(g.Fraction(kind), g.cfg.Paths.Except(g.cfg.Service, kind, now))
 }
 
+// Offload reports whether a new request that finds no free slot here is better handed to another server
+// of the service, although none has reported a free one. That holds for protected requests at a cold
+// server, as long as the others admit at least as much of the kind: its small limit may not even hold the
+// protected kinds, while the others run less urgent work that gives way to them.
+func (g *Gate) Offload(req *call.Request, now time.Time) bool {
+	if !req.Protected || !g.cold.Load() {
+		return false
+	}
+	other, _ := g.cfg.Paths.Of(g.cfg.Service, req.Kind, now)
+	return other >= g.Fraction(req.Kind)
+}
+
 // Free returns the slots that are free.
 func (g *Gate) Free() ident.Slots { return max(g.Limit()-g.Inflight(), 0) }
 
--- a/pkg/admit/window_test.go
+++ b/pkg/admit/window_test.go
@@ -144,3 +144,33 @@
 		})
 	}
 }
+
+// Guards against protected requests that time out at a cold server while other servers of the service
+// run less urgent work, and against handing on where the others are no better.
+func TestOffload(t *testing.T) {
+	tests := map[string]struct {
+		cold, protected bool
+		own, other      ident.Fraction
+		want            bool
+	}{
+		"cold":                     {true, true, 1, 1, true},
+		"cold, narrower here":      {true, true, 0.4, 0.5, true},
+		"cold, narrower elsewhere": {true, true, 0.9, 0.5, false},
+		"not protected":            {true, false, 1, 1, false},
+		"warm":                     {false, true, 0.4, 1, false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			paths := &share.Paths{}
+			g := New(Config{Service: "s", Slots: 16, Paths: paths, Kinds: []share.Kind{{Name: "claim", Protected: true}}})
+			if tc.cold {
+				g.StartCold(start)
+			}
+			g.kinds.Load().find("claim").own.store(tc.own)
+			paths.Learn("s", "claim", tc.other, start)
+			if got := g.Offload(&call.Request{Kind: "claim", Protected: tc.protected}, start); got != tc.want {
+				t.Errorf("offload: got %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
--- a/pkg/limit/limit.go
+++ b/pkg/limit/limit.go
@@ -123,6 +123,9 @@
 // Limit returns the most calls that may be in flight.
 func (l *Limiter) Limit() ident.Slots { return ident.Slots(l.published.Load()) }
 
+// Cold reports whether a cold start bounds the limit; it must not be called at the same time as Roll.
+func (l *Limiter) Cold() bool { return l.cold > 0 }
+
 // SetSlots changes the upper bound; less than 1 counts as 1.
 func (l *Limiter) SetSlots(n ident.Slots) {
 	old := l.slots
