--- a/pkg/admit/gate.go
+++ b/pkg/admit/gate.go
@@ -23,10 +23,12 @@
 	_        [64]byte
 	inflight atomic.Int32
 	_        [60]byte
-	limit    atomic.Int32 // read on every decision, written once a window
+	limit    atomic.Int32 // read on every decision, written once a window and for each shed call
+	floor    atomic.Int32 // lowest limit that shed calls leave in this window
 	waiting  atomic.Int32 // length of the queue
 	pressed  atomic.Bool  // demand exceeds the limit
-	_        [48]byte
+	cold     atomic.Bool  // the server is in its cold start
+	_        [40]byte
 
 	mu      sync.Mutex // guards the queue
 	queue   queue
@@ -44,7 +46,7 @@
 	g := &Gate{cfg: cfg, limiter: limit.New(cfg.Slots)}
 	g.queue.list = make([]*Ticket, 0, cfg.QueueLen+1)
 	g.window.gain = 1
-	g.limit.Store(int32(g.limiter.Limit()))
+	g.setLimit()
 	g.Configure(cfg.Kinds)
 	return g
 }
@@ -156,7 +158,7 @@
 		g.queue.remove(t)
 		t.refuse(reason.DeadlineTooShort)
 	}
-	if t.queued && req.Hop > 0 && g.pressed.Load() && t.kind.thins(req) {
+	if t.queued && req.Hop > 0 && g.pressed.Load() && t.kind.thins(req, g.cfg.Window, now) {
 		g.queue.remove(t)
 		g.drop(t, reason.Overload)
 	}
@@ -259,12 +261,35 @@
 // Leave ends a call that ran.
 func (g *Gate) Leave(t *Ticket, u Usage, now time.Time) {
 	t.kind.leave(shardOf(t), u)
+	if u.Shed {
+		g.withdraw()
+	}
 	g.inflight.Add(-1)
 	if g.waiting.Load() > 0 {
 		g.release(now)
 	}
 }
 
+// withdraw takes the slot of a shed call off the limit until the window ends, down to the floor. A server
+// sheds in less time than it takes to answer, so a slot that stays in use would shed many requests of all
+// ranks within one window.
+func (g *Gate) withdraw() {
+	floor := g.floor.Load()
+	for {
+		n := g.limit.Load()
+		if n <= floor || g.limit.CompareAndSwap(n, n-1) {
+			return
+		}
+	}
+}
+
+// setLimit puts the limiter's limit and state in force. The caller holds g.windowMu.
+func (g *Gate) setLimit() {
+	g.limit.Store(int32(g.limiter.Limit()))
+	g.floor.Store(int32(g.limiter.Floor()))
+	g.cold.Store(g.limiter.Cold())
+}
+
 // release hands free slots to waiting requests.
 func (g *Gate) release(now time.Time) {
 	g.mu.Lock()
@@ -322,6 +347,18 @@
 	return min(g.Fraction(kind), g.cfg.Paths.Except(g.cfg.Service, kind, now))
 }
 
+// Offload reports whether a new request that finds no free slot here is better handed to another server
+// of the service, although none has reported a free one. That holds for protected requests at a cold
+// server, as long as the others admit at least as much of the kind: its small limit may not even hold the
+// protected kinds, while the others run less urgent work that gives way to them.
+func (g *Gate) Offload(req *call.Request, now time.Time) bool {
+	if !req.Protected || !g.cold.Load() {
+		return false
+	}
+	other, _ := g.cfg.Paths.Of(g.cfg.Service, req.Kind, now)
+	return other >= g.Fraction(req.Kind)
+}
+
 // Free returns the slots that are free.
 func (g *Gate) Free() ident.Slots { return max(g.Limit()-g.Inflight(), 0) }
 
@@ -340,7 +377,7 @@
 	g.windowMu.Lock()
 	defer g.windowMu.Unlock()
 	g.limiter.SetSlots(n)
-	g.limit.Store(int32(g.limiter.Limit()))
+	g.setLimit()
 }
 
 // StartCold begins a cold start of the server.
@@ -348,7 +385,7 @@
 	g.windowMu.Lock()
 	defer g.windowMu.Unlock()
 	g.limiter.StartCold(now)
-	g.limit.Store(int32(g.limiter.Limit()))
+	g.setLimit()
 }
 
 // Configure sets the kinds of the rules. Requests of other kinds share one entry of the lowest rank.
--- a/pkg/admit/window.go
+++ b/pkg/admit/window.go
@@ -107,7 +107,7 @@
 	}
 	s.Full = used >= fullUse
 	g.limiter.Roll(w.standard(s, &m), now)
-	g.limit.Store(int32(g.limiter.Limit()))
+	g.setLimit()
 	g.divide(used, waits > 0, refused, s, now)
 }
 
@@ -304,7 +304,7 @@
 	// Upstream nodes learn a fraction about one window after it is published.
 	e.shown += (float64(k.own.load()) - e.shown) * 0.5
 	k.own.store(own)
-	k.thin.store(thin)
+	k.thin.Store(k.thin.Load().push(thin))
 	k.divideCallers(g.entry(k, now))
 }
 
--- a/pkg/admit/window_test.go
+++ b/pkg/admit/window_test.go
@@ -78,3 +78,99 @@
 		t.Errorf("own time of a call after a shift of the mix: got %.3f of the time before, want 1", got)
 	}
 }
+
+// Guards against a request that is dropped at a later call because the part that fits has narrowed
+// since its first call ran, and against new requests that keep the wider part.
+func TestThinsByWidestSinceBirth(t *testing.T) {
+	tests := map[string]struct {
+		parts []ident.Fraction // by window, the newest last
+		age   time.Duration
+		want  ident.Fraction
+	}{
+		"no window yet":            {nil, 0, 0},
+		"new":                      {[]ident.Fraction{0.9, 0.2, 0.2, 0.2}, 0, 0.2},
+		"born in the wide window":  {[]ident.Fraction{0.9, 0.2, 0.2, 0.2}, 100 * time.Millisecond, 0.9},
+		"widened since":            {[]ident.Fraction{0.1, 0.1, 0.4, 0.1}, 200 * time.Millisecond, 0.4},
+		"older than what is known": {[]ident.Fraction{0.9, 0.1, 0.1, 0.1, 0.1, 0.1, 0.1, 0.1, 0.1, 0.1, 0.1}, time.Hour, 0.1},
+		"born later than now":      {[]ident.Fraction{0.9, 0.2, 0.2, 0.2}, -time.Second, 0.2},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := &thinned{}
+			for _, part := range tc.parts {
+				h = h.push(part)
+			}
+			if got := h.widest(tc.age, DefaultWindow); got != tc.want {
+				t.Errorf("widest part: got %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
+
+// Guards against a server that sheds one request after the other on the same slot until the window
+// ends, and against one burst of sheds that takes the whole limit.
+func TestShedWithdrawsSlot(t *testing.T) {
+	tests := map[string]struct {
+		shed int
+		want ident.Slots
+	}{
+		"none":       {0, 10},
+		"some":       {3, 7},
+		"at the end": {9, 5},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := New(Config{Slots: 10, Kinds: []share.Kind{{Name: "any"}}})
+			var running []*Ticket
+			enter := func() {
+				tk := &Ticket{}
+				tk.Wake = func(Verdict, time.Time) { running = append(running, tk) }
+				if g.Enter(&call.Request{Kind: "any", Hop: 1, Passed: 1, Born: start}, tk, start) == Run {
+					running = append(running, tk)
+				}
+			}
+			for range 25 {
+				enter()
+			}
+			for _, tk := range running[:tc.shed] {
+				g.Leave(tk, Usage{Shed: true}, start)
+			}
+			if got := g.Limit(); got != tc.want {
+				t.Errorf("limit: got %v, want %v", got, tc.want)
+			}
+			if got := g.Inflight(); got > tc.want {
+				t.Errorf("in flight: got %v, want at most %v", got, tc.want)
+			}
+		})
+	}
+}
+
+// Guards against protected requests that time out at a cold server while other servers of the service
+// run less urgent work, and against handing on where the others are no better.
+func TestOffload(t *testing.T) {
+	tests := map[string]struct {
+		cold, protected bool
+		own, other      ident.Fraction
+		want            bool
+	}{
+		"cold":                     {true, true, 1, 1, true},
+		"cold, narrower here":      {true, true, 0.4, 0.5, true},
+		"cold, narrower elsewhere": {true, true, 0.9, 0.5, false},
+		"not protected":            {true, false, 1, 1, false},
+		"warm":                     {false, true, 0.4, 1, false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			paths := &share.Paths{}
+			g := New(Config{Service: "s", Slots: 16, Paths: paths, Kinds: []share.Kind{{Name: "claim", Protected: true}}})
+			if tc.cold {
+				g.StartCold(start)
+			}
+			g.kinds.Load().find("claim").own.store(tc.own)
+			paths.Learn("s", "claim", tc.other, start)
+			if got := g.Offload(&call.Request{Kind: "claim", Protected: tc.protected}, start); got != tc.want {
+				t.Errorf("offload: got %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
