probe: share waits and free addresses among the tests

Five packages had the same loop that waits for a condition, and two the same search for free ports. Limits and conditions are unchanged.

--- a/internal/applog/applog_test.go
+++ b/internal/applog/applog_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/goleak"
 
 	"briarworks.example/briarworks/internal/fakes"
+	"briarworks.example/briarworks/internal/probe"
 	"briarworks.example/briarworks/internal/record"
 	"briarworks.example/briarworks/internal/record/recpb"
 	"briarworks.example/briarworks/pkg/fleet"
@@ -317,11 +318,5 @@
 
 func waitFor(t *testing.T, what string, ok func() bool) {
 	t.Helper()
-	end := time.Now().Add(bound)
-	for !ok() {
-		if time.Now().After(end) {
-			t.Fatalf("%s: got no such state in time", what)
-		}
-		<-time.After(time.Millisecond)
-	}
+	probe.Within(t, bound, what, ok)
 }
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -14,6 +14,7 @@
 
 	"briarworks.example/briarworks/internal/applog"
 	"briarworks.example/briarworks/internal/fakes"
+	"briarworks.example/briarworks/internal/probe"
 	"briarworks.example/briarworks/internal/record"
 	"briarworks.example/briarworks/pkg/call"
 	"briarworks.example/briarworks/pkg/ident"
@@ -68,13 +69,7 @@
 
 func waitFor(t testing.TB, what string, ok func() bool) {
 	t.Helper()
-	end := time.Now().Add(bound)
-	for !ok() {
-		if time.Now().After(end) {
-			t.Fatalf("%s: got no such state in time", what)
-		}
-		<-time.After(time.Millisecond)
-	}
+	probe.Within(t, bound, what, ok)
 }
 
 func request(key string, wait time.Duration) *call.Request {
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -21,6 +20,7 @@
 	"briarworks.example/briarworks/internal/fakes"
 	"briarworks.example/briarworks/internal/flight"
 	"briarworks.example/briarworks/internal/policy"
+	"briarworks.example/briarworks/internal/probe"
 	"briarworks.example/briarworks/internal/record"
 	"briarworks.example/briarworks/internal/record/recpb"
 	"briarworks.example/briarworks/internal/server"
@@ -33,10 +33,7 @@
 
 const (
 	waitLimit  = 15 * time.Second // ends a wait that fails
-	waitStep   = 5 * time.Millisecond
 	retryBound = 3
-	firstPort  = 31000 // below the ports that systems give to outgoing connections
-	portCount  = 1700
 )
 
 const document = `
@@ -127,23 +124,11 @@
 	return f
 }
 
-var nextPort atomic.Int64
+// ports are below those that systems give to outgoing connections.
+var ports = probe.Ports{First: 31000, Count: 1700}
 
 // ports returns free addresses on loopback.
-func (f *testFleet) ports(n int) (all []ident.Address) {
-	nextPort.CompareAndSwap(0, int64(os.Getpid()*17%portCount)+1)
-	for tries := 0; len(all) < n && tries < portCount; tries++ {
-		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%portCount)
-		if ln, err := net.Listen("tcp", addr); err == nil {
-			_ = ln.Close()
-			all = append(all, ident.Address(addr))
-		}
-	}
-	if len(all) < n {
-		f.Fatal("no free ports")
-	}
-	return all
-}
+func (f *testFleet) ports(n int) []ident.Address { return ports.Addresses(f, n) }
 
 // add starts a backend server, which calls the next service if there is one, and its node.
 func (f *testFleet) add(service ident.Service, next string, change func(*setup.Settings)) *member {
@@ -271,16 +256,7 @@
 // within waits until a condition holds.
 func (f *testFleet) within(limit time.Duration, what string, holds func() bool) {
 	f.Helper()
-	tick := time.NewTicker(waitStep)
-	defer tick.Stop()
-	end := time.After(limit)
-	for !holds() {
-		select {
-		case <-tick.C:
-		case <-end:
-			f.Fatalf("after %v: %s does not hold", limit, what)
-		}
-	}
+	probe.Within(f, limit, what, holds)
 }
 
 // inForce reports whether a version is in force at all members.
--- /dev/null
+++ b/internal/probe/probe.go
@@ -0,0 +1,61 @@
+package probe
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"briarworks.example/briarworks/pkg/ident"
+)
+
+// step is the time between two looks at a condition.
+const step = 2 * time.Millisecond
+
+// Within waits until a condition holds, and ends the test when it does not within the limit.
+func Within(t testing.TB, limit time.Duration, what string, holds func() bool) {
+	t.Helper()
+	tick := time.NewTicker(step)
+	defer tick.Stop()
+	end := time.After(limit)
+	for !holds() {
+		select {
+		case <-tick.C:
+		case <-end:
+			t.Fatalf("after %v: not so: %s", limit, what)
+		}
+	}
+}
+
+// Ports gives out ports of a range, each once; it is made with its range. The range should be one that the
+// system does not use for outgoing connections, since one of them could take a port that was free a moment ago.
+type Ports struct {
+	First, Count int
+
+	mu   sync.Mutex
+	next int
+}
+
+// Addresses returns loopback addresses with free ports.
+func (p *Ports) Addresses(t testing.TB, n int) (all []ident.Address) {
+	t.Helper()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.next == 0 {
+		p.next = os.Getpid() * 101 // another run of the tests begins elsewhere
+	}
+	for tries := 0; len(all) < n; tries++ {
+		if tries == p.Count {
+			t.Fatal("no free ports")
+		}
+		p.next++
+		addr := fmt.Sprintf("127.0.0.1:%d", p.First+p.next%p.Count)
+		if ln, err := net.Listen("tcp", addr); err == nil {
+			_ = ln.Close()
+			all = append(all, ident.Address(addr))
+		}
+	}
+	return all
+}
--- a/internal/relay/join_test.go
+++ b/internal/relay/join_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"briarworks.example/briarworks/internal/flight"
+	"briarworks.example/briarworks/internal/probe"
 	"briarworks.example/briarworks/pkg/admit"
 	"briarworks.example/briarworks/pkg/call"
 	"briarworks.example/briarworks/pkg/fleet"
@@ -59,16 +60,7 @@
 // waitFor waits until a condition holds.
 func waitFor(t *testing.T, what string, holds func() bool) {
 	t.Helper()
-	tick := time.NewTicker(time.Millisecond)
-	defer tick.Stop()
-	end := time.After(waitLimit)
-	for !holds() {
-		select {
-		case <-tick.C:
-		case <-end:
-			t.Fatalf("after %v: %s does not hold", waitLimit, what)
-		}
-	}
+	probe.Within(t, waitLimit, what, holds)
 }
 
 // waiters returns how many callers wait for the call with a key.
--- a/internal/system/fleet_test.go
+++ b/internal/system/fleet_test.go
@@ -8,7 +8,6 @@
 	"flag"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -25,6 +24,7 @@
 	"briarworks.example/briarworks/internal/applog"
 	"briarworks.example/briarworks/internal/fakes"
 	_ "briarworks.example/briarworks/internal/node" // a change there must not leave a cached result of these tests
+	"briarworks.example/briarworks/internal/probe"
 	"briarworks.example/briarworks/internal/record"
 	"briarworks.example/briarworks/internal/setup"
 	"briarworks.example/briarworks/pkg/ident"
@@ -34,7 +34,6 @@
 // Bounds of the tests; waits are for conditions, and these only end a wait that fails.
 const (
 	waitLimit = 20 * time.Second
-	waitStep  = 10 * time.Millisecond
 )
 
 const document = `
@@ -128,40 +127,8 @@
 	}
 }
 
-// Ports are taken from a range that systems do not use for outgoing connections, because a port that
-// was free a moment ago could otherwise be taken by one. Fleets run at the same time, so each port is
-// given out once.
-var ports struct {
-	mu   sync.Mutex
-	next int
-}
-
-const (
-	firstPort = 23000
-	portCount = 8000
-)
-
-// addresses returns loopback addresses with free ports.
-func addresses(t *testing.T, n int) (all []ident.Address) {
-	t.Helper()
-	ports.mu.Lock()
-	defer ports.mu.Unlock()
-	if ports.next == 0 {
-		ports.next = os.Getpid() * 101 // another run of the tests begins elsewhere
-	}
-	for tries := 0; len(all) < n; tries++ {
-		if tries == portCount {
-			t.Fatal("no free ports")
-		}
-		ports.next++
-		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+ports.next%portCount)
-		if ln, err := net.Listen("tcp", addr); err == nil {
-			_ = ln.Close()
-			all = append(all, ident.Address(addr))
-		}
-	}
-	return all
-}
+// ports are below those that systems give to outgoing connections. Fleets run at the same time.
+var ports = probe.Ports{First: 23000, Count: 8000}
 
 // server is a backend server with its node.
 type server struct {
@@ -187,7 +154,7 @@
 // all is over.
 func newSystem(t *testing.T, slots int) *system {
 	t.Helper()
-	s := &system{t: t, logAddress: addresses(t, 1)[0]}
+	s := &system{t: t, logAddress: ports.Addresses(t, 1)[0]}
 	s.log = start(t, "briarfake", "log", "--listen", string(s.logAddress))
 	for i := range 2 {
 		s.calendar = append(s.calendar, s.add("calendar", i, nil))
@@ -208,7 +175,7 @@
 // add starts a backend server and its node.
 func (s *system) add(service string, i int, seeds []ident.Address) *server {
 	s.t.Helper()
-	a := addresses(s.t, 5)
+	a := ports.Addresses(s.t, 5)
 	v := &server{set: setup.Settings{
 		Server: ident.Server(fmt.Sprintf("%s-%d", service, i)), Service: ident.Service(service), DataCentre: "c",
 		Listen:  setup.Listen{Callers: a[0], Local: a[1], Peers: a[2], Operator: a[3]},
@@ -258,16 +225,7 @@
 
 func (s *system) within(limit time.Duration, what string, holds func() bool) {
 	s.t.Helper()
-	tick := time.NewTicker(waitStep)
-	defer tick.Stop()
-	end := time.After(limit)
-	for !holds() {
-		select {
-		case <-tick.C:
-		case <-end:
-			s.t.Fatalf("after %v: not so: %s", limit, what)
-		}
-	}
+	probe.Within(s.t, limit, what, holds)
 }
 
 var control = &http.Client{Timeout: 2 * time.Second}
