--- a/internal/matrix/spec.go
+++ b/internal/matrix/spec.go
@@ -194,6 +194,7 @@
 			announce:   by(in(pkgNode, "TestTrouble/connections_silent")),
 			leave:      by(in(pkgNode, "TestTrouble/connections_silent")),
 			fold:       by(in(pkgNode, "TestTrouble/connections_silent")),
+			accepted:   by(in(pkgFront, "TestBadInput/body_that_stalls", "TestBadInput/chunked_body_that_stalls")),
 		},
 		late: {
 			appended:   by(in(pkgLog, "TestLateEffect"), in(pkgKeeper, "TestGiveUp")),
