--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -24,6 +24,10 @@
 	syncTimeout  = 2 * time.Second
 	seedPeriod   = time.Second // between two tries to reach a seed
 	maxNews      = 64          // batches of news that wait to be told
+
+	// reconnectTries bounds what a node without connections tries in one period: when most of a large fleet is
+	// gone, each try at random may meet a server that is.
+	reconnectTries = 8
 )
 
 // summary tells a peer what this node holds.
@@ -123,12 +127,14 @@
 // of its own, and without one it would learn nothing more when it cannot reach the log.
 func (n *Node) reconnect(ctx context.Context) (from ident.Server, reply *wirepb.SyncReply) {
 	all := n.Roster.Table().All()
+	tries := 0
 	for _, i := range mrand.Perm(len(all)) {
 		addr, ok := n.addressOf(all[i].Server)
 		if !ok || all[i].Server == n.Self.Server {
 			continue
 		}
-		if from, reply, _ = n.Book.SyncTo(ctx, addr, n.summary()); reply != nil || ctx.Err() != nil {
+		from, reply, _ = n.Book.SyncTo(ctx, addr, n.summary())
+		if tries++; reply != nil || tries == reconnectTries || ctx.Err() != nil {
 			break
 		}
 	}
