peer: forget links to addresses that no member has

Book kept one link for each address that was ever called, so a fleet whose instances are replaced at any time made it grow without bound.

--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -96,11 +96,21 @@
 	return r.GetDigest() != n.Roster.Table().Digest() || ident.Version(r.GetConfigVersion()) < n.Policy.Current().Accepted.Version
 }
 
+// addresses returns whether an address is that of a member that has not left.
+func (n *Node) addresses() func(ident.Address) bool {
+	known := make(map[ident.Address]bool)
+	for _, m := range n.Roster.Table().All() {
+		known[m.Address] = known[m.Address] || !m.Left
+	}
+	return func(a ident.Address) bool { return known[a] }
+}
+
 // exchange compares state with one connected peer at a time, and with the seeds while no peer is known.
 func (n *Node) exchange(ctx context.Context) {
 	n.join(ctx)
 	every(ctx, syncPeriod, func(now time.Time) {
 		n.Roster.Expire(now)
+		n.Book.Forget(n.addresses())
 		short, cancel := context.WithTimeout(ctx, syncTimeout)
 		defer cancel()
 		from, reply := n.Book.Sync(short, n.summary())
--- a/internal/peer/book.go
+++ b/internal/peer/book.go
@@ -85,6 +85,24 @@
 	return l.(*Link)
 }
 
+// Forget drops the links to addresses that are not known any more, as of a peer that left or has another
+// address now. A link with a session or a dial under way stays until these have ended, so that its calls
+// are settled; without this each address that a fleet ever used would be kept.
+func (b *Book) Forget(known func(ident.Address) bool) {
+	b.links.Range(func(k, v any) bool {
+		if l := v.(*Link); !known(l.addr) && l.unused() {
+			b.links.CompareAndDelete(k, l)
+		}
+		return true
+	})
+}
+
+// Links returns the number of links that are kept.
+func (b *Book) Links() (n int) {
+	b.links.Range(func(any, any) bool { n++; return true })
+	return n
+}
+
 // enter counts a goroutine that Close waits for and returns the context that Close ends.
 func (b *Book) enter() (ctx context.Context, err error) {
 	b.mu.Lock()
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -232,6 +232,7 @@
 	addr   ident.Address
 	cur    atomic.Pointer[session]
 	miss   atomic.Int64 // time of the last dial that failed or took too long, ns; 0 after one that succeeded
+	calls  atomic.Int64 // calls that use the link or settle over it
 	mu     sync.Mutex   // guards newest and the replacement of cur
 	newest *dialing     // the dial that callers wait for; nil when none is under way
 }
@@ -341,6 +342,13 @@
 	return miss != 0 && l.(*Link).live() == nil && now.UnixNano()-miss < int64(unreachableFor)
 }
 
+// unused reports whether nothing of the link is in use: no session, no dial, no call.
+func (l *Link) unused() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.live() == nil && l.newest == nil && l.calls.Load() == 0
+}
+
 func (l *Link) live() *session {
 	if s := l.cur.Load(); s != nil && !s.IsClosed() {
 		return s
--- a/internal/peer/out.go
+++ b/internal/peer/out.go
@@ -26,6 +26,8 @@
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
 	l := b.Link(addr)
+	l.calls.Add(1)
+	defer l.calls.Add(-1)
 	s, st, err := b.open(ctx, l)
 	if err != nil {
 		why := reason.NoServer
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -311,6 +312,48 @@
 	close(release)
 }
 
+// Guards against links that are kept for every address that was ever called, and against one that is
+// forgotten while it is in use.
+func TestForget(t *testing.T) {
+	entered, release := make(chan struct{}, 1), make(chan struct{})
+	p := newPair(t, func(context.Context, *call.Request) call.Result {
+		entered <- struct{}{}
+		<-release
+		return call.Result{Outcome: reason.Ran, Status: 200, Fraction: 1}
+	})
+	const gone = 100
+	for i := range gone {
+		p.a.Link(ident.Address(fmt.Sprint("127.0.0.1:", i)))
+	}
+	known := func(a ident.Address) bool { return a == "127.0.0.1:7" }
+	none := func(ident.Address) bool { return false }
+	var wg sync.WaitGroup
+	p.connect(t)
+	wg.Go(func() { p.a.Call(t.Context(), p.addr(), request(hangLimit)) })
+	<-entered
+	l := p.a.Link(p.addr())
+	p.a.Forget(known)
+	if got, want := p.a.Links(), 2; got != want {
+		t.Errorf("links: got %d, want %d: one known, one in use", got, want)
+	}
+	v := p.last()
+	_ = v.Conn.Close()
+	<-v.ended
+	p.a.Forget(none)
+	if got, want := p.a.Link(p.addr()), l; got != want {
+		t.Error("link of a call that is being settled: got another one, want the same")
+	}
+	close(release)
+	wg.Wait()
+	until(t, "no link after the last call", func() bool {
+		if s := l.live(); s != nil {
+			_ = s.Close()
+		}
+		p.a.Forget(none)
+		return p.a.Links() == 0
+	})
+}
+
 // Guards against unbounded memory when answers are never confirmed.
 func TestKeptAnswersAreBounded(t *testing.T) {
 	var c calls
