--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -38,20 +38,24 @@
 	next int
 }
 
+// host returns a loopback address of this process's own. Two runs of the tests at a time took each other's
+// ports between the look and the use while they shared one address.
+func host() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>15&0x7f, pid>>7&0xff, 1+pid&0x7f)
+}
+
 // Addresses returns loopback addresses with free ports.
 func (p *Ports) Addresses(t testing.TB, n int) (all []ident.Address) {
 	t.Helper()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.next == 0 {
-		p.next = os.Getpid() * 101 // another run of the tests begins elsewhere
-	}
 	for tries := 0; len(all) < n; tries++ {
 		if tries == p.Count {
 			t.Fatal("no free ports")
 		}
+		addr := fmt.Sprintf("%s:%d", host(), p.First+p.next%p.Count)
 		p.next++
-		addr := fmt.Sprintf("127.0.0.1:%d", p.First+p.next%p.Count)
 		if ln, err := net.Listen("tcp", addr); err == nil {
 			_ = ln.Close()
 			all = append(all, ident.Address(addr))
--- a/pkg/reason/reason.go
+++ b/pkg/reason/reason.go
@@ -55,6 +55,7 @@
 	HeadersTooLarge                 // headers over the bound
 	NodeFull                        // the node carries as many requests as it may
 	KeyShare                        // the caller holds as many keys of the partition as it may
+	HeadersSlow                     // the caller took too long to send its headers
 	refusalCount
 )
 
@@ -64,7 +65,7 @@
 	"keyRunning", "keyUnknown", "badRequest", "bodyTooLarge", "bodyShort", "answerTooLarge",
 	"unknownKind", "budgetSpent", "connectionLost", "connectionSilent", "cancelled", "peerVersion",
 	"depthExceeded", "internal", "keyMissing", "keyReused",
-	"headersTooLarge", "nodeFull", "keyShare",
+	"headersTooLarge", "nodeFull", "keyShare", "headersSlow",
 }
 
 // String returns the name used in answers, records, logs and metrics.
