server: show that extra bytes can reach another caller's answer

A backend server that sends two answers where one was asked, in one write on a kept connection, has the second one taken as the answer to the next request. net/http puts a connection back into its pool before it looks for bytes beyond the answer; a request that waits for a connection takes it at that moment.

--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -222,3 +223,44 @@
 		t.Error("header of the caller: got none, want it passed on")
 	}
 }
+
+// Guards against bytes that a backend server sends beyond an answer on a kept connection and that become
+// the answer to the next request, of another caller.
+func TestExtraAnswer(t *testing.T) {
+	const calls, conns, extra = 400, 4, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra"
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s%s", len(r.URL.Path), r.URL.Path, extra)
+		_, _ = io.Copy(io.Discard, c)
+	})}
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = srv.Serve(ln) })
+	client := New(ident.Address(ln.Addr().String()), conns)
+	t.Cleanup(func() {
+		client.Close()
+		_ = srv.Close()
+		wg.Wait()
+	})
+	var next atomic.Int64
+	var callers sync.WaitGroup
+	for range 2 * conns {
+		callers.Go(func() {
+			for n := next.Add(1); n <= calls; n = next.Add(1) {
+				req, now := request(soon) // a request on a spoiled connection gets no other answer
+				req.Path = fmt.Sprint("/", n)
+				if res := client.Run(t.Context(), req, "t", now); res.Outcome == reason.Ran && string(res.Body) != req.Path {
+					t.Errorf("call %d: got %q, want its own answer or none", n, res.Body)
+				}
+			}
+		})
+	}
+	callers.Wait()
+}
