server: look for bytes beyond an answer before a connection carries another request

Ruled out: a wrapper of the connection, which cannot know where an answer ends without parsing it, and one transport for each connection, which reads on in a goroutine of its own all the same. The pool is now ours; net/http still writes the requests and reads the answers. A connection is looked at when it is given back and when it is taken, and is closed and counted (serverExtraBytes) if it holds bytes. An empty POST is sent with a length of 0 instead of as chunks, because nothing repeats a request behind our back.

--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -124,6 +124,10 @@
 		NewKey:  func() ident.Key { return ident.Key(random()) },
 		Refused: n.refused, Served: p.Stats.Served,
 	}
+	p.Backend.Extra = func() {
+		n.Stats.Count("serverExtraBytes")
+		n.Log.Warn("serverExtraBytes", zap.String("backend", string(p.Backend.Addr)))
+	}
 	p.Book.OnCall = n.Relay.Serve
 	p.Book.OnLost = n.onLost
 	p.Book.OnSync = n.onSync
--- /dev/null
+++ b/internal/server/pool.go
@@ -0,0 +1,195 @@
+package server
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// errHeaders reports an answer whose headers are over the bound.
+var errHeaders = errors.New("server: headers of the answer are too large")
+
+// conn is a connection to the backend server. It carries one request at a time.
+type conn struct {
+	net.Conn
+	r    *bufio.Reader
+	w    *bufio.Writer
+	left int64     // bytes that may still be read; bounds the headers of an answer
+	used time.Time // end of the last request
+}
+
+func newConn(c net.Conn) *conn {
+	k := &conn{Conn: c}
+	k.r, k.w = bufio.NewReader(k), bufio.NewWriter(c)
+	return k
+}
+
+// Read reads from the connection within the bound.
+func (c *conn) Read(p []byte) (n int, err error) {
+	if c.left <= 0 {
+		return 0, errHeaders
+	}
+	n, err = c.Conn.Read(p[:min(int64(len(p)), c.left)])
+	c.left -= int64(n)
+	return n, err
+}
+
+// state of a connection that waits for a request.
+type state uint8
+
+const (
+	quiet  state = iota
+	ended        // closed by the server, or broken
+	spoilt       // holds bytes that belong to no request
+)
+
+// look tells the state of a connection without waiting.
+func (c *conn) look() state {
+	if c.r.Buffered() > 0 {
+		return spoilt
+	}
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return quiet
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return ended
+	}
+	var (
+		b  [1]byte
+		n  int
+		at error
+	)
+	err = raw.Read(func(fd uintptr) bool {
+		n, _, at = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return true
+	})
+	switch {
+	case err != nil:
+		return ended
+	case errors.Is(at, syscall.EAGAIN):
+		return quiet
+	case at == nil && n > 0:
+		return spoilt
+	}
+	return ended
+}
+
+// pool holds the connections to the backend server, at most as many as it was made for. net/http's own
+// pool puts a connection back before it has looked for bytes beyond the answer, and a request that
+// waits for a connection then gets them as its answer.
+type pool struct {
+	dial  func(ctx context.Context) (net.Conn, error)
+	extra func()        // told of bytes beyond an answer
+	slots chan struct{} // one for each connection that carries a request
+
+	mu     sync.Mutex
+	idle   []*conn // the one used last at the end
+	closed bool
+	timer  *time.Timer // runs while connections are idle
+}
+
+// take returns an idle connection or a new one. It waits while all may not carry another request.
+func (p *pool) take(ctx context.Context) (c *conn, err error) {
+	select {
+	case p.slots <- struct{}{}:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	for c = p.pop(); c != nil; c = p.pop() {
+		switch c.look() {
+		case quiet:
+			return c, nil
+		case spoilt:
+			p.extra()
+		}
+		_ = c.Close()
+	}
+	n, err := p.dial(ctx)
+	if err != nil {
+		<-p.slots
+		return nil, err
+	}
+	return newConn(n), nil
+}
+
+// give takes a connection back; one that must not carry another request is closed.
+func (p *pool) give(c *conn, keep bool, now time.Time) {
+	if keep && c.r.Buffered() > 0 {
+		p.extra()
+		keep = false
+	}
+	if !keep || !p.push(c, now) {
+		_ = c.Close()
+	}
+	<-p.slots
+}
+
+func (p *pool) pop() (c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if n := len(p.idle) - 1; n >= 0 {
+		c, p.idle[n] = p.idle[n], nil
+		p.idle = p.idle[:n]
+	}
+	return c
+}
+
+func (p *pool) push(c *conn, now time.Time) bool {
+	c.used = now
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return false
+	}
+	p.idle = append(p.idle, c)
+	if p.timer == nil {
+		p.timer = time.AfterFunc(idleTimeout, p.trim)
+	}
+	return true
+}
+
+// trim closes the connections that were idle for too long, and looks again while some are left.
+func (p *pool) trim() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	oldest := time.Now().Add(-idleTimeout)
+	n := 0
+	for ; n < len(p.idle) && !p.idle[n].used.After(oldest); n++ {
+		_ = p.idle[n].Close()
+	}
+	rest := copy(p.idle, p.idle[n:])
+	clear(p.idle[rest:])
+	p.idle = p.idle[:rest]
+	p.timer = nil
+	if rest > 0 && !p.closed {
+		p.timer = time.AfterFunc(p.idle[0].used.Sub(oldest), p.trim)
+	}
+}
+
+// close closes the idle connections, and those in use when they are given back.
+func (p *pool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, c := range p.idle {
+		_ = c.Close()
+	}
+	p.idle = nil
+	if p.timer != nil {
+		p.timer.Stop()
+	}
+}
+
+// drained reports whether an answer was read to its end.
+func drained(r io.Reader) bool {
+	var b [1]byte
+	n, err := r.Read(b[:])
+	return n == 0 && err == io.EOF
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -5,9 +5,9 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/textproto"
 	"strconv"
 	"strings"
@@ -42,16 +42,22 @@
 	idleTimeout = 2 * time.Second
 )
 
-// Client runs requests on one backend server.
+// maxInterim bounds the interim answers (status 1xx) before an answer.
+const maxInterim = 5
+
+// Client runs requests on one backend server. Its exported fields are set before the first request.
 type Client struct {
 	Addr  ident.Address
+	Dial  func(ctx context.Context, network, addr string) (net.Conn, error)
+	Extra func() // told when a connection was closed because the server sent bytes beyond an answer; may be nil
 	conns atomic.Int32
-	http  atomic.Pointer[http.Transport]
+	pool  atomic.Pointer[pool]
 }
 
 // New returns a client that opens at most conns connections to the server.
 func New(addr ident.Address, conns ident.Conns) *Client {
-	c := &Client{Addr: addr}
+	d := &net.Dialer{Timeout: dialTimeout}
+	c := &Client{Addr: addr, Dial: d.DialContext}
 	c.Resize(conns)
 	return c
 }
@@ -61,22 +67,22 @@
 	if c.conns.Swap(int32(conns)) == int32(conns) {
 		return
 	}
-	d := &net.Dialer{Timeout: dialTimeout}
-	t := &http.Transport{
-		DialContext:            d.DialContext,
-		MaxConnsPerHost:        int(conns),
-		MaxIdleConnsPerHost:    int(conns),
-		IdleConnTimeout:        idleTimeout,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: int64(call.MaxHeader),
+	p := &pool{
+		slots: make(chan struct{}, conns),
+		dial:  func(ctx context.Context) (net.Conn, error) { return c.Dial(ctx, "tcp", string(c.Addr)) },
+		extra: func() {
+			if c.Extra != nil {
+				c.Extra()
+			}
+		},
 	}
-	if old := c.http.Swap(t); old != nil {
-		old.CloseIdleConnections()
+	if old := c.pool.Swap(p); old != nil {
+		old.close()
 	}
 }
 
 // Close closes the idle connections.
-func (c *Client) Close() { c.http.Load().CloseIdleConnections() }
+func (c *Client) Close() { c.pool.Load().close() }
 
 // Run runs a request once and returns its result.
 func (c *Client) Run(ctx context.Context, req *call.Request, token flight.Token, now time.Time) call.Result {
@@ -89,54 +95,83 @@
 		ctx, cancel = context.WithDeadline(ctx, req.Deadline)
 		defer cancel()
 	}
-	var wrote atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		WroteHeaderField: func(string, []string) { wrote.Store(true) },
-	})
 	hr, err := c.request(ctx, req, token, now)
 	if err != nil {
 		return call.Refuse(reason.BadRequest)
 	}
-	// The transport itself, since http.Client copies the headers for redirects, which are passed on here.
-	resp, err := c.http.Load().RoundTrip(hr)
+	p := c.pool.Load()
+	k, err := p.take(ctx)
+	if err != nil {
+		return failed(ctx, err, false)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = k.SetDeadline(time.Unix(1, 0)) })
+	res, keep := exchange(ctx, k, hr)
+	p.give(k, stop() && keep, time.Now())
+	return res
+}
+
+// exchange sends a request and reads its answer. It reports whether the connection may carry another
+// one. Nothing that was sent can be taken back, so what fails from here on has an unknown outcome.
+func exchange(ctx context.Context, k *conn, hr *http.Request) (res call.Result, keep bool) {
+	if ctx.Err() != nil {
+		return failed(ctx, ctx.Err(), false), false
+	}
+	sent := hr.Write(k.w)
+	if sent == nil {
+		sent = k.w.Flush()
+	}
+	// A server may answer before it has read all, and close the connection.
+	resp, err := readAnswer(k, hr)
 	if err != nil {
-		return failed(ctx, err, wrote.Load())
+		return failed(ctx, err, true), false
 	}
-	defer func() { _ = resp.Body.Close() }()
+	// The body is not closed: that would read what is left of it, without bound.
 	switch {
 	case resp.ContentLength > int64(call.MaxAnswer):
-		return call.Doubt(reason.AnswerTooLarge)
+		return call.Doubt(reason.AnswerTooLarge), false
 	case resp.StatusCode == http.StatusSwitchingProtocols:
-		return call.Doubt(reason.ServerFailed) // nobody asked for it, and what follows is no answer
+		return call.Doubt(reason.ServerFailed), false // nobody asked for it, and what follows is no answer
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(call.MaxAnswer)+1))
 	if err != nil {
-		return failed(ctx, err, true)
+		return failed(ctx, err, true), false
 	}
 	if ident.Bytes(len(body)) > call.MaxAnswer {
-		return call.Doubt(reason.AnswerTooLarge)
+		return call.Doubt(reason.AnswerTooLarge), false
 	}
-	return answered(resp, body)
+	return answered(resp, body), sent == nil && !resp.Close && drained(resp.Body)
 }
 
-// request builds the HTTP request. It has a body, even an empty one, that the transport cannot rewind,
-// because it would otherwise repeat a GET, or any request with an Idempotency-Key, on its own. The
-// transport knows the type of the body as one in memory and writes it together with the headers.
+// readAnswer reads the head of an answer, after those of interim answers.
+func readAnswer(k *conn, hr *http.Request) (resp *http.Response, err error) {
+	for range maxInterim {
+		k.left = int64(call.MaxHeader)
+		if resp, err = http.ReadResponse(k.r, hr); err != nil {
+			return nil, err
+		}
+		k.left = math.MaxInt64
+		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+			return resp, nil
+		}
+	}
+	return nil, oops.Errorf("server: more than %d interim answers", maxInterim)
+}
+
+// request builds the HTTP request.
 func (c *Client) request(ctx context.Context, req *call.Request, token flight.Token, now time.Time) (hr *http.Request, err error) {
 	defer func() { err = oops.Wrapf(err, "server: build request") }()
 	if !strings.HasPrefix(req.Path, "/") {
 		return nil, oops.Errorf("target %q is no path", req.Path) // behind the address it could name another one
 	}
-	hr, err = http.NewRequestWithContext(ctx, req.Method, "http://"+string(c.Addr)+req.Path, nil)
+	var body io.Reader = http.NoBody
+	if len(req.Body) > 0 {
+		body = bytes.NewReader(req.Body)
+	}
+	hr, err = http.NewRequestWithContext(ctx, req.Method, "http://"+string(c.Addr)+req.Path, body)
 	if err != nil {
 		return nil, err
 	}
-	hr.Body = io.NopCloser(bytes.NewReader(req.Body))
 	hr.ContentLength = int64(len(req.Body))
-	if len(req.Body) == 0 && bodiless[req.Method] {
-		// Else the transport starts a goroutine that looks for a first byte of the body.
-		hr.TransferEncoding = []string{"identity"}
-	}
 	for _, h := range req.Header {
 		hr.Header.Add(h.Name, h.Value)
 	}
@@ -147,11 +182,6 @@
 	return hr, nil
 }
 
-// bodiless names the methods whose requests say nothing of a body when they have none.
-var bodiless = map[string]bool{
-	http.MethodGet: true, http.MethodHead: true, http.MethodDelete: true, http.MethodOptions: true,
-}
-
 // failed sorts an error of the transport by what it proves.
 func failed(ctx context.Context, err error, wrote bool) call.Result {
 	switch {
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -240,7 +240,7 @@
 func TestRunRequests(t *testing.T) {
 	tests := map[string]struct {
 		method, body string
-		length       int64 // as the server reads it; -1 for chunks
+		length       int64 // as the server reads it
 	}{
 		"get":             {method: "GET"},
 		"head":            {method: "HEAD"},
@@ -248,7 +248,7 @@
 		"options":         {method: "OPTIONS"},
 		"get with a body": {method: "GET", body: "abc", length: 3},
 		"post":            {method: "POST", body: "abc", length: 3},
-		"empty post":      {method: "POST", length: -1},
+		"empty post":      {method: "POST"},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -272,8 +272,8 @@
 			c := New(ident.Address(ln.Addr().String()), 1)
 			defer c.Close()
 			var writes atomic.Int64
-			dial := c.http.Load().DialContext
-			c.http.Load().DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			dial := c.Dial
+			c.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
 				conn, err := dial(ctx, network, addr)
 				return counted{conn, &writes}, err
 			}
@@ -296,42 +296,69 @@
 }
 
 // Guards against bytes that a backend server sends beyond an answer on a kept connection and that become
-// the answer to the next request, of another caller.
+// the answer to the next request, of another caller. Bytes that arrive after the next request was sent
+// cannot be told from its answer, so those of a second write come before it.
 func TestExtraAnswer(t *testing.T) {
 	const calls, conns, extra = 400, 4, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra"
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	tests := map[string]struct {
+		apart   bool // the extra bytes come in a write of their own
+		callers int
+	}{
+		"one write":  {callers: 2 * conns},
+		"two writes": {apart: true, callers: 1},
 	}
-	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			return
-		}
-		defer func() { _ = c.Close() }()
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s%s", len(r.URL.Path), r.URL.Path, extra)
-		_, _ = io.Copy(io.Discard, c)
-	})}
-	var wg sync.WaitGroup
-	wg.Go(func() { _ = srv.Serve(ln) })
-	client := New(ident.Address(ln.Addr().String()), conns)
-	t.Cleanup(func() {
-		client.Close()
-		_ = srv.Close()
-		wg.Wait()
-	})
-	var next atomic.Int64
-	var callers sync.WaitGroup
-	for range 2 * conns {
-		callers.Go(func() {
-			for n := next.Add(1); n <= calls; n = next.Add(1) {
-				req, now := request(soon) // a request on a spoiled connection gets no other answer
-				req.Path = fmt.Sprint("/", n)
-				if res := client.Run(t.Context(), req, "t", now); res.Outcome == reason.Ran && string(res.Body) != req.Path {
-					t.Errorf("call %d: got %q, want its own answer or none", n, res.Body)
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			wrote := make(chan struct{}, calls)
+			srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				c, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				defer func() { _ = c.Close() }()
+				head := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(r.URL.Path), r.URL.Path)
+				if tt.apart {
+					_, _ = io.WriteString(c, head)
+					_, _ = io.WriteString(c, extra)
+				} else {
+					_, _ = io.WriteString(c, head+extra)
 				}
+				wrote <- struct{}{}
+				_, _ = io.Copy(io.Discard, c)
+			})}
+			var wg sync.WaitGroup
+			wg.Go(func() { _ = srv.Serve(ln) })
+			client := New(ident.Address(ln.Addr().String()), conns)
+			var extras atomic.Int64
+			client.Extra = func() { extras.Add(1) }
+			t.Cleanup(func() {
+				client.Close()
+				_ = srv.Close()
+				wg.Wait()
+			})
+			var next atomic.Int64
+			var callers sync.WaitGroup
+			for range tt.callers {
+				callers.Go(func() {
+					for n := next.Add(1); n <= calls; n = next.Add(1) {
+						req, now := request(enough)
+						req.Path = fmt.Sprint("/", n)
+						if res := client.Run(t.Context(), req, "t", now); res.Outcome != reason.Ran || string(res.Body) != req.Path {
+							t.Errorf("call %d: got %v %q, want its own answer", n, res.Outcome, res.Body)
+						}
+						<-wrote
+					}
+				})
+			}
+			callers.Wait()
+			// The bytes behind the last answer are found by the next request, and there is none.
+			if got, want := extras.Load(), int64(calls-1); got < want {
+				t.Errorf("connections with extra bytes: got %d, want at least %d", got, want)
 			}
 		})
 	}
-	callers.Wait()
 }
