spare: keep streams and connections by one piece of code

internal/peer kept streams and internal/server kept connections in two copies of the same list. The test packages share one counter of writes. Behaviour as before: the tests of both packages pass with the race detector.

--- a/internal/peer/kept.go
+++ b/internal/peer/kept.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -30,13 +29,13 @@
 // stream is a stream for calls, one at a time.
 type stream struct {
 	*yamux.Stream
-	r    *bufio.Reader
-	used time.Time // end of the last call
+	r *bufio.Reader
 }
 
 // stream returns a kept stream or a new one.
 func (s *session) stream(now time.Time) (st *stream, err error) {
-	if st = s.kept.take(now.Add(-keepStream)); st != nil && !s.IsClosed() {
+	// One that was kept for longer, through a pause of this process, the peer may have ended.
+	if st, ok := s.kept.Take(now.Add(-keepStream)); ok && !s.IsClosed() {
 		return st, nil
 	}
 	y, err := s.OpenStream()
@@ -57,37 +56,6 @@
 	return ident.Bytes(len(req.Body)) <= maxKeptBody && ident.Bytes(len(ans.GetBody())) <= maxKeptBody
 }
 
-// kept holds the streams of a session that wait for the next call, the one used last at the end. Calls
-// take that one, so that those in excess grow old and are closed.
-type kept struct {
-	mu   sync.Mutex
-	list []*stream
-}
-
-// take returns the stream that was used last, unless that was before a time: after a pause of this process
-// the peer may have ended it.
-func (k *kept) take(before time.Time) (st *stream) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if n := len(k.list) - 1; n >= 0 && !k.list[n].used.Before(before) {
-		st, k.list[n] = k.list[n], nil
-		k.list = k.list[:n]
-	}
-	return st
-}
-
-// put reports false when enough streams are kept.
-func (k *kept) put(st *stream, now time.Time) bool {
-	st.used = now
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if len(k.list) >= maxKeptStreams {
-		return false
-	}
-	k.list = append(k.list, st)
-	return true
-}
-
 // endIdle ends the streams of the peer that wait for a call since before a time.
 func (s *session) endIdle(before time.Time) {
 	s.served.Range(func(st, idle any) bool {
@@ -98,21 +66,12 @@
 	})
 }
 
-// trim closes the streams that were last used before a time, in the background since it writes.
-func (k *kept) trim(before time.Time) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	n := 0
-	for n < len(k.list) && k.list[n].used.Before(before) {
-		n++
-	}
-	if n == 0 {
+// trim closes the kept streams that were last used before a time, in the background since it writes.
+func (s *session) trim(before time.Time) {
+	old, _ := s.kept.Trim(before)
+	if len(old) == 0 {
 		return
 	}
-	old := append([]*stream(nil), k.list[:n]...)
-	rest := copy(k.list, k.list[n:])
-	clear(k.list[rest:])
-	k.list = k.list[:rest]
 	go func() { // ends by the write timeout or the end of the session
 		for _, st := range old {
 			st.end()
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/yamux"
 	"github.com/samber/oops"
 
+	"briarworks.example/briarworks/internal/spare"
 	"briarworks.example/briarworks/internal/wire"
 	"briarworks.example/briarworks/internal/wire/wirepb"
 	"briarworks.example/briarworks/pkg/ident"
@@ -152,13 +153,13 @@
 	outstanding atomic.Int64             // calls that wait for their answer
 	since       atomic.Int64             // time when outstanding last became non-zero, ns
 	silent      atomic.Bool              // closed because it was silent
-	kept        kept                     // streams that wait for the next call
+	kept        spare.List[*stream]      // streams that wait for the next call
 	served      sync.Map                 // *yamux.Stream of the peer -> *atomic.Int64, since when it waits for a call, ns; 0 when it does not
 	short       bool                     // opened for one exchange; its end is no loss of the peer
 }
 
 func newSession(conn net.Conn, client bool, now func() time.Time) (s *session, err error) {
-	s = &session{}
+	s = &session{kept: spare.List[*stream]{Max: maxKeptStreams}}
 	s.last.Store(now().UnixNano())
 	cfg := yamux.DefaultConfig()
 	cfg.EnableKeepAlive = false // silence is judged here, with limits that follow the calls
--- a/internal/peer/link_test.go
+++ b/internal/peer/link_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"briarworks.example/briarworks/internal/probe"
 	"briarworks.example/briarworks/pkg/call"
 	"briarworks.example/briarworks/pkg/reason"
 )
@@ -119,17 +120,6 @@
 	}
 }
 
-// counted counts the writes to a connection.
-type counted struct {
-	net.Conn
-	writes *atomic.Int64
-}
-
-func (c counted) Write(p []byte) (int, error) {
-	c.writes.Add(1)
-	return c.Conn.Write(p)
-}
-
 // Guards against a version of yamux that lays out its frames in another way, with which messages would
 // be written in parts again, and against bodies that are mixed up by reused buffers and goroutines.
 func TestManyCalls(t *testing.T) {
@@ -141,7 +131,7 @@
 	dial := p.a.Dial
 	p.a.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
 		c, err := dial(ctx, addr)
-		return counted{c, &writes}, err
+		return probe.Counted{Conn: c, Writes: &writes}, err
 	}
 	p.connect(t)
 	var wg sync.WaitGroup
--- a/internal/peer/out.go
+++ b/internal/peer/out.go
@@ -97,7 +97,7 @@
 func (b *Book) converse(ctx context.Context, s *session, st *stream, id ident.CallID, req *call.Request) (ans *wirepb.Answer, err error) {
 	stop := context.AfterFunc(ctx, func() { _ = st.SetDeadline(time.Unix(1, 0)) })
 	defer func() {
-		if stop() && err == nil && s.keeps() && keepable(req, ans) && s.kept.put(st, b.Now()) {
+		if stop() && err == nil && s.keeps() && keepable(req, ans) && s.kept.Put(st, b.Now()) {
 			return
 		}
 		st.end()
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -257,10 +257,10 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if st := s.kept.take(time.Now().Add(time.Second)); st != nil {
+			if _, ok := s.kept.Take(time.Now().Add(time.Second)); ok {
 				t.Error("stream unused since before a time: got it, want none")
 			}
-			s.kept.trim(time.Now().Add(time.Second))
+			s.trim(time.Now().Add(time.Second))
 			until(t, "confirmation by the end of kept streams", func() bool { return p.b.entries() == 0 })
 			until(t, "end of all streams", func() bool { return s.NumStreams() == 0 })
 			echo(40)
--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,6 +30,18 @@
 	}
 }
 
+// Counted counts the writes to a connection.
+type Counted struct {
+	net.Conn
+	Writes *atomic.Int64
+}
+
+// Write counts and writes.
+func (c Counted) Write(p []byte) (int, error) {
+	c.Writes.Add(1)
+	return c.Conn.Write(p)
+}
+
 // Ports gives out ports of a range, each once; it is made with its range. The range should be one that the
 // system does not use for outgoing connections, since one of them could take a port that was free a moment ago.
 type Ports struct {
--- a/internal/server/pool.go
+++ b/internal/server/pool.go
@@ -6,9 +6,11 @@
 	"errors"
 	"io"
 	"net"
-	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
+
+	"briarworks.example/briarworks/internal/spare"
 )
 
 // errHeaders reports an answer whose headers are over the bound.
@@ -19,8 +21,7 @@
 	net.Conn
 	r    *bufio.Reader
 	w    *bufio.Writer
-	left int64     // bytes that may still be read; bounds the headers of an answer
-	used time.Time // end of the last request
+	left int64 // bytes that may still be read; bounds the headers of an answer
 }
 
 func newConn(c net.Conn) *conn {
@@ -89,10 +90,8 @@
 	extra func()        // told of bytes beyond an answer
 	slots chan struct{} // one for each connection that carries a request
 
-	mu     sync.Mutex
-	idle   []*conn // the one used last at the end
-	closed bool
-	timer  *time.Timer // runs while connections are idle
+	idle    spare.List[*conn]
+	trimmer atomic.Pointer[time.Timer] // runs while connections are idle
 }
 
 // take returns an idle connection or a new one. It waits while all may not carry another request.
@@ -102,7 +101,11 @@
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
-	for c = p.pop(); c != nil; c = p.pop() {
+	for {
+		c, ok := p.idle.Take(time.Now().Add(-idleTimeout)) // trim may be late
+		if !ok {
+			break
+		}
 		switch c.look() {
 		case quiet:
 			return c, nil
@@ -131,59 +134,43 @@
 	<-p.slots
 }
 
-func (p *pool) pop() (c *conn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if n := len(p.idle) - 1; n >= 0 {
-		c, p.idle[n] = p.idle[n], nil
-		p.idle = p.idle[:n]
-	}
-	return c
-}
-
 func (p *pool) push(c *conn, now time.Time) bool {
-	c.used = now
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.closed {
+	if !p.idle.Put(c, now) {
 		return false
 	}
-	p.idle = append(p.idle, c)
-	if p.timer == nil {
-		p.timer = time.AfterFunc(idleTimeout, p.trim)
+	if p.trimmer.Load() == nil {
+		p.later()
 	}
 	return true
 }
 
+// later starts the timer of the next trim, unless it runs.
+func (p *pool) later() {
+	t := time.AfterFunc(idleTimeout, p.trim)
+	if !p.trimmer.CompareAndSwap(nil, t) {
+		t.Stop()
+	}
+}
+
 // trim closes the connections that were idle for too long, and looks again while some are left.
 func (p *pool) trim() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	oldest := time.Now().Add(-idleTimeout)
-	n := 0
-	for ; n < len(p.idle) && !p.idle[n].used.After(oldest); n++ {
-		_ = p.idle[n].Close()
-	}
-	rest := copy(p.idle, p.idle[n:])
-	clear(p.idle[rest:])
-	p.idle = p.idle[:rest]
-	p.timer = nil
-	if rest > 0 && !p.closed {
-		p.timer = time.AfterFunc(p.idle[0].used.Sub(oldest), p.trim)
+	p.trimmer.Store(nil)
+	old, left := p.idle.Trim(time.Now().Add(-idleTimeout))
+	for _, c := range old {
+		_ = c.Close()
+	}
+	if left > 0 {
+		p.later()
 	}
 }
 
 // close closes the idle connections, and those in use when they are given back.
 func (p *pool) close() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.closed = true
-	for _, c := range p.idle {
+	for _, c := range p.idle.Close() {
 		_ = c.Close()
 	}
-	p.idle = nil
-	if p.timer != nil {
-		p.timer.Stop()
+	if t := p.trimmer.Load(); t != nil {
+		t.Stop()
 	}
 }
 
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -16,6 +16,7 @@
 
 	"go.uber.org/goleak"
 
+	"briarworks.example/briarworks/internal/probe"
 	"briarworks.example/briarworks/pkg/call"
 	"briarworks.example/briarworks/pkg/ident"
 	"briarworks.example/briarworks/pkg/reason"
@@ -224,17 +225,6 @@
 	}
 }
 
-// counted counts the writes to a connection.
-type counted struct {
-	net.Conn
-	writes *atomic.Int64
-}
-
-func (c counted) Write(p []byte) (int, error) {
-	c.writes.Add(1)
-	return c.Conn.Write(p)
-}
-
 // Guards against a request that is written in parts, that reaches the server changed, or that the
 // transport repeats when a connection that was used before ends without an answer.
 func TestRunRequests(t *testing.T) {
@@ -275,7 +265,7 @@
 			dial := c.Dial
 			c.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
 				conn, err := dial(ctx, network, addr)
-				return counted{conn, &writes}, err
+				return probe.Counted{Conn: conn, Writes: &writes}, err
 			}
 			req, now := request(enough)
 			req.Method, req.Body = tt.method, []byte(tt.body)
