relay: lower the limit only for what the own server sheds

Cause: a backend server passes on the refusal of a call that it made, with the reason serverShed when a server further down sheds. Its node took this for shedding of its own server and lowered its limit, by a slot for each such refusal, at every layer above. Result.Shed now says that the own server shed: its answer names no reason of its own. TestShedHere fails with the old rule (limit 9, want 10) and passes now; TestRunFaults has the passed-on refusal.

--- a/internal/relay/onward_test.go
+++ b/internal/relay/onward_test.go
@@ -77,3 +77,29 @@
 		})
 	}
 }
+
+// Guards against a limit that falls because a server further down sheds, whose refusal the own server passes
+// on, and against one that stays when the own server sheds.
+func TestShedHere(t *testing.T) {
+	tests := map[string]struct {
+		shed bool
+		want ident.Slots
+	}{
+		"own server sheds":  {true, 9},
+		"shed further down": {false, 10},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newRelay(func(context.Context, *call.Request) call.Result {
+				res := call.Refuse(reason.ServerShed)
+				res.Shed = tt.shed
+				return res
+			})
+			r.Gate = admit.New(admit.Config{Service: "s", Slots: 10, Paths: r.Paths, Kinds: []share.Kind{{Name: "k"}}})
+			r.Enter(t.Context(), request("one", func(req *call.Request) { req.Budget = 0 }))
+			if got := r.Gate.Limit(); got != tt.want {
+				t.Errorf("limit: got %d, want %d", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -254,8 +254,8 @@
 	total := now.Sub(start)
 	r.Gate.Leave(&t.Ticket, admit.Usage{
 		Own: total - f.Waited(now), Total: total,
-		Shed:   res.Reason == reason.ServerShed,
-		Failed: res.Outcome != reason.Ran && res.Reason != reason.ServerShed,
+		Shed:   res.Shed,
+		Failed: res.Outcome != reason.Ran && !res.Shed,
 	}, now)
 	return r.annotate(req, res, f.Pool.Left())
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -209,6 +209,7 @@
 	switch {
 	case resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderNotRun) == "true":
 		res = call.Refuse(reason.ServerShed)
+		res.Shed = !known || why == reason.None
 	case resp.StatusCode >= 500 && resp.Header.Get(HeaderOutcome) == reason.Unknown.String():
 		res = call.Doubt(reason.ServerFailed)
 	default:
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -116,6 +116,7 @@
 		"not run, said with success": {script: answer(ok + "Briar-Not-Run: true\r\nContent-Length: 0\r\n\r\n"), status: 200},
 		"not run, said with a fault": {script: answer("HTTP/1.1 500 No\r\nBriar-Not-Run: true\r\nContent-Length: 0\r\n\r\n"), status: 500},
 		"shed":                       {script: answer("HTTP/1.1 503 Busy\r\nBriar-Not-Run: true\r\nContent-Length: 0\r\n\r\n"), outcome: reason.NotRun, why: reason.ServerShed},
+		"shed further down":          {script: answer("HTTP/1.1 503 Busy\r\nBriar-Not-Run: true\r\nBriar-Reason: serverShed\r\nContent-Length: 0\r\n\r\n"), outcome: reason.NotRun, why: reason.ServerShed},
 		"cannot tell":                {script: answer("HTTP/1.1 502 No\r\nBriar-Outcome: unknown\r\nContent-Length: 0\r\n\r\n"), outcome: reason.Unknown, why: reason.ServerFailed},
 		"short answer":               {script: answer(ok + "Content-Length: 10\r\n\r\nabc"), outcome: reason.Unknown, why: reason.ServerFailed},
 		"short proof of not run":     {script: answer("HTTP/1.1 503 Busy\r\nBriar-Not-Run: true\r\nContent-Length: 10\r\n\r\nabc"), outcome: reason.Unknown, why: reason.ServerFailed},
@@ -150,6 +151,9 @@
 				t.Errorf("got %v %v status %d body %.20q, want %v %v status %d body %q",
 					res.Outcome, res.Reason, res.Status, res.Body, tt.outcome, tt.why, tt.status, tt.body)
 			}
+			if got, want := res.Shed, name == "shed"; got != want {
+				t.Errorf("shed by the server itself: got %v, want %v", got, want)
+			}
 			if took := time.Since(now); took > enough/2 {
 				t.Errorf("took %v, want an end long before %v", took, enough)
 			}
--- a/pkg/call/call.go
+++ b/pkg/call/call.go
@@ -54,6 +54,7 @@
 	Free       ident.Slots    // slots that the answering server had free
 	Fraction   ident.Fraction // smallest admitted fraction of the kind at and below the answering node
 	RefusalSeq ident.Seq      // last refusal number of the answering node
+	Shed       bool           // the node's own backend server shed the request, and not one further down; not told to other nodes
 }
 
 // Refuse returns the result for a request that did not run and never will on this attempt.
