peer: tell which peer or message was refused, and why

A peer of another protocol version and a message out of place were counted but not logged, so an operator could not see which peer it was. Book.Refused tells the server, its address and what it sent; the node logs one sampled line (event=peerVersion or peerGarbled). TestVersionIsRefused checks the text and failed to compile before.

--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -128,6 +128,9 @@
 		n.Stats.Count("serverExtraBytes")
 		n.Log.Warn("serverExtraBytes", zap.String("backend", string(p.Backend.Addr)))
 	}
+	p.Book.Refused = func(e peer.Event, s ident.Server, remote, what string) {
+		n.refusals.Warn(e.String(), zap.String("peer", string(s)), zap.String("remote", remote), zap.String("what", what))
+	}
 	p.Book.OnCall = n.Relay.Serve
 	p.Book.OnLost = n.onLost
 	p.Book.OnSync = n.onSync
--- a/internal/peer/book.go
+++ b/internal/peer/book.go
@@ -57,6 +57,7 @@
 	Dial        func(ctx context.Context, addr string) (net.Conn, error)
 	Now         func() time.Time
 	Event       func(Event)                                                   // must not block
+	Refused     func(e Event, s ident.Server, remote, what string)            // a peer or its message was refused; may be nil
 	OnCall      func(ctx context.Context, req *call.Request) call.Result      // runs a call that a peer made
 	OnLeave     func(server ident.Server, inc ident.Incarnation)              // a peer is leaving
 	OnSync      func(from ident.Server, m *wirepb.Sync) *wirepb.SyncReply     // a peer compares state
@@ -75,6 +76,15 @@
 	wg        sync.WaitGroup
 }
 
+// refuse counts and reports a peer, or a message of it, that this node does not take.
+func (b *Book) refuse(s *session, e Event, what string) {
+	b.Event(e)
+	if b.Refused != nil {
+		server, _ := s.name()
+		b.Refused(e, server, s.RemoteAddr().String(), what)
+	}
+}
+
 func (b *Book) newest() wire.Version {
 	if b.Newest != 0 {
 		return b.Newest
--- a/internal/peer/in.go
+++ b/internal/peer/in.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -60,7 +61,7 @@
 	env := &wirepb.Envelope{}
 	if err := wire.Read(r, env); err != nil {
 		if !errors.Is(err, io.EOF) && !s.IsClosed() {
-			b.Event(EventGarbled)
+			b.refuse(s, EventGarbled, err.Error())
 		}
 		return false
 	}
@@ -82,7 +83,7 @@
 	case *wirepb.Envelope_Ping:
 		b.reply(st, &wirepb.Envelope{Body: &wirepb.Envelope_Pong{Pong: &wirepb.Pong{}}})
 	default:
-		b.Event(EventGarbled)
+		b.refuse(s, EventGarbled, fmt.Sprintf("a request of type %T", env.Body))
 	}
 	return false
 }
@@ -101,7 +102,7 @@
 	}
 	b.reply(st, &wirepb.Envelope{Body: &wirepb.Envelope_Hello{Hello: b.hello()}})
 	if !matches {
-		b.Event(EventVersion)
+		b.refuse(s, EventVersion, fmt.Sprintf("protocol %d of server %q", h.GetProtocol(), h.GetServer()))
 		_ = s.GoAway()
 	}
 }
@@ -114,7 +115,7 @@
 	server, inc := s.name()
 	id := callID{server, inc, ident.CallID(m.GetCallId())}
 	if server == "" || !b.calls.start(id, now) {
-		b.Event(EventGarbled) // no Hello, a repeated call, or one that was barred by a Settle
+		b.refuse(s, EventGarbled, fmt.Sprintf("call %d before a Hello, repeated, or settled before", m.GetCallId()))
 		return false
 	}
 	req := wire.ToRequest(m, now)
@@ -156,7 +157,7 @@
 func (b *Book) onSettle(s *session, st *yamux.Stream, r *bufio.Reader, m *wirepb.Settle) {
 	server, inc := s.name()
 	if inc != ident.Incarnation(m.GetIncarnation()) || len(m.GetCallIds()) > maxSettle {
-		b.Event(EventGarbled)
+		b.refuse(s, EventGarbled, fmt.Sprintf("a settle of %d calls for incarnation %d", len(m.GetCallIds()), m.GetIncarnation()))
 		return
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"errors"
+	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -407,7 +408,7 @@
 	}
 	h := reply.GetHello()
 	if wire.Version(h.GetProtocol()) != wire.Protocol {
-		b.Event(EventVersion)
+		b.refuse(s, EventVersion, fmt.Sprintf("protocol %d of server %q", h.GetProtocol(), h.GetServer()))
 		return errVersion
 	}
 	s.who.Store(b.identify(h))
--- a/internal/peer/out.go
+++ b/internal/peer/out.go
@@ -115,7 +115,7 @@
 	}
 	ans = reply.GetAnswer()
 	if ans == nil || ans.CallId != uint64(id) {
-		b.Event(EventGarbled)
+		b.refuse(s, EventGarbled, "a reply that is no answer to the call")
 		return nil, errGarbled
 	}
 	return ans, nil
@@ -156,7 +156,7 @@
 	}
 	states := reply.GetSettled().GetStates()
 	if len(states) != 1 || states[0].GetCallId() != uint64(id) {
-		b.Event(EventGarbled)
+		b.refuse(s, EventGarbled, "a reply that does not settle the call")
 		return res, false
 	}
 	switch states[0].GetState() {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -504,15 +504,25 @@
 	}
 }
 
-// Guards against a peer of another protocol version that is believed.
+// Guards against a peer of another protocol version that is believed, or refused without a word of what it was.
 func TestVersionIsRefused(t *testing.T) {
 	p := newPair(t, nil)
+	told := make(chan string, 1)
+	p.b.Refused = func(e Event, _ ident.Server, remote, what string) {
+		if e != EventVersion || remote == "" {
+			t.Errorf("refused: got %v of %q, want %v and an address", e, remote, EventVersion)
+		}
+		told <- what
+	}
 	s := p.connect(t)
 	hello := &wirepb.Hello{Protocol: 99, Server: "x", Incarnation: 1}
 	if _, err := p.a.ask(t.Context(), s, &wirepb.Envelope{Body: &wirepb.Envelope_Hello{Hello: hello}}); err != nil {
 		t.Fatal(err)
 	}
 	until(t, "an event for the version", func() bool { return p.events[EventVersion].Load() > 0 })
+	if got, want := <-told, `protocol 99 of server "x"`; got != want {
+		t.Errorf("told: got %q, want %q", got, want)
+	}
 }
 
 // Guards against connections that stay open after many peers were asked, and against a closed one that is
