applog: let TestGroups not depend on which appends come first

One of three copies of the whole suite hung: the writer took 79 of 100 records at once, and the test then waited for 50 in the queue for ever.

--- a/internal/applog/applog_test.go
+++ b/internal/applog/applog_test.go
@@ -211,12 +211,13 @@
 // Guards against one append for each caller, against an unbounded queue and against mixed results.
 func TestGroups(t *testing.T) {
 	const n = 100
-	gate := make(chan struct{})
+	began, gate := make(chan struct{}, n), make(chan struct{})
 	b := newBench(t, &fakes.Log{}, func(w *Writer) {
 		w.Queue = n
 		w.Timeout = bound
 		send := w.Send
 		w.Send = func(ctx context.Context, data []byte) (ident.Offset, error) {
+			began <- struct{}{}
 			<-gate
 			return send(ctx, data)
 		}
@@ -228,8 +229,11 @@
 				t.Errorf("append %d: got %v, want no error", i, err)
 			}
 		})
+		if i == 0 {
+			<-began // the first one is sent alone, so that the others are queued, however late they come
+		}
 	}
-	for len(b.writer.queue) < n-50 {
+	for len(b.writer.queue) < n-1 {
 		<-time.After(time.Millisecond)
 	}
 	close(gate)
