--- a/internal/applog/applog_test.go
+++ b/internal/applog/applog_test.go
@@ -233,9 +233,7 @@
 			<-began // the first one is sent alone, so that the others are queued, however late they come
 		}
 	}
-	for len(b.writer.queue) < n-1 {
-		<-time.After(time.Millisecond)
-	}
+	waitFor(t, "all others are queued", func() bool { return len(b.writer.queue) == n-1 })
 	close(gate)
 	wg.Wait()
 	seen := map[string]bool{}
@@ -254,9 +252,7 @@
 	full := Writer{Queue: 1}
 	go func() { _, _ = full.Append(t.Context(), rec("x")) }()
 	full.init()
-	for len(full.queue) == 0 {
-		<-time.After(time.Millisecond)
-	}
+	waitFor(t, "the queue is full", func() bool { return len(full.queue) == 1 })
 	if _, err := full.Append(t.Context(), rec("y")); !errors.Is(err, errQueueFull) {
 		t.Errorf("append to a full queue: got %v, want %v", err, errQueueFull)
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/goleak"
 
 	"briarworks.example/briarworks/internal/fakes"
+	"briarworks.example/briarworks/internal/probe"
 	"briarworks.example/briarworks/internal/wire"
 	"briarworks.example/briarworks/internal/wire/wirepb"
 	"briarworks.example/briarworks/pkg/call"
@@ -100,14 +101,7 @@
 // until waits until a condition holds.
 func until(t *testing.T, what string, holds func() bool) {
 	t.Helper()
-	hang := time.After(hangLimit)
-	for !holds() {
-		select {
-		case <-hang:
-			t.Fatalf("got none, want %s", what)
-		case <-time.After(time.Millisecond):
-		}
-	}
+	probe.Within(t, hangLimit, what, holds)
 }
 
 // hangLimit only ends a test that hangs; no check depends on it.
@@ -532,21 +526,12 @@
 	var lost atomic.Int64
 	onLost := func(ident.Server, ident.Incarnation, bool) { lost.Add(1) }
 	p.a.OnLost, p.b.OnLost = onLost, onLost
-	until := func(what string, holds func() bool) {
-		for !holds() {
-			select {
-			case <-t.Context().Done():
-				t.Fatal(what)
-			case <-time.After(time.Millisecond):
-			}
-		}
-	}
 	for range 3 {
 		if _, err := p.a.SyncOnce(t.Context(), p.addr(), &wirepb.Sync{From: "a"}); err != nil {
 			t.Fatal(err)
 		}
 	}
-	until("connections stay open", func() bool { return p.a.Connected() == 0 && p.b.Connected() == 0 })
+	until(t, "no connection stays open", func() bool { return p.a.Connected() == 0 && p.b.Connected() == 0 })
 	if _, _, err := p.a.SyncTo(t.Context(), p.addr(), &wirepb.Sync{From: "a"}); err != nil {
 		t.Fatal(err)
 	}
@@ -560,5 +545,5 @@
 		t.Errorf("losses after short connections: got %d, want 0", got)
 	}
 	_ = p.last().Close()
-	until("the loss is not told", func() bool { return lost.Load() == 2 })
+	until(t, "the loss is told on both sides", func() bool { return lost.Load() == 2 })
 }
--- a/internal/server/pool.go
+++ b/internal/server/pool.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"sync/atomic"
 	"syscall"
@@ -49,11 +48,8 @@
 	spoilt       // holds bytes that belong to no request
 )
 
-// look tells the state of a connection without waiting.
+// look tells the state of a connection without waiting. Its buffer is empty: give keeps no other one.
 func (c *conn) look() state {
-	if c.r.Buffered() > 0 {
-		return spoilt
-	}
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return quiet
@@ -173,10 +169,3 @@
 		t.Stop()
 	}
 }
-
-// drained reports whether an answer was read to its end.
-func drained(r io.Reader) bool {
-	var b [1]byte
-	n, err := r.Read(b[:])
-	return n == 0 && err == io.EOF
-}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -139,7 +139,7 @@
 	if ident.Bytes(len(body)) > call.MaxAnswer {
 		return call.Doubt(reason.AnswerTooLarge), false
 	}
-	return answered(resp, body), sent == nil && !resp.Close && drained(resp.Body)
+	return answered(resp, body), sent == nil && !resp.Close
 }
 
 // readAnswer reads the head of an answer, after those of interim answers.
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -111,3 +111,46 @@
 	EOF
 	spawn "node$i" "$program" node --settings "$out/node$i.yaml"
 }
+
+fail() {
+	echo "${0##*/}: $*" >&2
+	exit 1
+}
+
+# start_fleet [PROGRAM]: starts the log, all servers and their nodes, and waits until the nodes know each
+# other. Sets the arguments operators and servers, which name them to briarfake.
+start_fleet() {
+	local i
+	operators=()
+	servers=()
+	start_log
+	for i in "${!services[@]}"; do
+		start_server "$i"
+		start_node "$i" "$@"
+		operators+=(--node "http://127.0.0.1:$(operator_port "$i")")
+		servers+=(--server "http://127.0.0.1:$(server_port "$i")")
+	done
+	bin/briarfake wait "${operators[@]}" --members ${#services[@]} || fail "the fleet did not come up"
+}
+
+# publish PROGRAM FILE VERSION AUTHOR: publishes a document and waits until all nodes have it in force.
+publish() {
+	"$1" config publish "$2" --log "$log_address" --author "$4" --node "127.0.0.1:$(operator_port 0)" ||
+		fail "the configuration was not accepted"
+	bin/briarfake wait "${operators[@]}" --version "$3" --members ${#services[@]} || fail "version $3 is not in force"
+}
+
+# stop_node I: stops the node beside server number I as planned.
+stop_node() {
+	kill -TERM "$(pid_of "node$1")"
+	wait "$(pid_of "node$1")" || fail "node $1 did not stop cleanly"
+}
+
+# check_record ARGUMENTS...: stops the entry nodes, which write the rest of the record, and compares it with
+# what callers were told and what servers ran. The arguments of briarfake report name the callers.
+check_record() {
+	local i
+	for i in "${entries[@]}"; do stop_node "$i"; done
+	bin/briarworks refusals summary --log "$log_address" --output json >"$out/record.json" || fail "the record cannot be read"
+	bin/briarfake report "$@" --record "$out/record.json" --once $once "${servers[@]}"
+}
