--- a/internal/capac/calls.go
+++ b/internal/capac/calls.go
@@ -185,11 +185,11 @@
 }
 
 func (f *small) entryURLs() []string {
-	return urls(f.front, func(o nodeOf) string { return o.callers + "/work/1" })
+	return urls(f.front, func(o nodeOf) string { return o.callers + "/item/1" })
 }
 
 func (f *small) chainURLs() []string {
-	return urls(f.front, func(o nodeOf) string { return o.local + "/back/work/1" })
+	return urls(f.front, func(o nodeOf) string { return o.local + "/back/item/1" })
 }
 
 func pidsOf(nodes []nodeOf) (pids []int) {
@@ -237,7 +237,7 @@
 	if err := newLoad(idleRate*pairs, f.chainURLs()...).run(ctx, f.client, 2*warmTime); err != nil {
 		return err
 	}
-	through, direct := newLoad(rate*pairs, f.chainURLs()...), newLoad(rate, "http://"+f.direct+"/work/1")
+	through, direct := newLoad(rate*pairs, f.chainURLs()...), newLoad(rate, "http://"+f.direct+"/item/1")
 	var wg sync.WaitGroup
 	var err error
 	wg.Go(func() { err = direct.run(ctx, f.client, addedTime) })
