--- a/cmd/briarworks/main.go
+++ b/cmd/briarworks/main.go
@@ -105,6 +105,6 @@
 	}
 	c.PersistentFlags().StringP(outputFlag, "o", outputText, "form of the answer: text or json")
 	c.PersistentPreRunE = func(c *cobra.Command, _ []string) error { return new(output).open(c) }
-	c.AddCommand(nodeCommand(), configCommand(), fleetCommand(), refusalsCommand(), versionCommand())
+	c.AddCommand(nodeCommand(), sidecarCommand(), configCommand(), fleetCommand(), refusalsCommand(), versionCommand())
 	return c
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -135,7 +135,7 @@
 	}
 	in.protected = req.Protected
 	req.Body, why = body(c)
-	req.Header = server.Keep(c.Request.Header)
+	req.Header = server.KeepOwn(c.Request.Header)
 	return req, why
 }
 
@@ -269,6 +269,6 @@
 	}
 	return relay.Target{
 		Service: ident.Service(service), Method: c.Request.Method, Path: "/" + rest,
-		Header: server.Keep(c.Request.Header),
+		Header: server.KeepOwn(c.Request.Header),
 	}, reason.None
 }
--- /dev/null
+++ b/internal/gossip/gossip.go
@@ -0,0 +1,262 @@
+package gossip
+
+import (
+	"context"
+	mrand "math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"briarworks.example/briarworks/internal/pause"
+	"briarworks.example/briarworks/internal/peer"
+	"briarworks.example/briarworks/internal/roster"
+	"briarworks.example/briarworks/internal/wire"
+	"briarworks.example/briarworks/internal/wire/wirepb"
+	"briarworks.example/briarworks/pkg/fleet"
+	"briarworks.example/briarworks/pkg/ident"
+)
+
+// Times of the exchange.
+const (
+	period     = 2 * time.Second        // between two exchanges of a node
+	newsSpread = 50 * time.Millisecond  // news are told within this time, several as one message
+	timeout    = time.Second            // of one exchange
+	lonelyWait = 500 * time.Millisecond // between two tries of a node that reaches nobody
+	maxNews    = 64                     // batches of news that wait; the periodic exchange carries what is over
+
+	// lonelyTries bounds what a node without connections tries in one period: when most of a fleet is gone,
+	// each try at random may meet a server that is.
+	lonelyTries = 4
+)
+
+// Config is a configuration as the platform wrote it.
+type Config struct {
+	Version ident.Version
+	Text    []byte
+}
+
+// Gossip exchanges the state of one node. The exported fields are set before Run.
+type Gossip struct {
+	Self   fleet.Member
+	Roster *roster.Roster
+	Book   *peer.Book
+	Seeds  []ident.Address // nodes that may answer when no member is known
+	Config func() Config   // in force; its version is 0 when there is none
+	Adopt  func(Config)    // takes the configuration of another node
+	Log    *zap.Logger
+
+	news chan []fleet.Member
+}
+
+// New returns a gossip for the given node; its fields may still be changed before Run.
+func New(self fleet.Member, r *roster.Roster, b *peer.Book, log *zap.Logger) *Gossip {
+	return &Gossip{Self: self, Roster: r, Book: b, Log: log, news: make(chan []fleet.Member, maxNews)}
+}
+
+// News queues members to be told to the connected nodes.
+func (g *Gossip) News(members []fleet.Member) {
+	select {
+	case g.news <- members:
+	default: // the periodic exchange carries them
+	}
+}
+
+// summary tells a node what this one holds.
+func (g *Gossip) summary() *wirepb.Sync {
+	return &wirepb.Sync{
+		Digest: g.Roster.Table().Digest(), ConfigVersion: uint64(g.Config().Version),
+		From: string(g.Self.Server), FromIncarnation: uint64(g.Self.Incarnation), Buckets: true,
+	}
+}
+
+func (g *Gossip) config() *wirepb.Config {
+	c := g.Config()
+	if c.Version == 0 {
+		return nil
+	}
+	return &wirepb.Config{Version: uint64(c.Version), Document: string(c.Text)}
+}
+
+// take joins what another node sent.
+func (g *Gossip) take(members []*wirepb.Member, c *wirepb.Config) {
+	all := make([]fleet.Member, 0, len(members))
+	for _, m := range members {
+		all = append(all, wire.ToMember(m))
+	}
+	if len(all) > 0 {
+		g.Roster.Apply(time.Now(), all...)
+	}
+	if c != nil {
+		g.Adopt(Config{Version: ident.Version(c.GetVersion()), Text: []byte(c.GetDocument())})
+	}
+}
+
+// Answer joins what a node sent and returns what it lacks.
+func (g *Gossip) Answer(_ ident.Server, m *wirepb.Sync) *wirepb.SyncReply {
+	g.take(m.GetMembers(), m.GetConfig())
+	table, version := g.Roster.Table(), g.Config().Version
+	reply := &wirepb.SyncReply{Digest: table.Digest(), ConfigVersion: uint64(version), FromIncarnation: uint64(g.Self.Incarnation)}
+	if version > ident.Version(m.GetConfigVersion()) {
+		reply.Config = g.config()
+	}
+	if reply.Digest == m.GetDigest() || m.GetNews() {
+		return reply
+	}
+	if want := fleet.Mask(m.GetWant()); want != 0 {
+		known := make([]fleet.Member, 0, len(m.GetMembers()))
+		for _, x := range m.GetMembers() {
+			known = append(known, wire.ToMember(x))
+		}
+		reply.Members = messages(table.In(want, known...))
+		return reply
+	}
+	reply.Bucket = table.Digests()[:]
+	return reply
+}
+
+// reply joins what a node answered and returns the message that brings it what it lacks and asks for what
+// this node lacks, or nil when there is neither.
+func (g *Gossip) reply(r *wirepb.SyncReply) (next *wirepb.Sync) {
+	g.take(r.GetMembers(), r.GetConfig())
+	table := g.Roster.Table()
+	differ := r.GetDigest() != table.Digest()
+	behind := ident.Version(r.GetConfigVersion()) < g.Config().Version
+	if !differ && !behind {
+		return nil
+	}
+	next = g.summary()
+	if behind {
+		next.Config = g.config()
+	}
+	if differ && len(r.GetBucket()) == fleet.Buckets {
+		mask := table.Digests().Differ((*fleet.Digests)(r.GetBucket()))
+		next.Want, next.Members = uint64(mask), messages(table.In(mask))
+	}
+	return next
+}
+
+func messages(members []fleet.Member) (out []*wirepb.Member) {
+	for _, m := range members {
+		out = append(out, wire.FromMember(m))
+	}
+	return out
+}
+
+// Run exchanges until ctx ends.
+func (g *Gossip) Run(ctx context.Context) {
+	due := time.NewTimer(0)
+	defer due.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case members := <-g.news:
+			g.tell(ctx, members)
+		case <-due.C:
+			g.exchange(ctx)
+			due.Reset(g.wait())
+		}
+	}
+}
+
+// wait returns the time to the next exchange.
+func (g *Gossip) wait() time.Duration {
+	d := period
+	if g.Book.Sessions() == 0 {
+		d = lonelyWait
+	}
+	return d/2 + time.Duration(mrand.Int64N(int64(d)))
+}
+
+// exchange compares state with one connected node, or with one that can be reached.
+func (g *Gossip) exchange(ctx context.Context) {
+	g.Book.Forget(g.known())
+	short, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	from, reply := g.Book.Sync(short, g.summary())
+	if reply != nil {
+		g.follow(short, g.address(from), reply)
+		return
+	}
+	if g.Book.Sessions() > 0 {
+		return
+	}
+	for _, addr := range g.others() {
+		if _, reply, err := g.Book.SyncTo(short, addr, g.summary()); err == nil {
+			g.follow(short, addr, reply)
+			return
+		}
+		if short.Err() != nil {
+			return
+		}
+	}
+}
+
+// follow brings a node what it lacks after its reply, and joins what it answers.
+func (g *Gossip) follow(ctx context.Context, addr ident.Address, reply *wirepb.SyncReply) {
+	next := g.reply(reply)
+	if next == nil || addr == "" {
+		return
+	}
+	if _, r, err := g.Book.SyncTo(ctx, addr, next); err == nil {
+		g.reply(r)
+	}
+}
+
+// others returns the addresses of some members, in random order, and of the seeds.
+func (g *Gossip) others() (all []ident.Address) {
+	members := g.Roster.Table().All()
+	for _, i := range mrand.Perm(len(members)) {
+		if m := members[i]; !m.Left && m.Address != "" && m.Server != g.Self.Server && len(all) < lonelyTries {
+			all = append(all, m.Address)
+		}
+	}
+	return append(all, g.Seeds...)
+}
+
+func (g *Gossip) address(s ident.Server) ident.Address {
+	m, ok := g.Roster.Table().Member(s)
+	if !ok || m.Left {
+		return ""
+	}
+	return m.Address
+}
+
+// known returns whether an address is that of a member that has not left.
+func (g *Gossip) known() func(ident.Address) bool {
+	known := make(map[ident.Address]bool)
+	for _, m := range g.Roster.Table().All() {
+		known[m.Address] = known[m.Address] || !m.Left
+	}
+	return func(a ident.Address) bool { return known[a] }
+}
+
+// tell sends news to all connected nodes.
+func (g *Gossip) tell(ctx context.Context, members []fleet.Member) {
+	if !pause.For(ctx, time.Duration(mrand.Int64N(int64(newsSpread)))) {
+		return
+	}
+	for more := true; more; {
+		select {
+		case m := <-g.news:
+			members = append(members, m...)
+		default:
+			more = false
+		}
+	}
+	g.Tell(ctx, members)
+}
+
+// Tell sends members to all connected nodes and waits until they have taken them, or for the time of one
+// exchange.
+func (g *Gossip) Tell(ctx context.Context, members []fleet.Member) {
+	short, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	m := g.summary()
+	m.News, m.Members = true, messages(members)
+	g.Book.SyncAll(short, m, func(_ ident.Server, r *wirepb.SyncReply) {
+		if r != nil {
+			g.take(r.GetMembers(), r.GetConfig())
+		}
+	})
+}
--- /dev/null
+++ b/internal/outlog/outlog.go
@@ -0,0 +1,78 @@
+// Package outlog writes log lines without ever making their writer wait.
+//
+// Lines go through a bounded queue to one goroutine. When the queue is full, or more lines come in a second
+// than the bound allows, lines are dropped and counted, and the count is written as a line of its own.
+package outlog
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Bounds of the log.
+const (
+	queueLen   = 2048
+	flushBytes = 16 << 10 // lines are joined up to this size before they are written
+)
+
+// Writer is a sink for log lines; Close writes what is queued.
+type Writer struct {
+	out     io.Writer
+	queue   chan []byte
+	dropped atomic.Uint64
+	end     sync.Once
+	done    chan struct{}
+}
+
+// New returns a writer to out.
+func New(out io.Writer) *Writer {
+	w := &Writer{out: out, queue: make(chan []byte, queueLen), done: make(chan struct{})}
+	go w.run()
+	return w
+}
+
+// Write queues one line; it never waits and never fails.
+func (w *Writer) Write(p []byte) (int, error) {
+	select {
+	case w.queue <- append([]byte(nil), p...):
+	default:
+		w.dropped.Add(1)
+	}
+	return len(p), nil
+}
+
+// Sync does nothing: lines are written as they come.
+func (w *Writer) Sync() error { return nil }
+
+// Close writes the lines that are queued; nothing may be written after it.
+func (w *Writer) Close() {
+	w.end.Do(func() { close(w.queue) })
+	<-w.done
+}
+
+func (w *Writer) run() {
+	defer close(w.done)
+	var buf []byte
+	for p := range w.queue {
+		buf = append(buf[:0], p...)
+		for more := true; more && len(buf) < flushBytes; {
+			select {
+			case q, ok := <-w.queue:
+				if !ok {
+					more = false
+					break
+				}
+				buf = append(buf, q...)
+			default:
+				more = false
+			}
+		}
+		if n := w.dropped.Swap(0); n > 0 {
+			buf = fmt.Appendf(buf, "ts=%s level=warn event=linesDropped count=%d\n", time.Now().UTC().Format(time.RFC3339Nano), n)
+		}
+		_, _ = w.out.Write(buf) // a log that cannot be written has nowhere to say so
+	}
+}
--- a/internal/peer/book.go
+++ b/internal/peer/book.go
@@ -259,8 +259,8 @@
 	return all
 }
 
-// Connected returns the number of open sessions.
-func (b *Book) Connected() int {
+// Sessions returns the number of open sessions.
+func (b *Book) Sessions() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return len(b.sessions)
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -354,6 +354,22 @@
 	return miss != 0 && l.(*Link).live() == nil && now.UnixNano()-miss < int64(unreachableFor)
 }
 
+// Connected reports whether a session to the address is open. If there is none, a dial is started unless
+// one failed just now.
+func (b *Book) Connected(addr ident.Address) bool {
+	l := b.Link(addr)
+	if l.live() != nil {
+		return true
+	}
+	if miss := l.miss.Load(); miss == 0 || b.Now().UnixNano()-miss > int64(dialAgain) {
+		_, _ = l.join(b)
+	}
+	return false
+}
+
+// dialAgain is the time after a failed dial in which Connected starts no other.
+const dialAgain = 500 * time.Millisecond
+
 // unused reports whether nothing of the link is in use: no session, no dial, no call.
 func (l *Link) unused() bool {
 	l.mu.Lock()
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -531,14 +531,14 @@
 			t.Fatal(err)
 		}
 	}
-	until(t, "no connection stays open", func() bool { return p.a.Connected() == 0 && p.b.Connected() == 0 })
+	until(t, "no connection stays open", func() bool { return p.a.Sessions() == 0 && p.b.Sessions() == 0 })
 	if _, _, err := p.a.SyncTo(t.Context(), p.addr(), &wirepb.Sync{From: "a"}); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := p.a.SyncOnce(t.Context(), p.addr(), &wirepb.Sync{From: "a"}); err != nil {
 		t.Fatal(err)
 	}
-	if got, want := p.a.Connected(), 1; got != want {
+	if got, want := p.a.Sessions(), 1; got != want {
 		t.Errorf("connections after an ask over an open one: got %d, want %d", got, want)
 	}
 	if got := lost.Load(); got != 0 {
--- /dev/null
+++ b/internal/relay/forward.go
@@ -0,0 +1,150 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"briarworks.example/briarworks/internal/flight"
+	"briarworks.example/briarworks/pkg/call"
+	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/reason"
+	"briarworks.example/briarworks/pkg/retry"
+	"briarworks.example/briarworks/pkg/route"
+	"briarworks.example/briarworks/pkg/share"
+)
+
+// maxPlaces bounds the nodes that one request is offered to. A refusal before the server costs neither an
+// attempt nor the budget of retries, but each one takes time.
+const maxPlaces = 4
+
+// Forward takes a request that begins at this node and may run on any server of its service. With a parent
+// it is a call of the own server, which belongs to the parent's request and is admitted with it.
+func (r *Relay) Forward(ctx context.Context, req *call.Request, parent *flight.Flight) call.Result {
+	if parent == nil {
+		return r.take(ctx, req, r.originate)
+	}
+	root := parent.Request
+	req.Kind, req.Rank, req.Protected = root.Kind, root.Rank, root.Protected
+	req.Key, req.Born, req.Passed, req.Hop = root.Key, root.Born, root.Passed, root.Hop+1
+	r.active.Add(1)
+	defer r.active.Add(-1)
+	parent.Begin(r.Now())
+	defer func() { parent.End(r.Now()) }()
+	return r.spread(ctx, req)
+}
+
+// originate admits a request by the narrowest service that its calls use, as far as this node has learned.
+func (r *Relay) originate(ctx context.Context, req *call.Request) call.Result {
+	now := r.Now()
+	req.Hop = 1 // it reaches the server's node as a request that was admitted elsewhere
+	req.Passed = max(r.Paths.Below(req.Kind, now), share.Floor)
+	if req.Passed < 1 && ident.Cohort(req.Key, req.Born) >= req.Passed {
+		return call.Refuse(reason.Overload)
+	}
+	r.ratio(req.Service).Call(now)
+	return r.spread(ctx, req)
+}
+
+// spread offers a request to one server after the other until one has run it, none is left, or another
+// attempt is not allowed.
+func (r *Relay) spread(ctx context.Context, req *call.Request) call.Result {
+	s := &spread{relay: r, req: req}
+	res := call.Refuse(reason.NoServer)
+	for range maxPlaces {
+		here, p := s.next()
+		switch {
+		case here:
+			res = r.local(ctx, req)
+			res.Served = r.Self.Server
+			s.avoid.Add(r.Self.Server)
+		case p != nil:
+			res = r.send(ctx, p, req)
+			res.Served = p.Member.Server
+			s.avoid.Add(p.Member.Server)
+		default:
+			return res
+		}
+		if !s.again(ctx, res) {
+			return res
+		}
+	}
+	return res
+}
+
+// spread is the state of one request that is offered to several servers.
+type spread struct {
+	relay *Relay
+	req   *call.Request
+	avoid route.Avoid // servers that were tried
+	sent  int         // attempts that may have reached a server
+}
+
+// next returns where the request goes next: the own server, a peer, or neither. The own server is taken
+// while it has room, since that costs no way between two nodes.
+func (s *spread) next() (here bool, p *route.Peer) {
+	r := s.relay
+	now := r.Now()
+	own := s.req.Service == r.Self.Service && !s.avoid.Has(r.Self.Server) && r.up() == reason.None
+	if own && r.Gate.Free() > 0 {
+		return true, nil
+	}
+	p = s.peer(now)
+	if own && (p == nil || p.Room(now) <= 0) {
+		return true, nil
+	}
+	return false, p
+}
+
+// peerDraws is how often a peer is drawn again for one that is connected.
+const peerDraws = 4
+
+// peer draws a peer, if possible one to which a connection is open: to wait for a dial may take as long as
+// the whole request.
+func (s *spread) peer(now time.Time) (p *route.Peer) {
+	r := s.relay
+	set := r.Routes(s.req.Service)
+	if set == nil {
+		return nil
+	}
+	for range peerDraws {
+		q, ok := set.Pick(now, s.avoid, r.Rand())
+		if !ok {
+			return p
+		}
+		if r.Connected == nil || r.Connected(q.Member.Address) {
+			return q
+		}
+		p = q
+	}
+	return p
+}
+
+// again decides whether the request is offered to another server after a result.
+func (s *spread) again(ctx context.Context, res call.Result) bool {
+	r := s.relay
+	why, safe := retry.Decide(s.req, res)
+	if !safe || ctx.Err() != nil {
+		return false
+	}
+	if reached(res) {
+		s.sent++
+		if s.sent >= s.req.Attempts || !r.ratio(s.req.Service).Allow(r.Now()) {
+			return false
+		}
+	}
+	r.Retried(why)
+	return true
+}
+
+// reached tells whether a request may have come to a server, so that the next attempt is a repeat.
+func reached(res call.Result) bool {
+	return res.Outcome == reason.Unknown || res.Reason == reason.ServerShed
+}
+
+// up returns why the own server takes no work, or None.
+func (r *Relay) up() reason.Refusal {
+	if r.Up == nil {
+		return reason.None
+	}
+	return r.Up()
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -32,10 +32,14 @@
 	Homes   func(req *call.Request) []Home                                                                  // where at-most-once work may run, the home of its key first
 	Seq     func() ident.Seq                                                                                // last refusal number of this node
 	Retried func(reason.Retry)                                                                              // counts a retry
-	Gate    *admit.Gate
-	Paths   *share.Paths
-	Flights *flight.Table
-	Bound   int64 // requests carried at a time; 0 means no bound
+	Up      func() reason.Refusal                                                                           // why the own server takes no work, None when it does; may be nil
+
+	Connected func(ident.Address) bool // a connection to a node is open; starts one otherwise; may be nil
+	Gate      *admit.Gate
+	Paths     *share.Paths
+	Flights   *flight.Table
+	Bound     int64        // requests carried at a time; 0 means no bound
+	Retries   retry.Bounds // of the retries to one service
 
 	draining atomic.Bool
 	active   atomic.Int64
@@ -188,6 +192,9 @@
 
 // local admits the request to the own backend server and runs it there.
 func (r *Relay) local(ctx context.Context, req *call.Request) call.Result {
+	if why := r.up(); why != reason.None {
+		return r.annotate(req, call.Refuse(why), req.Budget)
+	}
 	a := r.admit(ctx, req)
 	if a.why != reason.None {
 		return r.annotate(req, call.Refuse(a.why), req.Budget)
@@ -242,7 +249,7 @@
 // run runs an admitted request on the own backend server.
 func (r *Relay) run(ctx context.Context, req *call.Request, t *ticket) call.Result {
 	start := r.Now()
-	f := &flight.Flight{Token: r.Token(), Request: req, Ctx: ctx}
+	f := &flight.Flight{Token: r.Token(), Request: req, Ctx: ctx, Told: start.Add(req.Left(start).Truncate(time.Millisecond))}
 	f.Pool.Fill(req.Budget)
 	r.Flights.Add(f)
 	res := call.Refuse(reason.LeaseLapsed)
@@ -277,6 +284,6 @@
 	if x, ok := r.ratios.Load(service); ok {
 		return x.(*retry.Ratio)
 	}
-	x, _ := r.ratios.LoadOrStore(service, &retry.Ratio{})
+	x, _ := r.ratios.LoadOrStore(service, &retry.Ratio{Bounds: r.Retries})
 	return x.(*retry.Ratio)
 }
--- a/internal/server/pool.go
+++ b/internal/server/pool.go
@@ -5,6 +5,9 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -21,10 +24,30 @@
 	r    *bufio.Reader
 	w    *bufio.Writer
 	left int64 // bytes that may still be read; bounds the headers of an answer
+	idle *atomic.Int64
 }
 
-func newConn(c net.Conn) *conn {
-	k := &conn{Conn: c}
+// learn notes for how long the server keeps an idle connection, when it tells. The node closes it earlier
+// by a margin, so that no request meets the server's close.
+func (c *conn) learn(resp *http.Response) {
+	for _, v := range resp.Header["Keep-Alive"] {
+		for _, field := range strings.Split(v, ",") {
+			text, ok := strings.CutPrefix(strings.TrimSpace(field), "timeout=")
+			if n, err := strconv.Atoi(text); ok && err == nil {
+				c.idle.Store(int64(max(time.Duration(n)*time.Second*keepShare/keepWhole, idleTimeout/2)))
+			}
+		}
+	}
+}
+
+// keepShare of keepWhole is the part of the server's idle timeout for which a connection is kept.
+const (
+	keepShare = 7
+	keepWhole = 10
+)
+
+func newConn(c net.Conn, idle *atomic.Int64) *conn {
+	k := &conn{Conn: c, idle: idle}
 	k.r, k.w = bufio.NewReader(k), bufio.NewWriter(c)
 	return k
 }
@@ -86,6 +109,7 @@
 	extra func()        // told of bytes beyond an answer
 	slots chan struct{} // one for each connection that carries a request
 
+	keep    atomic.Int64 // ns for which an idle connection is kept; 0 means idleTimeout
 	idle    spare.List[*conn]
 	trimmer atomic.Pointer[time.Timer] // runs while connections are idle
 }
@@ -98,7 +122,7 @@
 		return nil, ctx.Err()
 	}
 	for {
-		c, ok := p.idle.Take(time.Now().Add(-idleTimeout)) // trim may be late
+		c, ok := p.idle.Take(time.Now().Add(-p.kept())) // trim may be late
 		if !ok {
 			break
 		}
@@ -115,7 +139,7 @@
 		<-p.slots
 		return nil, err
 	}
-	return newConn(n), nil
+	return newConn(n, &p.keep), nil
 }
 
 // give takes a connection back; one that must not carry another request is closed.
@@ -140,9 +164,17 @@
 	return true
 }
 
+// kept returns the time for which an idle connection is kept.
+func (p *pool) kept() time.Duration {
+	if d := p.keep.Load(); d > 0 {
+		return time.Duration(d)
+	}
+	return idleTimeout
+}
+
 // later starts the timer of the next trim, unless it runs.
 func (p *pool) later() {
-	t := time.AfterFunc(idleTimeout, p.trim)
+	t := time.AfterFunc(p.kept(), p.trim)
 	if !p.trimmer.CompareAndSwap(nil, t) {
 		t.Stop()
 	}
@@ -151,7 +183,7 @@
 // trim closes the connections that were idle for too long, and looks again while some are left.
 func (p *pool) trim() {
 	p.trimmer.Store(nil)
-	old, left := p.idle.Trim(time.Now().Add(-idleTimeout))
+	old, left := p.idle.Trim(time.Now().Add(-p.kept()))
 	for _, c := range old {
 		_ = c.Close()
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -50,14 +50,24 @@
 	Addr  ident.Address
 	Dial  func(ctx context.Context, network, addr string) (net.Conn, error)
 	Extra func() // told when a connection was closed because the server sent bytes beyond an answer; may be nil
+	Form  Form   // how requests and answers are written; the product's own headers when its fields are nil
 	conns atomic.Int32
 	pool  atomic.Pointer[pool]
 }
 
+// Form is how a platform writes what a node and a server tell each other in headers.
+type Form struct {
+	Encode func(hr *http.Request, req *call.Request, token flight.Token, now time.Time) // adds the headers of a request
+	Decode func(resp *http.Response, req *call.Request, body []byte) call.Result        // tells what an answer means
+	Other  func(resp *http.Response, req *call.Request) bool                            // an answer belongs to another request
+}
+
 // New returns a client that opens at most conns connections to the server.
 func New(addr ident.Address, conns ident.Conns) *Client {
 	d := &net.Dialer{Timeout: dialTimeout}
-	c := &Client{Addr: addr, Dial: d.DialContext}
+	c := &Client{Addr: addr, Dial: d.DialContext, Form: Form{
+		Encode: encode, Decode: answered, Other: func(*http.Response, *call.Request) bool { return false },
+	}}
 	c.Resize(conns)
 	return c
 }
@@ -105,14 +115,14 @@
 		return failed(ctx, err, false)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = k.SetDeadline(time.Unix(1, 0)) })
-	res, keep := exchange(ctx, k, hr)
+	res, keep := c.exchange(ctx, k, hr, req)
 	p.give(k, stop() && keep, time.Now())
 	return res
 }
 
 // exchange sends a request and reads its answer. It reports whether the connection may carry another
 // one. Nothing that was sent can be taken back, so what fails from here on has an unknown outcome.
-func exchange(ctx context.Context, k *conn, hr *http.Request) (res call.Result, keep bool) {
+func (c *Client) exchange(ctx context.Context, k *conn, hr *http.Request, req *call.Request) (res call.Result, keep bool) {
 	if ctx.Err() != nil {
 		return failed(ctx, ctx.Err(), false), false
 	}
@@ -120,26 +130,45 @@
 	if sent == nil {
 		sent = k.w.Flush()
 	}
-	// A server may answer before it has read all, and close the connection.
-	resp, err := readAnswer(k, hr)
-	if err != nil {
-		return failed(ctx, err, true), false
+	for range maxOthers {
+		// A server may answer before it has read all, and close the connection.
+		resp, err := readAnswer(k, hr)
+		if err != nil {
+			return failed(ctx, err, true), false
+		}
+		body, bad := readBody(ctx, resp)
+		if bad.Reason != reason.None {
+			return bad, false
+		}
+		k.learn(resp)
+		if c.Form.Other(resp, req) {
+			continue // a late second answer to an earlier request
+		}
+		return c.Form.Decode(resp, req, body), sent == nil && !resp.Close
 	}
+	return call.Doubt(reason.ServerFailed), false
+}
+
+// maxOthers bounds the answers to other requests before the one that is waited for.
+const maxOthers = 4
+
+// readBody reads the whole body of an answer; the result has a reason when there is none.
+func readBody(ctx context.Context, resp *http.Response) (body []byte, bad call.Result) {
 	// The body is not closed: that would read what is left of it, without bound.
 	switch {
 	case resp.ContentLength > int64(call.MaxAnswer):
-		return call.Doubt(reason.AnswerTooLarge), false
+		return nil, call.Doubt(reason.AnswerTooLarge)
 	case resp.StatusCode == http.StatusSwitchingProtocols:
-		return call.Doubt(reason.ServerFailed), false // nobody asked for it, and what follows is no answer
+		return nil, call.Doubt(reason.ServerFailed) // nobody asked for it, and what follows is no answer
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(call.MaxAnswer)+1))
 	if err != nil {
-		return failed(ctx, err, true), false
+		return nil, failed(ctx, err, true)
 	}
 	if ident.Bytes(len(body)) > call.MaxAnswer {
-		return call.Doubt(reason.AnswerTooLarge), false
+		return nil, call.Doubt(reason.AnswerTooLarge)
 	}
-	return answered(resp, body), sent == nil && !resp.Close
+	return body, call.Result{}
 }
 
 // readAnswer reads the head of an answer, after those of interim answers.
@@ -175,11 +204,16 @@
 	for _, h := range req.Header {
 		hr.Header.Add(h.Name, h.Value)
 	}
+	c.Form.Encode(hr, req, token, now)
+	return hr, nil
+}
+
+// encode adds the product's own headers to a request.
+func encode(hr *http.Request, req *call.Request, token flight.Token, now time.Time) {
 	hr.Header.Set(HeaderToken, string(token))
 	hr.Header.Set(HeaderDeadline, strconv.FormatInt(req.Left(now).Milliseconds(), 10))
 	hr.Header.Set(HeaderKey, string(req.Key))
 	hr.Header.Set(HeaderCaller, string(req.Caller))
-	return hr, nil
 }
 
 // failed sorts an error of the transport by what it proves.
@@ -203,7 +237,7 @@
 
 // answered sorts an answer of the server: its own answer, or its word that it did not run the request
 // or cannot tell.
-func answered(resp *http.Response, body []byte) call.Result {
+func answered(resp *http.Response, _ *call.Request, body []byte) call.Result {
 	res := call.Result{Outcome: reason.Ran, Status: resp.StatusCode, Fraction: 1}
 	why, known := reason.ParseRefusal(resp.Header.Get(HeaderReason))
 	switch {
@@ -213,7 +247,7 @@
 	case resp.StatusCode >= 500 && resp.Header.Get(HeaderOutcome) == reason.Unknown.String():
 		res = call.Doubt(reason.ServerFailed)
 	default:
-		res.Header = Keep(resp.Header)
+		res.Header = Keep(resp.Header, own)
 		res.Body = body
 		return res
 	}
@@ -230,12 +264,18 @@
 	"Content-Length": true, "Expect": true,
 }
 
-// Keep returns the headers that are passed on from one hop to the next.
-func Keep(h http.Header) (kept []call.Header) {
+// own reports whether a header is one of the product's.
+func own(name string) bool { return strings.HasPrefix(name, "Briar-") || name == HeaderKey }
+
+// KeepOwn is Keep without the product's own headers.
+func KeepOwn(h http.Header) []call.Header { return Keep(h, own) }
+
+// Keep returns the headers that are passed on from one hop to the next, but for those that except names.
+func Keep(h http.Header, except func(name string) bool) (kept []call.Header) {
 	named := connectionNames(h)
-	kept = make([]call.Header, 0, len(h))
+	kept = make([]call.Header, 0, len(h)+1)
 	for name, values := range h {
-		if dropped[name] || named[name] || strings.HasPrefix(name, "Briar-") || name == HeaderKey {
+		if dropped[name] || named[name] || except(name) {
 			continue
 		}
 		for _, v := range values {
--- /dev/null
+++ b/internal/setup/sidecar.go
@@ -0,0 +1,73 @@
+package setup
+
+import (
+	"time"
+
+	"github.com/samber/oops"
+
+	"briarworks.example/briarworks/internal/strict"
+	"briarworks.example/briarworks/pkg/ident"
+)
+
+// Sidecar holds the settings of a node that finds its fleet and its configuration in the platform's store.
+type Sidecar struct {
+	Server      ident.Server     `yaml:"server" validate:"name"`
+	Service     ident.Service    `yaml:"service" validate:"name"`
+	DataCentre  ident.DataCentre `yaml:"dataCentre" validate:"name"`
+	Listen      Ports            `yaml:"listen"`
+	Backend     ident.Address    `yaml:"backend" unit:"IP number and port" validate:"address"`
+	Store       ident.Address    `yaml:"store" unit:"IP number and port" validate:"address"`
+	Seeds       []ident.Address  `yaml:"seeds,omitempty" unit:"IP numbers and ports" validate:"max=16,dive,address"`
+	Retries     Retries          `yaml:"retries"`
+	StopTimeout time.Duration    `yaml:"stopTimeout" unit:"duration" default:"6s" validate:"min=1s,max=10m"`
+	Memory      int              `yaml:"memory" unit:"MB" default:"256" validate:"min=32,max=65536"`
+}
+
+// Ports holds the addresses on which such a node listens.
+type Ports struct {
+	Callers  ident.Address `yaml:"callers" unit:"IP number and port" validate:"address"`
+	Ready    ident.Address `yaml:"ready" unit:"IP number and port" validate:"address"`
+	Beats    ident.Address `yaml:"beats" unit:"IP number and port" validate:"address"`
+	Peers    ident.Address `yaml:"peers" unit:"IP number and port" validate:"address"`
+	Operator ident.Address `yaml:"operator" unit:"IP number and port" validate:"address"`
+}
+
+// Retries bounds the repeats of all nodes together at one service.
+type Retries struct {
+	Ratio  float64       `yaml:"ratio" unit:"repeats per request" default:"0.2" validate:"min=0,max=1"`
+	Window time.Duration `yaml:"window" unit:"duration" default:"10s" validate:"min=1s,max=10m"`
+	Slack  float64       `yaml:"slack" unit:"repeats per window" default:"50" validate:"min=0,max=100000"`
+}
+
+// DecodeSidecar reads and checks the settings of such a node. The error wraps Problems, which lists every
+// fault that was found; file is used only to name the place.
+func DecodeSidecar(file string, text []byte) (s *Sidecar, err error) {
+	defer func() {
+		if err != nil {
+			s, err = nil, oops.In("setup").Wrapf(err, "setup")
+		}
+	}()
+	s = new(Sidecar)
+	source := strict.Read(file, text, int(MaxText), s)
+	source.Validate(s)
+	used := make(map[ident.Address]string)
+	at := s.Listen
+	for _, own := range []struct {
+		field   string
+		address ident.Address
+	}{
+		{"listen.callers", at.Callers},
+		{"listen.ready", at.Ready},
+		{"listen.beats", at.Beats},
+		{"listen.peers", at.Peers},
+		{"listen.operator", at.Operator},
+		{"backend", s.Backend},
+		{"store", s.Store},
+	} {
+		once(source, used, own.field, own.address)
+	}
+	if !source.Faulty("listen.peers") && unspecified(at.Peers) {
+		source.Add("listen.peers", "must be an address that other nodes can call, not 0.0.0.0 or [::]")
+	}
+	return s, source.Err()
+}
--- a/internal/strict/strict.go
+++ b/internal/strict/strict.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"reflect"
 	"slices"
 	"strconv"
@@ -206,6 +207,8 @@
 		return "true or false"
 	case reflect.String:
 		return "text"
+	case reflect.Float64:
+		return "a number"
 	}
 	return "a whole number"
 }
@@ -267,6 +270,11 @@
 			dst.SetBool(b.Value)
 			return
 		}
+	case reflect.Float64:
+		if v, ok := decimal(n); ok {
+			dst.SetFloat(v)
+			return
+		}
 	default:
 		if i, ok := n.(*ast.IntegerNode); ok {
 			s.number(i, dst, field)
@@ -276,6 +284,17 @@
 	s.mismatch(n, dst, field)
 }
 
+func decimal(n ast.Node) (v float64, ok bool) {
+	switch n := n.(type) {
+	case *ast.FloatNode:
+		return n.Value, !math.IsNaN(n.Value) && !math.IsInf(n.Value, 0)
+	case *ast.IntegerNode:
+		v, err := strconv.ParseFloat(n.String(), 64)
+		return v, err == nil
+	}
+	return 0, false
+}
+
 func (s *Source) number(n *ast.IntegerNode, dst reflect.Value, field string) {
 	var v int64
 	switch i := n.Value.(type) {
@@ -402,6 +421,10 @@
 		var i int64
 		i, err = strconv.ParseInt(v, 10, 64)
 		dst.SetInt(i)
+	case dst.CanFloat():
+		var f float64
+		f, err = strconv.ParseFloat(v, 64)
+		dst.SetFloat(f)
 	case dst.CanUint():
 		var u uint64
 		u, err = strconv.ParseUint(v, 10, 64)
--- a/pkg/call/call.go
+++ b/pkg/call/call.go
@@ -36,6 +36,8 @@
 	Budget     ident.Tokens   // retries that this hop and everything below it may spend
 	Passed     ident.Fraction // admitted fraction that the entry applied
 	Hop        ident.Hop
+	Attempts   int           // most servers that the request may be sent to; known at the node where it begins only
+	Patience   time.Duration // longest wait in the queue of a server; 0 means the default of the gate
 	Method     string
 	Path       string // with the query
 	Header     []Header
@@ -54,6 +56,7 @@
 	Free       ident.Slots    // slots that the answering server had free
 	Fraction   ident.Fraction // smallest admitted fraction of the kind at and below the answering node
 	RefusalSeq ident.Seq      // last refusal number of the answering node
+	Served     ident.Server   // the server that answered; known at the node where the request began only
 	Shed       bool           // the node's own backend server shed the request, and not one further down; not told to other nodes
 }
 
--- a/pkg/ident/ident.go
+++ b/pkg/ident/ident.go
@@ -13,6 +13,9 @@
 // Server names one backend server; it is unique in the fleet.
 type Server string
 
+// Instance names one start of a backend server, or several when it keeps its name over a restart.
+type Instance string
+
 // DataCentre names a data centre of the inventory.
 type DataCentre string
 
