level, chain: hold work back at its origin by the level of the narrowest server

Calls carry no mark of their parent, so each hop thinned again what the origin had let in, and returning callers raised the estimate; route sheets were refused though dispatch had room. A server that sheds at random (srv_grey) had its limit halved, which made a queue and held back everything.

Change: pkg/level, a controller on what was turned away, the wait and the use of slots; its level goes back with the answers. pkg/chain learns which kinds make which calls, and which kinds are calls of servers. retry.Budget sizes repeats by the arrivals that they cause. A shed call lowers the limit only when the server is nearly full.

--- a/internal/flight/flight.go
+++ b/internal/flight/flight.go
@@ -18,7 +18,6 @@
 	Request *call.Request
 	Pool    retry.Pool      // tokens left at this node
 	Ctx     context.Context // ends when the request is cancelled or its deadline passes
-	Told    time.Time       // deadline that the server was given
 
 	mu      sync.Mutex // guards the fields below; contended only by parallel children of one request
 	open    int        // downstream calls that are waited for
@@ -67,19 +66,6 @@
 // Remove forgets a flight; its token is worth nothing afterwards.
 func (t *Table) Remove(f *Flight) { t.m.Delete(f.Token) }
 
-// Parent returns the flight whose server was given the deadline nearest to one, within slack. A call that
-// carries no token is found by it, since a server hands its own deadline to the calls that it makes.
-func (t *Table) Parent(deadline time.Time, slack time.Duration) (parent *Flight, ok bool) {
-	t.m.Range(func(_, v any) bool {
-		f := v.(*Flight)
-		if d := f.Told.Sub(deadline).Abs(); d <= slack {
-			parent, slack = f, d
-		}
-		return true
-	})
-	return parent, parent != nil
-}
-
 // Find returns the flight with the token.
 func (t *Table) Find(token Token) (*Flight, bool) {
 	f, ok := t.m.Load(token)
--- a/internal/outlog/outlog.go
+++ b/internal/outlog/outlog.go
@@ -24,12 +24,13 @@
 	queue   chan []byte
 	dropped atomic.Uint64
 	end     sync.Once
+	stop    chan struct{}
 	done    chan struct{}
 }
 
 // New returns a writer to out.
 func New(out io.Writer) *Writer {
-	w := &Writer{out: out, queue: make(chan []byte, queueLen), done: make(chan struct{})}
+	w := &Writer{out: out, queue: make(chan []byte, queueLen), stop: make(chan struct{}), done: make(chan struct{})}
 	go w.run()
 	return w
 }
@@ -47,32 +48,39 @@
 // Sync does nothing: lines are written as they come.
 func (w *Writer) Sync() error { return nil }
 
-// Close writes the lines that are queued; nothing may be written after it.
+// Close writes the lines that are queued; what is written after it is lost.
 func (w *Writer) Close() {
-	w.end.Do(func() { close(w.queue) })
+	w.end.Do(func() { close(w.stop) })
 	<-w.done
 }
 
 func (w *Writer) run() {
 	defer close(w.done)
 	var buf []byte
-	for p := range w.queue {
-		buf = append(buf[:0], p...)
-		for more := true; more && len(buf) < flushBytes; {
-			select {
-			case q, ok := <-w.queue:
-				if !ok {
-					more = false
-					break
-				}
-				buf = append(buf, q...)
-			default:
-				more = false
-			}
+	for {
+		select {
+		case p := <-w.queue:
+			buf = w.flush(append(buf[:0], p...))
+		case <-w.stop:
+			w.flush(buf[:0])
+			return
 		}
-		if n := w.dropped.Swap(0); n > 0 {
-			buf = fmt.Appendf(buf, "ts=%s level=warn event=linesDropped count=%d\n", time.Now().UTC().Format(time.RFC3339Nano), n)
+	}
+}
+
+// flush writes buf and the lines that are queued, and returns the buffer for the next use.
+func (w *Writer) flush(buf []byte) []byte {
+	for more := true; more && len(buf) < flushBytes; {
+		select {
+		case q := <-w.queue:
+			buf = append(buf, q...)
+		default:
+			more = false
 		}
-		_, _ = w.out.Write(buf) // a log that cannot be written has nowhere to say so
 	}
+	if n := w.dropped.Swap(0); n > 0 {
+		buf = fmt.Appendf(buf, "ts=%s level=warn event=linesDropped count=%d\n", time.Now().UTC().Format(time.RFC3339Nano), n)
+	}
+	_, _ = w.out.Write(buf) // a log that cannot be written has nowhere to say so
+	return buf
 }
--- /dev/null
+++ b/internal/relay/control.go
@@ -0,0 +1,104 @@
+package relay
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"briarworks.example/briarworks/pkg/call"
+	"briarworks.example/briarworks/pkg/chain"
+	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/level"
+	"briarworks.example/briarworks/pkg/retry"
+)
+
+// Control decides what Forward lets in and repeats, from what answers tell of the services further down. The
+// exported fields are set before the first request. Its methods without a name of their own do nothing on
+// nil, so that a node that does not use Forward needs none.
+type Control struct {
+	Own      *level.Controller // of the own server
+	Learned  *level.Table
+	Graph    *chain.Graph   // of the calls that the own server makes
+	Origins  *chain.Origins // of the requests that come to the own server
+	Budget   *retry.Budget
+	Ranks    func() int // ranks of the configuration
+	Services func() int // services of the configuration
+
+	kinds sync.Map // ident.Kind -> *known
+}
+
+// known is what answers told of a kind of work.
+type known struct {
+	inner atomic.Bool
+	fan   atomic.Int64 // thousandths
+}
+
+// fanUnit is the unit in which a fan is kept.
+const fanUnit = 1000
+
+// inner reports whether a kind is called by servers and not by callers.
+func (c *Control) inner(kind ident.Kind) bool {
+	v, ok := c.kinds.Load(kind)
+	return ok && v.(*known).inner.Load()
+}
+
+// fan returns the arrivals at one service that a repeat of the kind causes.
+func (c *Control) fan(kind ident.Kind) float64 {
+	if v, ok := c.kinds.Load(kind); ok {
+		return max(1, float64(v.(*known).fan.Load())/fanUnit)
+	}
+	return 1
+}
+
+// came notes a request that another node sent to the own server.
+func (c *Control) came(req *call.Request) {
+	if c != nil {
+		c.Origins.Add(req.Kind, ident.Service(req.Caller))
+	}
+}
+
+// begin notes a request that starts to run on the own server.
+func (c *Control) begin(req *call.Request) {
+	if c != nil {
+		c.Graph.Begin(req.Kind)
+	}
+}
+
+// end notes a request that has ended there.
+func (c *Control) end(req *call.Request) {
+	if c != nil {
+		c.Graph.End(req.Kind)
+	}
+}
+
+// tell adds to a result how far work of its kind is held back here and at the services that it calls.
+func (c *Control) tell(req *call.Request, res *call.Result, now time.Time) {
+	if c == nil {
+		return
+	}
+	res.Level, res.Fan = c.Own.Level(), 1
+	for _, below := range c.Graph.Calls(req.Kind) {
+		res.Level = max(res.Level, c.Learned.Worst(below.Kind, now))
+		res.Fan = max(res.Fan, below.Rate*c.fan(below.Kind))
+	}
+	res.Inner = c.Origins.Inner(req.Kind, c.Services())
+}
+
+// learn notes what an answer tells of its kind.
+func (c *Control) learn(req *call.Request, res *call.Result, now time.Time) {
+	if c == nil {
+		return
+	}
+	c.Learned.Learn(req.Kind, req.Service, res.Level, now)
+	v, ok := c.kinds.Load(req.Kind)
+	if !ok {
+		v, _ = c.kinds.LoadOrStore(req.Kind, &known{})
+	}
+	k := v.(*known)
+	if k.inner.Load() != res.Inner {
+		k.inner.Store(res.Inner)
+	}
+	if fan := int64(res.Fan * fanUnit); fan != k.fan.Load() {
+		k.fan.Store(fan)
+	}
+}
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -4,47 +4,43 @@
 	"context"
 	"time"
 
-	"briarworks.example/briarworks/internal/flight"
 	"briarworks.example/briarworks/pkg/call"
-	"briarworks.example/briarworks/pkg/ident"
 	"briarworks.example/briarworks/pkg/reason"
 	"briarworks.example/briarworks/pkg/retry"
 	"briarworks.example/briarworks/pkg/route"
-	"briarworks.example/briarworks/pkg/share"
 )
 
 // maxPlaces bounds the nodes that one request is offered to. A refusal before the server costs neither an
 // attempt nor the budget of retries, but each one takes time.
 const maxPlaces = 4
 
-// Forward takes a request that begins at this node and may run on any server of its service. With a parent
-// it is a call of the own server, which belongs to the parent's request and is admitted with it.
-func (r *Relay) Forward(ctx context.Context, req *call.Request, parent *flight.Flight) call.Result {
-	if parent == nil {
-		return r.take(ctx, req, r.originate)
-	}
-	root := parent.Request
-	req.Kind, req.Rank, req.Protected = root.Kind, root.Rank, root.Protected
-	req.Key, req.Born, req.Passed, req.Hop = root.Key, root.Born, root.Passed, root.Hop+1
-	r.active.Add(1)
-	defer r.active.Add(-1)
-	parent.Begin(r.Now())
-	defer func() { parent.End(r.Now()) }()
-	return r.spread(ctx, req)
+// Forward takes a request that begins at this node, of a caller or of the own server, and that may run on
+// any server of its service.
+func (r *Relay) Forward(ctx context.Context, req *call.Request) call.Result {
+	return r.take(ctx, req, r.originate)
 }
 
-// originate admits a request by the narrowest service that its calls use, as far as this node has learned.
+// originate lets a caller's request in by the level of its kind. A call of the own server belongs to a request
+// that was let in and always passes.
 func (r *Relay) originate(ctx context.Context, req *call.Request) call.Result {
 	now := r.Now()
-	req.Hop = 1 // it reaches the server's node as a request that was admitted elsewhere
-	req.Passed = max(r.Paths.Below(req.Kind, now), share.Floor)
-	if req.Passed < 1 && ident.Cohort(req.Key, req.Born) >= req.Passed {
+	c := r.Control
+	req.Passed = 1
+	if c.inner(req.Kind) {
+		c.Graph.Call(req.Kind)
+		return r.spread(ctx, req)
+	}
+	req.Passed = c.Learned.Of(req.Kind, req.Service, now).Fraction(req.Rank, c.Ranks())
+	if req.Passed < 1 && unit(r.Rand()) >= float64(req.Passed) {
 		return call.Refuse(reason.Overload)
 	}
-	r.ratio(req.Service).Call(now)
+	c.Budget.Request(req.Service, now)
 	return r.spread(ctx, req)
 }
 
+// unit returns a random number in [0,1) from 64 random bits.
+func unit(rnd uint64) float64 { return float64(rnd>>11) / (1 << 53) }
+
 // spread offers a request to one server after the other until one has run it, none is left, or another
 // attempt is not allowed.
 func (r *Relay) spread(ctx context.Context, req *call.Request) call.Result {
@@ -54,7 +50,9 @@
 		here, p := s.next()
 		switch {
 		case here:
+			r.Control.Origins.Add(req.Kind, r.Self.Service)
 			res = r.local(ctx, req)
+			r.Control.learn(req, &res, r.Now())
 			res.Served = r.Self.Server
 			s.avoid.Add(r.Self.Server)
 		case p != nil:
@@ -128,7 +126,7 @@
 	}
 	if reached(res) {
 		s.sent++
-		if s.sent >= s.req.Attempts || !r.ratio(s.req.Service).Allow(r.Now()) {
+		if s.sent >= s.req.Attempts || !r.Control.Budget.Spend(r.Control.fan(s.req.Kind), r.Now()) {
 			return false
 		}
 	}
--- a/internal/relay/onward.go
+++ b/internal/relay/onward.go
@@ -162,6 +162,7 @@
 func (r *Relay) learn(req *call.Request, res call.Result, now time.Time) {
 	if answered(res) {
 		r.Paths.Learn(req.Service, req.Kind, res.Fraction, now)
+		r.Control.learn(req, &res, now)
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -38,8 +38,8 @@
 	Gate      *admit.Gate
 	Paths     *share.Paths
 	Flights   *flight.Table
-	Bound     int64        // requests carried at a time; 0 means no bound
-	Retries   retry.Bounds // of the retries to one service
+	Bound     int64    // requests carried at a time; 0 means no bound
+	Control   *Control // of Forward; nil at a node that does not use it
 
 	draining atomic.Bool
 	active   atomic.Int64
@@ -131,6 +131,7 @@
 	if req.Service != r.Self.Service {
 		return r.annotate(req, call.Refuse(reason.NoServer), req.Budget)
 	}
+	r.Control.came(req)
 	if why := r.begin(req); why != reason.None {
 		return r.annotate(req, call.Refuse(why), req.Budget)
 	}
@@ -249,20 +250,24 @@
 // run runs an admitted request on the own backend server.
 func (r *Relay) run(ctx context.Context, req *call.Request, t *ticket) call.Result {
 	start := r.Now()
-	f := &flight.Flight{Token: r.Token(), Request: req, Ctx: ctx, Told: start.Add(req.Left(start).Truncate(time.Millisecond))}
+	f := &flight.Flight{Token: r.Token(), Request: req, Ctx: ctx}
 	f.Pool.Fill(req.Budget)
 	r.Flights.Add(f)
+	r.Control.begin(req)
 	res := call.Refuse(reason.LeaseLapsed)
 	if req.StartBy.IsZero() || start.Before(req.StartBy) {
 		res = r.Run(ctx, req, f.Token, start)
 	}
 	r.Flights.Remove(f)
+	r.Control.end(req)
 	now := r.Now()
 	total := now.Sub(start)
+	// A server that sheds with many slots free is broken and not full; fewer calls at a time would not help.
+	shed := res.Shed && (r.Control == nil || r.Gate.Crowded())
 	r.Gate.Leave(&t.Ticket, admit.Usage{
 		Own: total - f.Waited(now), Total: total,
-		Shed:   res.Shed,
-		Failed: res.Outcome != reason.Ran && !res.Shed,
+		Shed:   shed,
+		Failed: res.Outcome != reason.Ran && !shed,
 	}, now)
 	return r.annotate(req, res, f.Pool.Left())
 }
@@ -277,6 +282,7 @@
 	}
 	res.Fraction = r.Gate.Advertise(req.Kind, now)
 	res.RefusalSeq = r.Seq()
+	r.Control.tell(req, &res, now)
 	return res
 }
 
@@ -284,6 +290,6 @@
 	if x, ok := r.ratios.Load(service); ok {
 		return x.(*retry.Ratio)
 	}
-	x, _ := r.ratios.LoadOrStore(service, &retry.Ratio{Bounds: r.Retries})
+	x, _ := r.ratios.LoadOrStore(service, &retry.Ratio{})
 	return x.(*retry.Ratio)
 }
--- a/internal/side/build.go
+++ b/internal/side/build.go
@@ -20,8 +20,10 @@
 	"briarworks.example/briarworks/internal/setup"
 	"briarworks.example/briarworks/internal/stats"
 	"briarworks.example/briarworks/pkg/admit"
+	"briarworks.example/briarworks/pkg/chain"
 	"briarworks.example/briarworks/pkg/fleet"
 	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/level"
 	"briarworks.example/briarworks/pkg/retry"
 	"briarworks.example/briarworks/pkg/share"
 )
@@ -41,7 +43,7 @@
 
 // Module provides a node from its settings and a logger; the adapter of the platform supplies the rest.
 var Module = fx.Module("side",
-	fx.Provide(newSelf, newStats, newPaths, newRoster, newGate, newBackend, newBook, newGossip, newRelay, New),
+	fx.Provide(newSelf, newStats, newPaths, newRoster, newGate, newBackend, newBook, newGossip, newControl, newRelay, New),
 )
 
 func newSelf(s *setup.Sidecar) fleet.Member {
@@ -57,8 +59,11 @@
 
 func newRoster(self fleet.Member) *roster.Roster { return &roster.Roster{Self: self} }
 
-func newGate(s *setup.Sidecar, paths *share.Paths) *admit.Gate {
-	return admit.New(admit.Config{Service: s.Service, Slots: defaultSlots, Paths: paths, QueueLen: maxQueue})
+func newGate(s *setup.Sidecar, paths *share.Paths, ctl *relay.Control) *admit.Gate {
+	return admit.New(admit.Config{
+		Service: s.Service, Slots: defaultSlots, Paths: paths, QueueLen: maxQueue,
+		Rolled: func(w level.Sample) { ctl.Own.Roll(w, level.Most(ctl.Ranks())) },
+	})
 }
 
 // maxQueue bounds the requests that wait for the own server; each waits only as long as it is worth.
@@ -106,33 +111,30 @@
 	return all
 }
 
-func newRelay(s *setup.Sidecar, self fleet.Member, r *roster.Roster, b *peer.Book, c *server.Client, g *admit.Gate, paths *share.Paths, st *stats.Stats) *relay.Relay {
+func newRelay(self fleet.Member, r *roster.Roster, b *peer.Book, c *server.Client, g *admit.Gate, paths *share.Paths, ctl *relay.Control, st *stats.Stats) *relay.Relay {
 	return &relay.Relay{
 		Self: self, Now: time.Now, Rand: mrand.Uint64, Token: func() flight.Token { return flight.Token(random()) },
 		Routes: r.Set, Run: c.Run, Send: b.Call, Connected: b.Connected, Seq: func() ident.Seq { return 0 },
-		Retried: st.Retried, Gate: g, Paths: paths, Flights: &flight.Table{}, Bound: maxCarried,
-		Retries: bounds(s.Retries),
+		Retried: st.Retried, Gate: g, Paths: paths, Flights: &flight.Table{}, Bound: maxCarried, Control: ctl,
 	}
 }
 
 // maxCarried bounds the requests that a node carries at a time.
 const maxCarried = 4096
 
-// Shares of the fleet's budget of repeats. A repeated request repeats the calls that it makes, and each of
-// these counts at the service it goes to; a chain of the known deployments makes up to four calls to one
-// service. The slack is shared by all nodes, whose number a node does not know for certain.
-const (
-	ratioShare = 5.0  // the fleet's ratio is divided by this
-	slackShare = 24.0 // and its slack by this
-)
-
-// bounds returns one node's part of the budget of repeats that all nodes share.
-func bounds(r setup.Retries) retry.Bounds {
-	b := retry.Bounds{Part: retry.RatioPart * 100, Always: uint64(max(r.Slack/slackShare, 1))}
-	if r.Ratio > 0 {
-		b.Part = uint64(max(ratioShare/r.Ratio, 1))
+// budgetShare is the part of the fleet's budget of repeats that its nodes use together: they count requests
+// and members a little differently from each other.
+const budgetShare = 0.75
+
+// newControl returns the control of a node; the node sets what depends on its configuration.
+func newControl(s *setup.Sidecar, r *roster.Roster) *relay.Control {
+	return &relay.Control{
+		Own: &level.Controller{}, Learned: &level.Table{}, Graph: &chain.Graph{}, Origins: &chain.Origins{},
+		Budget: &retry.Budget{Share: s.Retries.Ratio * budgetShare, Slack: func() float64 {
+			return s.Retries.Slack * budgetShare / float64(max(len(r.Table().All()), 1))
+		}},
+		Ranks: func() int { return 1 }, Services: func() int { return 0 },
 	}
-	return b
 }
 
 // random returns 128 random bits as text.
--- a/internal/side/node.go
+++ b/internal/side/node.go
@@ -19,6 +19,7 @@
 	"briarworks.example/briarworks/internal/setup"
 	"briarworks.example/briarworks/internal/stats"
 	"briarworks.example/briarworks/pkg/admit"
+	"briarworks.example/briarworks/pkg/chain"
 	"briarworks.example/briarworks/pkg/fleet"
 	"briarworks.example/briarworks/pkg/ident"
 	"briarworks.example/briarworks/pkg/life"
@@ -89,6 +90,21 @@
 	n.self.Left = true // until the own server is known to be ready
 	n.own.Store(&life.State{})
 	n.Relay.Up = n.up
+	n.Relay.Control.Graph.Changed = func(kind ident.Kind, calls []chain.Call) {
+		n.Log.Info("callsLearned", zap.String("kind", string(kind)), zap.Stringer("calls", chain.List(calls)))
+	}
+	n.Relay.Control.Ranks = func() int {
+		if t := n.Table(); t != nil {
+			return t.Ranks
+		}
+		return 1
+	}
+	n.Relay.Control.Services = func() int {
+		if t := n.Table(); t != nil {
+			return t.Services()
+		}
+		return 0
+	}
 	n.Book.OnCall = n.Relay.Serve
 	n.Book.OnSync = n.Gossip.Answer
 	n.Book.OnLeave = func(s ident.Server, inc ident.Incarnation) { n.Roster.Leave(s, inc, time.Now()) }
@@ -149,7 +165,9 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			n.Gate.Tick(time.Now())
+			now := time.Now()
+			n.Relay.Control.Graph.Tick(now)
+			n.Gate.Tick(now)
 		}
 	}
 }
--- a/internal/wire/convert.go
+++ b/internal/wire/convert.go
@@ -7,6 +7,7 @@
 	"briarworks.example/briarworks/pkg/call"
 	"briarworks.example/briarworks/pkg/fleet"
 	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/level"
 	"briarworks.example/briarworks/pkg/reason"
 )
 
@@ -67,7 +68,7 @@
 		CallId: uint64(id), Outcome: uint32(r.Outcome), Reason: uint32(r.Reason),
 		RetryAfterNs: int64(r.RetryAfter), Status: int32(r.Status), Header: fromHeader(r.Header), Body: r.Body,
 		TokensLeft: int32(r.TokensLeft), Free: int32(r.Free), Fraction: float64(r.Fraction),
-		RefusalSeq: uint64(r.RefusalSeq),
+		RefusalSeq: uint64(r.RefusalSeq), Level: float64(r.Level), Inner: r.Inner, Fan: r.Fan,
 	}
 }
 
@@ -82,9 +83,21 @@
 		Status: int(m.Status), Header: toHeader(m.Header), Body: m.Body,
 		TokensLeft: ident.Tokens(max(m.TokensLeft, 0)), Free: ident.Slots(m.Free),
 		Fraction: fraction(m.Fraction), RefusalSeq: ident.Seq(m.RefusalSeq),
+		Level: level.Level(finite(m.Level)), Inner: m.Inner, Fan: finite(m.Fan),
 	}
 }
 
+// finite replaces what is not a number or is out of all bounds.
+func finite(f float64) float64 {
+	if f > 0 && f < maxFinite {
+		return f
+	}
+	return 0
+}
+
+// maxFinite bounds levels and fans; real ones are below 100.
+const maxFinite = 1e4
+
 func fromHeader(hs []call.Header) []*wirepb.Header {
 	out := make([]*wirepb.Header, len(hs))
 	all := make([]wirepb.Header, len(hs)) // one allocation for all
--- a/pkg/admit/gate.go
+++ b/pkg/admit/gate.go
@@ -26,14 +26,17 @@
 	limit    atomic.Int32 // read on every decision, written once a window and for each shed call
 	floor    atomic.Int32 // lowest limit that shed calls leave in this window
 	waiting  atomic.Int32 // length of the queue
+	arrived  atomic.Int32 // requests in this window
+	slots    atomic.Int32 // announced slots
 	pressed  atomic.Bool  // demand exceeds the limit
 	cold     atomic.Bool  // the server is in its cold start
-	_        [40]byte
+	_        [32]byte
 
 	mu      sync.Mutex // guards the queue
 	queue   queue
 	waits   int // requests that did not find a free slot in this window
 	refused int // begun requests refused in this window for want of a slot
+	turned  int // requests of any sort that left the queue in this window without having run
 
 	windowMu sync.Mutex // guards what the end of a window computes; taken before mu
 	limiter  *limit.Limiter
@@ -46,6 +49,7 @@
 	g := &Gate{cfg: cfg, limiter: limit.New(cfg.Slots)}
 	g.queue.list = make([]*Ticket, 0, cfg.QueueLen+1)
 	g.window.gain = 1
+	g.slots.Store(int32(cfg.Slots))
 	g.setLimit()
 	g.Configure(cfg.Kinds)
 	return g
@@ -96,6 +100,7 @@
 	k := g.kinds.Load().find(req.Kind)
 	shard := shardOf(t)
 	t.kind = k
+	g.arrived.Add(1)
 	if req.Hop == 0 && req.Passed == 0 && !g.offer(k, shard, req, now) {
 		return t.refuse(reason.Overload)
 	}
@@ -233,6 +238,7 @@
 // drop refuses a request that got no slot in time. The caller holds g.mu.
 func (g *Gate) drop(t *Ticket, r reason.Refusal) {
 	t.refuse(r)
+	g.turned++
 	if t.begun {
 		g.refused++
 	}
@@ -362,6 +368,16 @@
 	return other >= g.Fraction(req.Kind)
 }
 
+// Crowded reports whether the server has nearly as many calls as it has slots, so that a call that it sheds
+// may say that it is full.
+func (g *Gate) Crowded() bool { return g.inflight.Load()*crowdedOf >= g.slots.Load()*crowdedPart }
+
+// crowdedPart of crowdedOf is the part of the slots from which on a server counts as nearly full.
+const (
+	crowdedPart = 4
+	crowdedOf   = 5
+)
+
 // Free returns the slots that are free.
 func (g *Gate) Free() ident.Slots { return max(g.Limit()-g.Inflight(), 0) }
 
@@ -380,6 +396,7 @@
 	g.windowMu.Lock()
 	defer g.windowMu.Unlock()
 	g.limiter.SetSlots(n)
+	g.slots.Store(int32(n))
 	g.setLimit()
 }
 
--- a/pkg/admit/window.go
+++ b/pkg/admit/window.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/level"
 	"briarworks.example/briarworks/pkg/limit"
 	"briarworks.example/briarworks/pkg/share"
 )
@@ -87,8 +88,8 @@
 func (g *Gate) roll(span time.Duration, now time.Time) {
 	w := &g.window
 	g.mu.Lock()
-	waits, refused := g.waits, g.refused
-	g.waits, g.refused = 0, 0
+	waits, refused, turned := g.waits, g.refused, g.turned
+	g.waits, g.refused, g.turned = 0, 0, 0
 	g.mu.Unlock()
 
 	used := w.used / float64(w.samples)
@@ -109,6 +110,19 @@
 	g.limiter.Roll(w.standard(s, &m), now)
 	g.setLimit()
 	g.divide(used, waits > 0, refused, s, now)
+	if g.cfg.Rolled != nil {
+		g.cfg.Rolled(level.Sample{
+			Arrived: int(g.arrived.Swap(0)), Turned: turned, Wait: w.wait(s), Used: used, Span: span,
+		})
+	}
+}
+
+// wait returns the mean wait in the queue: by Little's law, its length over the throughput.
+func (w *window) wait(s limit.Sample) time.Duration {
+	if s.Done == 0 || w.samples == 0 {
+		return 0
+	}
+	return time.Duration(w.queued / float64(w.samples) / float64(s.Done) * float64(s.Span))
 }
 
 // measure updates the estimates of a kind and returns its demand in slots.
--- a/pkg/call/call.go
+++ b/pkg/call/call.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/level"
 	"briarworks.example/briarworks/pkg/reason"
 )
 
@@ -56,6 +57,9 @@
 	Free       ident.Slots    // slots that the answering server had free
 	Fraction   ident.Fraction // smallest admitted fraction of the kind at and below the answering node
 	RefusalSeq ident.Seq      // last refusal number of the answering node
+	Level      level.Level    // how far the kind is held back at and below the answering node
+	Inner      bool           // the kind is called by servers and not by callers
+	Fan        float64        // arrivals at one service that a repeat causes; 0 when not known
 	Served     ident.Server   // the server that answered; known at the node where the request began only
 	Shed       bool           // the node's own backend server shed the request, and not one further down; not told to other nodes
 }
--- a/pkg/match/match.go
+++ b/pkg/match/match.go
@@ -25,9 +25,9 @@
 type Route struct {
 	Name       ident.Kind
 	Host       string
-	Prefix     string // begins and ends with a slash
-	Idempotent bool   // may run more than once
-	Rank       ident.Rank
+	Prefix     string        // begins and ends with a slash
+	Idempotent bool          // may run more than once
+	Rank       ident.Rank    // New replaces it by its place among the ranks of all routes, 0 for the most urgent
 	Attempts   int           // most servers that one attempt of a caller may be sent to
 	Timeout    time.Duration // longest time to an answer
 	Target     time.Duration // time within which an answer has its full worth
@@ -57,6 +57,7 @@
 type Table struct {
 	Version  ident.Version
 	Limits   Limits
+	Ranks    int // different ranks of the routes
 	routes   []*Route
 	services map[ident.Service]Service
 	hosts    map[string]*host
@@ -84,9 +85,28 @@
 			return nil, err
 		}
 	}
+	t.rank()
 	return t, nil
 }
 
+// rank numbers the ranks of the routes without gaps.
+func (t *Table) rank() {
+	var all []ident.Rank
+	for _, r := range t.routes {
+		if at, found := slices.BinarySearch(all, r.Rank); !found {
+			all = slices.Insert(all, at, r.Rank)
+		}
+	}
+	for _, r := range t.routes {
+		at, _ := slices.BinarySearch(all, r.Rank)
+		r.Rank = ident.Rank(at)
+	}
+	t.Ranks = len(all)
+}
+
+// Services returns the number of services.
+func (t *Table) Services() int { return len(t.services) }
+
 func (t *Table) add(r *Route) error {
 	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
 		return oops.Errorf("route %s: prefix %q does not begin and end with a slash", r.Name, r.Prefix)
--- /dev/null
+++ b/pkg/retry/budget.go
@@ -0,0 +1,75 @@
+package retry
+
+import (
+	"sync"
+	"time"
+
+	"briarworks.example/briarworks/pkg/ident"
+)
+
+// Budget is one node's part of the repeats that a whole fleet may make. A repeated request repeats the calls
+// that it makes, and each counts at the service it goes to; since a node does not know which services these
+// are, all repeats draw from one purse, sized by the service that gets the fewest requests. The exported
+// fields are set before first use; the zero value allows nothing.
+type Budget struct {
+	Share float64        // repeats per request
+	Slack func() float64 // repeats per window allowed in any case at this node; may be nil
+
+	services sync.Map // ident.Service -> *ring
+	mu       sync.Mutex
+	spent    [ratioBuckets]spent
+}
+
+// spent is what was drawn in one second.
+type spent struct {
+	sec  uint64
+	cost float64
+}
+
+// Request counts a caller's request to a service.
+func (b *Budget) Request(service ident.Service, now time.Time) {
+	v, ok := b.services.Load(service)
+	if !ok {
+		v, _ = b.services.LoadOrStore(service, &ring{})
+	}
+	v.(*ring).add(uint64(now.Unix()))
+}
+
+// Spend draws the cost of a repeat, which is the number of arrivals that it causes at one service, and
+// reports whether there was enough.
+func (b *Budget) Spend(cost float64, now time.Time) bool {
+	sec := uint64(now.Unix())
+	allowed := b.Share * float64(b.fewest(sec))
+	if b.Slack != nil {
+		allowed += b.Slack()
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	sum := cost
+	for i := range b.spent {
+		if s := &b.spent[i]; sec-s.sec < ratioSeconds {
+			sum += s.cost
+		}
+	}
+	if sum > allowed {
+		return false
+	}
+	s := &b.spent[sec%ratioBuckets]
+	if s.sec != sec {
+		*s = spent{sec: sec}
+	}
+	s.cost += cost
+	return true
+}
+
+// fewest returns the requests in the window to the service that got the fewest.
+func (b *Budget) fewest(sec uint64) (n uint64) {
+	first := true
+	b.services.Range(func(_, v any) bool {
+		if got := v.(*ring).sum(sec); got > 0 && (first || got < n) {
+			n, first = got, false
+		}
+		return true
+	})
+	return n
+}
--- a/pkg/retry/ratio.go
+++ b/pkg/retry/ratio.go
@@ -19,17 +19,9 @@
 	bucketSecMask = 1<<(64-countBits) - 1
 )
 
-// Bounds say how many retries a Ratio allows; the zero value stands for the constants of this package.
-type Bounds struct {
-	Part   uint64 // one in this many calls may be a retry; RatioPart when 0
-	Always uint64 // retries per window allowed in any case; RatioPerSec for each second when 0
-}
-
 // Ratio bounds the share of retries among the calls of one node to one service; the zero value is
-// ready for use. The bounds are set before first use.
+// ready for use.
 type Ratio struct {
-	Bounds
-
 	calls   [ratioShards]ring
 	retries ring
 }
@@ -106,12 +98,5 @@
 	for i := range r.calls {
 		calls += r.calls[i].sum(sec)
 	}
-	part, always := r.Part, r.Always
-	if part == 0 {
-		part = RatioPart
-	}
-	if always == 0 {
-		always = ratioAlways
-	}
-	return retries*part <= calls+always*part
+	return retries*RatioPart <= calls+ratioAlways*RatioPart
 }
