level: start from the level at which the present load was let in

Change: requests carry the level at which they were let in; calls carry the mean of the requests that may make them. The next level is that level corrected by the load that came with it.

--- a/internal/relay/control.go
+++ b/internal/relay/control.go
@@ -60,14 +60,14 @@
 // begin notes a request that starts to run on the own server.
 func (c *Control) begin(req *call.Request) {
 	if c != nil {
-		c.Graph.Begin(req.Kind)
+		c.Graph.Begin(req.Kind, req.Level)
 	}
 }
 
 // end notes a request that has ended there.
 func (c *Control) end(req *call.Request) {
 	if c != nil {
-		c.Graph.End(req.Kind)
+		c.Graph.End(req.Kind, req.Level)
 	}
 }
 
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -28,9 +28,11 @@
 	req.Passed = 1
 	if c.inner(req.Kind) {
 		c.Graph.Call(req.Kind)
+		req.Level = c.Graph.Level(req.Kind)
 		return r.spread(ctx, req)
 	}
-	req.Passed = c.Learned.Of(req.Kind, req.Service, now).Fraction(req.Rank, c.Ranks())
+	req.Level = c.Learned.Of(req.Kind, req.Service, now)
+	req.Passed = req.Level.Fraction(req.Rank, c.Ranks())
 	if req.Passed < 1 && unit(r.Rand()) >= float64(req.Passed) {
 		return call.Refuse(reason.Overload)
 	}
--- a/internal/side/build.go
+++ b/internal/side/build.go
@@ -59,11 +59,8 @@
 
 func newRoster(self fleet.Member) *roster.Roster { return &roster.Roster{Self: self} }
 
-func newGate(s *setup.Sidecar, paths *share.Paths, ctl *relay.Control) *admit.Gate {
-	return admit.New(admit.Config{
-		Service: s.Service, Slots: defaultSlots, Paths: paths, QueueLen: maxQueue,
-		Rolled: func(w level.Sample) { ctl.Own.Roll(w, level.Most(ctl.Ranks())) },
-	})
+func newGate(s *setup.Sidecar, paths *share.Paths) *admit.Gate {
+	return admit.New(admit.Config{Service: s.Service, Slots: defaultSlots, Paths: paths, QueueLen: maxQueue})
 }
 
 // maxQueue bounds the requests that wait for the own server; each waits only as long as it is worth.
--- a/internal/side/node.go
+++ b/internal/side/node.go
@@ -22,6 +22,7 @@
 	"briarworks.example/briarworks/pkg/chain"
 	"briarworks.example/briarworks/pkg/fleet"
 	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/level"
 	"briarworks.example/briarworks/pkg/life"
 	"briarworks.example/briarworks/pkg/match"
 	"briarworks.example/briarworks/pkg/reason"
@@ -57,6 +58,7 @@
 	own      atomic.Pointer[life.State]
 	mu       sync.Mutex // guards self and the replacement of own
 	self     fleet.Member
+	logged   level.Level // last one that was logged; owned by the goroutine of tick
 	found    atomic.Bool // members were read from the store, or the wait for them is over
 	stopping atomic.Bool
 	peers    net.Listener
@@ -90,6 +92,7 @@
 	n.self.Left = true // until the own server is known to be ready
 	n.own.Store(&life.State{})
 	n.Relay.Up = n.up
+	n.Gate.OnWindow(n.rolled)
 	n.Relay.Control.Graph.Changed = func(kind ident.Kind, calls []chain.Call) {
 		n.Log.Info("callsLearned", zap.String("kind", string(kind)), zap.Stringer("calls", chain.List(calls)))
 	}
@@ -157,6 +160,23 @@
 // findWait is how long a node that starts waits for the members from the store before it serves without them.
 const findWait = 2 * time.Second
 
+// levelStep is the change of the own server's level that is logged.
+const levelStep = 0.1
+
+// rolled takes in a window of the gate.
+func (n *Node) rolled(w level.Sample) {
+	c := n.Relay.Control
+	c.Own.Roll(w, level.Most(c.Ranks()))
+	l := c.Own.Level()
+	n.Stats.Set("level", float64(l))
+	if d := l - n.logged; d < levelStep && d > -levelStep && (l > 0 || n.logged == 0) {
+		return
+	}
+	n.logged = l
+	n.Log.Info("levelChanged", zap.Float64("level", float64(l)), zap.Float64("used", w.Used), zap.Int("arrived", w.Arrived),
+		zap.Int("turnedAway", w.Turned), zap.Duration("wait", w.Wait), zap.Int32("limit", int32(n.Gate.Limit())))
+}
+
 func (n *Node) tick(ctx context.Context) {
 	t := time.NewTicker(tickPeriod)
 	defer t.Stop()
--- a/internal/wire/convert.go
+++ b/internal/wire/convert.go
@@ -22,7 +22,7 @@
 		Service: string(r.Service), AgeNs: int64(now.Sub(r.Born)), LeftNs: int64(r.Left(now)),
 		BornUnixNs: r.Born.UnixNano(), Budget: int32(r.Budget), Passed: float64(r.Passed),
 		Hop: uint32(r.Hop), Method: r.Method, Path: r.Path, Header: fromHeader(r.Header), Body: r.Body,
-		PatienceNs: int64(r.Patience),
+		PatienceNs: int64(r.Patience), Level: float64(r.Level),
 	}
 }
 
@@ -34,7 +34,7 @@
 		Service: ident.Service(m.Service), Born: born(m, now), Deadline: now.Add(within(m.LeftNs)),
 		Budget: ident.Tokens(min(max(m.Budget, 0), maxTokens)), Passed: fraction(m.Passed), Hop: ident.Hop(min(m.Hop, 255)),
 		Method: m.Method, Path: m.Path, Header: toHeader(m.Header), Body: m.Body,
-		Patience: within(m.PatienceNs),
+		Patience: within(m.PatienceNs), Level: level.Level(finite(m.Level)),
 	}
 }
 
--- a/pkg/admit/admit.go
+++ b/pkg/admit/admit.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"briarworks.example/briarworks/pkg/ident"
-	"briarworks.example/briarworks/pkg/level"
 	"briarworks.example/briarworks/pkg/reason"
 	"briarworks.example/briarworks/pkg/share"
 )
@@ -40,7 +39,6 @@
 	Window   time.Duration // default DefaultWindow
 	Paths    *share.Paths  // what the node learned of other services; default none
 	Kinds    []share.Kind
-	Rolled   func(level.Sample) // told of each window; may be nil
 }
 
 func (c *Config) complete() {
--- a/pkg/admit/gate.go
+++ b/pkg/admit/gate.go
@@ -10,6 +10,7 @@
 
 	"briarworks.example/briarworks/pkg/call"
 	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/level"
 	"briarworks.example/briarworks/pkg/limit"
 	"briarworks.example/briarworks/pkg/reason"
 	"briarworks.example/briarworks/pkg/share"
@@ -28,9 +29,10 @@
 	waiting  atomic.Int32 // length of the queue
 	arrived  atomic.Int32 // requests in this window
 	slots    atomic.Int32 // announced slots
+	admitted atomic.Int64 // sum of the levels of these requests, in 1/levelUnit
 	pressed  atomic.Bool  // demand exceeds the limit
 	cold     atomic.Bool  // the server is in its cold start
-	_        [32]byte
+	_        [24]byte
 
 	mu      sync.Mutex // guards the queue
 	queue   queue
@@ -41,6 +43,7 @@
 	windowMu sync.Mutex // guards what the end of a window computes; taken before mu
 	limiter  *limit.Limiter
 	window   window
+	rolled   func(level.Sample)
 }
 
 // New returns a gate with its whole limit free.
@@ -55,6 +58,9 @@
 	return g
 }
 
+// OnWindow sets what is told of each window; it is called before the first Tick.
+func (g *Gate) OnWindow(f func(level.Sample)) { g.rolled = f }
+
 // Offer counts a new request at the entry (Hop 0), writes the fraction that applies to it into
 // req.Passed and reports whether it passes. An entry node that may hand requests to another node of
 // its service calls Offer first; otherwise Enter does so. A request that does not pass is refused
@@ -101,6 +107,9 @@
 	shard := shardOf(t)
 	t.kind = k
 	g.arrived.Add(1)
+	if req.Level > 0 {
+		g.admitted.Add(int64(req.Level * levelUnit))
+	}
 	if req.Hop == 0 && req.Passed == 0 && !g.offer(k, shard, req, now) {
 		return t.refuse(reason.Overload)
 	}
@@ -123,6 +132,9 @@
 	return g.wait(req, t, expected, now)
 }
 
+// levelUnit is the unit in which levels are summed.
+const levelUnit = 1e6
+
 // acquire takes a slot when the limit has room. The addition that does not fit is taken back, which may
 // make another attempt at the same time fail although a slot is free. That is harmless: whoever fails
 // goes on to the queue and hands out free slots there.
--- a/pkg/admit/window.go
+++ b/pkg/admit/window.go
@@ -110,11 +110,14 @@
 	g.limiter.Roll(w.standard(s, &m), now)
 	g.setLimit()
 	g.divide(used, waits > 0, refused, s, now)
-	if g.cfg.Rolled != nil {
-		g.cfg.Rolled(level.Sample{
-			Arrived: int(g.arrived.Swap(0)), Turned: turned, Wait: w.wait(s), Used: used, Span: span,
-		})
+	if g.rolled == nil {
+		return
+	}
+	out := level.Sample{Arrived: int(g.arrived.Swap(0)), Turned: turned, Wait: w.wait(s), Used: used, Span: span}
+	if admitted := g.admitted.Swap(0); out.Arrived > 0 {
+		out.Admitted = level.Level(float64(admitted) / levelUnit / float64(out.Arrived))
 	}
+	g.rolled(out)
 }
 
 // wait returns the mean wait in the queue: by Little's law, its length over the throughput.
--- a/pkg/call/call.go
+++ b/pkg/call/call.go
@@ -38,6 +38,7 @@
 	Passed     ident.Fraction // admitted fraction that the entry applied
 	Hop        ident.Hop
 	Attempts   int           // most servers that the request may be sent to; known at the node where it begins only
+	Level      level.Level   // at which the request was let in
 	Patience   time.Duration // longest wait in the queue of a server; 0 means the default of the gate
 	Method     string
 	Path       string // with the query
--- a/pkg/chain/graph.go
+++ b/pkg/chain/graph.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/level"
 )
 
 // Constants of the estimate.
@@ -59,8 +60,12 @@
 	running atomic.Int32
 	runs    atomic.Uint64
 	calls   atomic.Uint64
+	levels  atomic.Int64 // sum of the levels of what runs, in 1/levelUnit
 }
 
+// levelUnit is the unit in which levels are summed.
+const levelUnit = 1e6
+
 // work is what was observed of one kind that runs on the server.
 type work struct {
 	running float64 // mean number over the last period
@@ -86,15 +91,42 @@
 	return c.(*count)
 }
 
-// Begin counts a request that starts to run on the server.
-func (g *Graph) Begin(k ident.Kind) {
+// Begin counts a request that starts to run on the server, and the level at which it was let in.
+func (g *Graph) Begin(k ident.Kind, l level.Level) {
 	c := g.count(k)
+	c.levels.Add(int64(l * levelUnit))
 	c.running.Add(1)
 	c.runs.Add(1)
 }
 
 // End counts a request that Begin counted and that has ended.
-func (g *Graph) End(k ident.Kind) { g.count(k).running.Add(-1) }
+func (g *Graph) End(k ident.Kind, l level.Level) {
+	c := g.count(k)
+	c.running.Add(-1)
+	c.levels.Add(-int64(l * levelUnit))
+}
+
+// Level returns the mean level at which the requests were let in that run now and may make a kind of call.
+func (g *Graph) Level(call ident.Kind) level.Level {
+	v := g.view.Load()
+	if v == nil {
+		return 0
+	}
+	var sum, running int64
+	for kind, calls := range *v {
+		for _, c := range calls {
+			if c.Kind == call {
+				n := g.count(kind)
+				sum += n.levels.Load()
+				running += int64(n.running.Load())
+			}
+		}
+	}
+	if running <= 0 {
+		return 0
+	}
+	return level.Level(max(float64(sum)/levelUnit/float64(running), 0))
+}
 
 // Call counts a call that came from the server's machine.
 func (g *Graph) Call(k ident.Kind) { g.count(k).calls.Add(1) }
--- a/pkg/level/level.go
+++ b/pkg/level/level.go
@@ -32,33 +32,37 @@
 
 // Sample is what a server did in one window.
 type Sample struct {
-	Arrived int           // requests that came
-	Turned  int           // of these and earlier ones, those that left the queue without having run
-	Wait    time.Duration // mean wait in the queue
-	Used    float64       // part of the slots in use
-	Span    time.Duration // length of the window
+	Arrived  int           // requests that came
+	Turned   int           // of these and earlier ones, those that left the queue without having run
+	Wait     time.Duration // mean wait in the queue
+	Used     float64       // part of the slots in use
+	Admitted Level         // mean level at which the requests that came were let in
+	Span     time.Duration // length of the window
 }
 
-// Gains of a Controller, for a window of 100 ms. A change at the beginning of a chain reaches a deep server
-// after some windows, so the steps are small.
+// Constants of a Controller.
 const (
-	window    = 100 * time.Millisecond
-	turnedLow = 0.01                  // part turned away that is not taken for overload
-	waitLow   = 15 * time.Millisecond // mean wait that is not taken for overload
-	fullUse   = 0.9
-	riseLeast = 0.02
-	riseMost  = 0.12
-	riseGain  = 0.25
-	fallIdle  = 0.12 // used below idleUse
-	fallRoom  = 0.04 // used below fullUse
-	fallFull  = 0.01
-	idleUse   = 0.7
+	gain     = 0.7                   // levels per unit of load above the target
+	target   = 0.93                  // load that is aimed at, in parts of the capacity
+	loadMost = 3.0                   // a single window does not say more than this
+	waitHigh = 60 * time.Millisecond // a mean wait that counts as waitLoad of load
+	waitLoad = 0.25
+	average  = 300 * time.Millisecond // time constant of the load and of the admitted level
+	remember = 800 * time.Millisecond // time constant of the own level of some time ago
 )
 
 // Controller holds the level of one server. Roll must not be called at the same time; Level may be called
 // at any time. The zero value lets everything in.
+//
+// What arrives now was let in some time ago, when the level was another one: a chain of calls takes a second
+// or more. So the next level starts from the level at which the present load was let in, which requests carry,
+// and not from the present level. With a delay of any length the loop then converges instead of swinging.
 type Controller struct {
 	bits atomic.Uint64 // float64
+
+	load     float64
+	admitted float64
+	past     float64
 }
 
 // Level returns the level of the last window.
@@ -66,18 +70,31 @@
 
 // Roll takes in one window; most bounds the level.
 func (c *Controller) Roll(s Sample, most Level) {
-	scale := Level(s.Span.Seconds() / window.Seconds())
-	l := c.Level()
-	turned := float64(s.Turned) / float64(max(s.Arrived, s.Turned, 1))
-	switch {
-	case turned > turnedLow && s.Used >= idleUse || s.Wait > waitLow && s.Used >= fullUse:
-		l += scale * Level(min(riseLeast+riseGain*turned, riseMost))
-	case s.Used < idleUse:
-		l -= scale * fallIdle
-	case s.Used < fullUse:
-		l -= scale * fallRoom
-	default:
-		l -= scale * fallFull
+	c.load = blend(c.load, s.load(), s.Span, average)
+	if s.Arrived > 0 {
+		c.admitted = blend(c.admitted, float64(s.Admitted), s.Span, average)
+	}
+	from := c.admitted
+	if c.load < target {
+		// Another service may hold back more than this one; that is no reason to hold back here.
+		from = min(from, c.past)
 	}
-	c.bits.Store(math.Float64bits(float64(max(0, min(l, most)))))
+	next := max(0, min(from+gain*(c.load-target), float64(most)))
+	c.past = blend(c.past, next, s.Span, remember)
+	c.bits.Store(math.Float64bits(next))
+}
+
+// load returns the work that was offered in parts of the capacity.
+func (s *Sample) load() float64 {
+	l := s.Used
+	if s.Turned > 0 {
+		kept := 1 - float64(s.Turned)/float64(max(s.Arrived, s.Turned))
+		l /= max(kept, 1/loadMost)
+	}
+	return min(l+waitLoad*min(1, s.Wait.Seconds()/waitHigh.Seconds()), loadMost)
+}
+
+// blend moves an average towards a new value.
+func blend(old, value float64, span, constant time.Duration) float64 {
+	return old + (value-old)*(1-math.Exp(-span.Seconds()/constant.Seconds()))
 }
