--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -15,22 +15,25 @@
 const maxPlaces = 4
 
 // Forward takes a request that begins at this node, of a caller or of the own server, and that may run on
-// any server of its service.
+// any server of its service. A call of the own server belongs to a request that was let in, so it always
+// passes, also while the node ends what is in flight before a stop.
 func (r *Relay) Forward(ctx context.Context, req *call.Request) call.Result {
-	return r.take(ctx, req, r.originate)
+	c := r.Control
+	req.Passed = 1
+	if !c.inner(req.Kind) {
+		return r.take(ctx, req, r.originate)
+	}
+	r.active.Add(1)
+	defer r.active.Add(-1)
+	c.Graph.Call(req.Kind)
+	req.Level = c.Graph.Level(req.Kind)
+	return r.spread(ctx, req)
 }
 
-// originate lets a caller's request in by the level of its kind. A call of the own server belongs to a request
-// that was let in and always passes.
+// originate lets a caller's request in by the level of its kind.
 func (r *Relay) originate(ctx context.Context, req *call.Request) call.Result {
 	now := r.Now()
 	c := r.Control
-	req.Passed = 1
-	if c.inner(req.Kind) {
-		c.Graph.Call(req.Kind)
-		req.Level = c.Graph.Level(req.Kind)
-		return r.spread(ctx, req)
-	}
 	req.Level = c.Learned.Of(req.Kind, req.Service, now)
 	req.Passed = req.Level.Fraction(req.Rank, c.Ranks())
 	if req.Passed < 1 && unit(r.Rand()) >= float64(req.Passed) {
