chain, level, retry: attribute calls by repeated estimates, and keep repeats for callers

Cause: two tests that replay a load failed. With the online estimate a route sheet that makes no calls was told to make 2.1 of them (TestAttribution); with a fixed gain the level swung at twice the load and a delay of 1.2 s (TestSteadyOverload).

Change: chain keeps 8 s of observations and improves its estimate over all of them; the step of the level is the share of the work that has to go. Calls of servers may use half of the budget of repeats.

--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -131,7 +131,8 @@
 	}
 	if reached(res) {
 		s.sent++
-		if s.sent >= s.req.Attempts || !r.Control.Budget.Spend(r.Control.fan(s.req.Kind), r.Now()) {
+		c, kind := r.Control, s.req.Kind
+		if s.sent >= s.req.Attempts || !c.Budget.Spend(c.fan(kind), c.inner(kind), r.Now()) {
 			return false
 		}
 	}
--- /dev/null
+++ b/pkg/chain/chain_test.go
@@ -0,0 +1,125 @@
+package chain
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"briarworks.example/briarworks/pkg/ident"
+)
+
+// run is a request that runs in the simulation.
+type run struct {
+	kind ident.Kind
+	ends time.Duration
+	next time.Duration // its next call
+	left int           // calls to make
+}
+
+// Replays a dispatch server: stock requests make four calls each, route sheets none, and both run at the same
+// time. Guards against route sheets that are held back because the service of the calls is full.
+func TestAttribution(t *testing.T) {
+	const tick = 20 * time.Millisecond
+	kinds := map[ident.Kind]struct {
+		perSecond float64
+		takes     time.Duration
+		calls     int
+	}{
+		"stock": {70, 110 * time.Millisecond, 4},
+		"sheet": {22, 220 * time.Millisecond, 0},
+	}
+	rnd := rand.New(rand.NewPCG(1, 2))
+	var g Graph
+	var running []run
+	start := time.Unix(1000, 0)
+	for at := time.Duration(0); at < 20*time.Second; at += tick {
+		for kind, k := range kinds {
+			for range poisson(rnd, k.perSecond*tick.Seconds()) {
+				g.Begin(kind, 0)
+				running = append(running, run{kind, at + k.takes, at, k.calls})
+			}
+		}
+		kept := running[:0]
+		for _, r := range running {
+			for r.left > 0 && r.next <= at {
+				g.Call("grade")
+				r.left--
+				r.next += kinds[r.kind].takes / time.Duration(kinds[r.kind].calls)
+			}
+			if r.ends <= at {
+				g.End(r.kind, 0)
+				continue
+			}
+			kept = append(kept, r)
+		}
+		running = kept
+		g.Tick(start.Add(at))
+	}
+	if got := g.Calls("stock"); len(got) != 1 || got[0].Kind != "grade" || math.Abs(got[0].Rate-4) > 1 {
+		t.Errorf("calls of stock: got %v, want about 4 of grade", got)
+	}
+	if got := g.Calls("sheet"); len(got) != 0 {
+		t.Errorf("calls of sheet: got %v, want none", got)
+	}
+}
+
+func poisson(rnd *rand.Rand, mean float64) (n int) {
+	for p := rnd.Float64(); p > math.Exp(-mean); p *= rnd.Float64() {
+		n++
+	}
+	return n
+}
+
+// Guards against calls that carry no level, so that the server at the end of a chain would hold back more and
+// more.
+func TestLevelOfCalls(t *testing.T) {
+	var g Graph
+	view := map[ident.Kind][]Call{"stock": {{"grade", 4}}}
+	g.view.Store(&view)
+	g.Begin("stock", 0.5)
+	g.Begin("stock", 1)
+	g.Begin("sheet", 2)
+	if got := g.Level("grade"); math.Abs(float64(got)-0.75) > 1e-3 {
+		t.Errorf("level of a call: got %v, want 0.75", got)
+	}
+	g.End("stock", 1)
+	if got := g.Level("grade"); math.Abs(float64(got)-0.5) > 1e-3 {
+		t.Errorf("level after one has ended: got %v, want 0.5", got)
+	}
+	g.End("stock", 0.5)
+	if got := g.Level("grade"); got != 0 {
+		t.Errorf("level with none running: got %v, want 0", got)
+	}
+}
+
+// Guards against callers' requests that are taken for calls of servers, which are never held back, and the
+// other way round.
+func TestInner(t *testing.T) {
+	tests := map[string]struct {
+		from     map[ident.Service]int
+		services int
+		want     bool
+	}{
+		"from everywhere":        {map[ident.Service]int{"a": 20, "b": 20, "c": 20, "d": 20}, 4, false},
+		"from one of four":       {map[ident.Service]int{"a": 50}, 4, true},
+		"from two of four":       {map[ident.Service]int{"a": 50, "b": 50}, 4, true},
+		"from three of four":     {map[ident.Service]int{"a": 50, "b": 50, "c": 50}, 4, false},
+		"a few strays":           {map[ident.Service]int{"a": 500, "b": 1, "c": 1}, 4, true},
+		"too few to tell":        {map[ident.Service]int{"a": 5}, 4, false},
+		"only one service known": {map[ident.Service]int{"a": 50}, 1, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var o Origins
+			for s, n := range tt.from {
+				for range n {
+					o.Add("k", s)
+				}
+			}
+			if got := o.Inner("k", tt.services); got != tt.want {
+				t.Errorf("inner: got %t, want %t", got, tt.want)
+			}
+		})
+	}
+}
--- a/pkg/chain/graph.go
+++ b/pkg/chain/graph.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -14,12 +13,12 @@
 
 // Constants of the estimate.
 const (
-	memory    = 20 * time.Second       // time constant with which old observations are forgotten
-	publish   = 200 * time.Millisecond // between two snapshots
-	priorRate = 0.5                    // events per second of a running request before any were seen
-	priorTime = 0.2                    // seconds that this guess counts
-	fewRuns   = 15.0                   // runs of a kind before its calls are told
-	fewCalls  = 5.0                    // attributed calls before they are told
+	periods   = 400                    // observations that are kept; with a Tick each 20 ms these are 8 s
+	fewest    = 25                     // observations before anything is told
+	publish   = 400 * time.Millisecond // between two estimates
+	rounds    = 8                      // of expectation maximization for an estimate, which starts from the last one
+	firstRate = 1.0                    // calls per second of a running request before any were seen
+	fewRuns   = 15                     // runs of a kind before its calls are told
 	leastRate = 0.15                   // calls per run below which a kind is not taken to make a call
 )
 
@@ -51,8 +50,34 @@
 	// Owned by the goroutine that calls Tick.
 	at    time.Time
 	shown time.Time
-	work  map[ident.Kind]*work
-	calls map[ident.Kind]*cause
+	kinds []ident.Kind // in the order of the columns of an observation
+	index map[ident.Kind]int
+	last  []reading
+	seen  [periods]period
+	n     int                     // observations so far
+	rates map[int]map[int]float64 // of a call, by kind of work, per second of a running request; outside stands for calls from elsewhere
+}
+
+// outside is the index of the calls that no running request makes.
+const outside = -1
+
+// reading is the last state of a count.
+type reading struct {
+	running     int32
+	runs, calls uint64
+}
+
+// period is one observation; its columns are kinds.
+type period struct {
+	span    float64 // seconds
+	columns []column
+}
+
+// column is what was seen of one kind in one period.
+type column struct {
+	running float64 // mean number
+	runs    float64
+	calls   float64
 }
 
 // count is what the path of a request touches.
@@ -66,23 +91,6 @@
 // levelUnit is the unit in which levels are summed.
 const levelUnit = 1e6
 
-// work is what was observed of one kind that runs on the server.
-type work struct {
-	running float64 // mean number over the last period
-	last    int32
-	seen    uint64
-	runs    float64
-	time    float64 // seconds of running requests
-}
-
-// cause attributes the calls of one kind to the kinds of work.
-type cause struct {
-	seen uint64
-	base float64 // calls that come from elsewhere
-	time float64
-	by   map[ident.Kind]float64
-}
-
 func (g *Graph) count(k ident.Kind) *count {
 	if c, ok := g.counts.Load(k); ok {
 		return c.(*count)
@@ -144,106 +152,141 @@
 func (g *Graph) Tick(now time.Time) {
 	if g.at.IsZero() {
 		g.at, g.shown = now, now
-		g.work, g.calls = make(map[ident.Kind]*work), make(map[ident.Kind]*cause)
+		g.index, g.rates = make(map[ident.Kind]int), make(map[int]map[int]float64)
 	}
 	span := now.Sub(g.at).Seconds()
 	g.at = now
 	if span <= 0 {
 		return
 	}
-	keep := math.Exp(-span / memory.Seconds())
-	g.counts.Range(func(k, v any) bool {
-		g.observe(k.(ident.Kind), v.(*count), span, keep)
-		return true
-	})
-	g.counts.Range(func(k, v any) bool {
-		g.attribute(k.(ident.Kind), v.(*count), span, keep)
-		return true
-	})
+	g.observe(span)
 	if now.Sub(g.shown) >= publish {
 		g.shown = now
-		g.show()
+		g.estimate()
 	}
 }
 
-func (g *Graph) observe(k ident.Kind, c *count, span, keep float64) {
-	runs := c.runs.Load()
-	if runs == 0 {
-		return
-	}
-	w := g.work[k]
-	if w == nil {
-		w = &work{}
-		g.work[k] = w
+func (g *Graph) observe(span float64) {
+	g.counts.Range(func(k, _ any) bool {
+		if _, ok := g.index[k.(ident.Kind)]; !ok {
+			g.index[k.(ident.Kind)] = len(g.kinds)
+			g.kinds = append(g.kinds, k.(ident.Kind))
+			g.last = append(g.last, reading{})
+		}
+		return true
+	})
+	p := &g.seen[g.n%periods]
+	g.n++
+	p.span = span
+	p.columns = p.columns[:0]
+	for i, kind := range g.kinds {
+		c := g.count(kind)
+		now := reading{c.running.Load(), c.runs.Load(), c.calls.Load()}
+		old := g.last[i]
+		g.last[i] = now
+		p.columns = append(p.columns, column{
+			float64(now.running+old.running) / 2, float64(now.runs - old.runs), float64(now.calls - old.calls),
+		})
 	}
-	n := c.running.Load()
-	w.running = float64(n+w.last) / 2
-	w.last = n
-	w.runs = w.runs*keep + float64(runs-w.seen)
-	w.time = w.time*keep + w.running*span
-	w.seen = runs
 }
 
-// attribute divides the calls of one kind among the kinds that run, in proportion to the rates known so far.
-func (g *Graph) attribute(k ident.Kind, c *count, span, keep float64) {
-	calls := c.calls.Load()
-	if calls == 0 {
+// estimate computes the rates anew and publishes the calls of each kind.
+func (g *Graph) estimate() {
+	if g.n < fewest {
 		return
 	}
-	x := g.calls[k]
-	if x == nil {
-		x = &cause{by: make(map[ident.Kind]float64)}
-		g.calls[k] = x
-	}
-	n := float64(calls - x.seen)
-	x.seen = calls
-	x.base *= keep
-	x.time = x.time*keep + span
-	for kind := range x.by {
-		x.by[kind] *= keep
-	}
-	if n == 0 {
-		return
-	}
-	base := (x.base + priorRate*priorTime) / (x.time + priorTime)
-	sum := base
-	for kind, w := range g.work {
-		if w.running > 0 {
-			sum += x.rate(kind, w) * w.running
+	sums := g.sums()
+	view := make(map[ident.Kind][]Call)
+	for call, total := range sums {
+		if total.calls == 0 {
+			continue
 		}
-	}
-	for kind, w := range g.work {
-		if w.running > 0 {
-			x.by[kind] += n * x.rate(kind, w) * w.running / sum
+		for range rounds {
+			g.improve(call, sums)
+		}
+		for kind, rate := range g.rates[call] {
+			if kind == outside || sums[kind].runs < fewRuns {
+				continue
+			}
+			if perRun := rate * sums[kind].running / sums[kind].runs; perRun >= leastRate {
+				view[g.kinds[kind]] = append(view[g.kinds[kind]], Call{Kind: g.kinds[call], Rate: perRun})
+			}
 		}
 	}
-	x.base += n * base / sum
+	g.show(view)
 }
 
-// rate returns the calls per second of one running request of a kind.
-func (x *cause) rate(kind ident.Kind, w *work) float64 {
-	return (x.by[kind] + priorRate*priorTime) / (w.time + priorTime)
+// sums adds up the observations; running is in seconds of running requests.
+func (g *Graph) sums() []column {
+	all := make([]column, len(g.kinds))
+	for i := range min(g.n, periods) {
+		p := &g.seen[i]
+		for k, c := range p.columns {
+			all[k].running += c.running * p.span
+			all[k].runs += c.runs
+			all[k].calls += c.calls
+		}
+	}
+	return all
 }
 
-// show publishes the calls of each kind.
-func (g *Graph) show() {
-	view := make(map[ident.Kind][]Call, len(g.work))
-	for kind, w := range g.work {
-		if w.runs < fewRuns {
+// improve does one round of expectation maximization for the rates of one kind of call.
+func (g *Graph) improve(call int, sums []column) {
+	old := g.rates[call]
+	if old == nil {
+		old = map[int]float64{outside: firstRate}
+	}
+	for kind := range sums {
+		if _, ok := old[kind]; !ok && sums[kind].runs > 0 {
+			old[kind] = firstRate
+		}
+	}
+	share := make(map[int]float64, len(old))
+	time := 0.0
+	for i := range min(g.n, periods) {
+		p := &g.seen[i]
+		time += p.span
+		if call >= len(p.columns) || p.columns[call].calls == 0 {
+			continue
+		}
+		all := old[outside]
+		for kind, rate := range old {
+			if kind != outside && kind < len(p.columns) {
+				all += rate * p.columns[kind].running
+			}
+		}
+		if all <= 0 {
 			continue
 		}
-		for call, x := range g.calls {
-			if n := x.by[kind]; n >= fewCalls && n/w.runs >= leastRate {
-				view[kind] = append(view[kind], Call{Kind: call, Rate: n / w.runs})
+		part := p.columns[call].calls / all
+		share[outside] += part * old[outside]
+		for kind, rate := range old {
+			if kind != outside && kind < len(p.columns) {
+				share[kind] += part * rate * p.columns[kind].running
 			}
 		}
 	}
+	next := map[int]float64{outside: share[outside] / time}
+	for kind := range old {
+		if kind != outside && sums[kind].running > 0 {
+			next[kind] = share[kind] / sums[kind].running
+		}
+	}
+	g.rates[call] = next
+}
+
+// show publishes the calls and tells of kinds that began or ceased to make one.
+func (g *Graph) show(view map[ident.Kind][]Call) {
 	old := g.view.Swap(&view)
 	if g.Changed == nil {
 		return
 	}
-	for kind := range g.work {
-		if n := len(view[kind]); old == nil && n > 0 || old != nil && n != len((*old)[kind]) {
+	for _, kind := range g.kinds {
+		before := 0
+		if old != nil {
+			before = len((*old)[kind])
+		}
+		if before != len(view[kind]) {
 			g.Changed(kind, view[kind])
 		}
 	}
--- a/pkg/level/level.go
+++ b/pkg/level/level.go
@@ -42,11 +42,12 @@
 
 // Constants of a Controller.
 const (
-	gain     = 0.7                   // levels per unit of load above the target
 	target   = 0.93                  // load that is aimed at, in parts of the capacity
 	loadMost = 3.0                   // a single window does not say more than this
 	waitHigh = 60 * time.Millisecond // a mean wait that counts as waitLoad of load
-	waitLoad = 0.25
+	waitLoad = 0.1
+	fallMost = 0.3                    // by which the next level is below that of the present load at most
+	shareMin = 0.3                    // part of the work that is taken to be let in at least
 	average  = 300 * time.Millisecond // time constant of the load and of the admitted level
 	remember = 800 * time.Millisecond // time constant of the own level of some time ago
 )
@@ -79,11 +80,21 @@
 		// Another service may hold back more than this one; that is no reason to hold back here.
 		from = min(from, c.past)
 	}
-	next := max(0, min(from+gain*(c.load-target), float64(most)))
+	next := max(0, min(from+c.step(from, most), float64(most)))
 	c.past = blend(c.past, next, s.Span, remember)
 	c.bits.Store(math.Float64bits(next))
 }
 
+// step returns the change of the level that brings the load to the target, if the part of the work that is let
+// in falls evenly with the level.
+func (c *Controller) step(from float64, most Level) float64 {
+	share := max(1-from/float64(most), shareMin)
+	if c.load <= 0 {
+		return -fallMost
+	}
+	return max(share*(1-target/c.load), -fallMost)
+}
+
 // load returns the work that was offered in parts of the capacity.
 func (s *Sample) load() float64 {
 	l := s.Used
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -35,14 +35,21 @@
 	v.(*ring).add(uint64(now.Unix()))
 }
 
+// callsShare is the part of the budget that repeats of servers' calls may use. When a service fails a part of
+// all requests, its calls would use up the budget, although a chain of several of them fails all the same.
+const callsShare = 0.5
+
 // Spend draws the cost of a repeat, which is the number of arrivals that it causes at one service, and
-// reports whether there was enough.
-func (b *Budget) Spend(cost float64, now time.Time) bool {
+// reports whether there was enough; inner tells that it is a call of a server.
+func (b *Budget) Spend(cost float64, inner bool, now time.Time) bool {
 	sec := uint64(now.Unix())
 	allowed := b.Share * float64(b.fewest(sec))
 	if b.Slack != nil {
 		allowed += b.Slack()
 	}
+	if inner {
+		allowed *= callsShare
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	sum := cost
--- /dev/null
+++ b/pkg/retry/budget_test.go
@@ -0,0 +1,63 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"briarworks.example/briarworks/pkg/ident"
+)
+
+// Guards against repeats over the fleet's bound at the service with the fewest requests: a repeat of a
+// request that makes four calls there counts four times.
+func TestBudget(t *testing.T) {
+	tests := map[string]struct {
+		requests map[ident.Service]int
+		slack    float64
+		cost     float64
+		inner    bool
+		want     int // repeats that are allowed
+	}{
+		"share of the requests":       {map[ident.Service]int{"a": 100}, 0, 1, false, 20},
+		"service with fewest decides": {map[ident.Service]int{"a": 100, "b": 50}, 0, 1, false, 10},
+		"repeat with calls":           {map[ident.Service]int{"a": 100}, 0, 4, false, 5},
+		"slack":                       {map[ident.Service]int{"a": 100}, 3, 1, false, 23},
+		"slack alone":                 {nil, 2, 1, false, 2},
+		"calls leave a part":          {map[ident.Service]int{"a": 100}, 0, 1, true, 10},
+		"nothing":                     {nil, 0, 1, false, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			b := &Budget{Share: 0.2, Slack: func() float64 { return tt.slack }}
+			for s, n := range tt.requests {
+				for range n {
+					b.Request(s, now)
+				}
+			}
+			got := 0
+			for range 100 {
+				if b.Spend(tt.cost, tt.inner, now) {
+					got++
+				}
+			}
+			if got != tt.want {
+				t.Errorf("repeats: got %d, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against a budget that is never renewed, and one that is renewed before its window is over.
+func TestBudgetWindow(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := &Budget{Slack: func() float64 { return 1 }}
+	for _, step := range []struct {
+		after time.Duration
+		want  bool
+	}{{0, true}, {time.Second, false}, {8 * time.Second, false}, {2 * time.Second, true}} {
+		now = now.Add(step.after)
+		if got := b.Spend(1, false, now); got != step.want {
+			t.Errorf("spend at %v: got %t, want %t", now.Unix(), got, step.want)
+		}
+	}
+}
