--- a/internal/pipe/conn.go
+++ b/internal/pipe/conn.go
@@ -83,7 +83,9 @@
 			c.refuse(x, status)
 			c.queue <- x
 			_ = c.SetReadDeadline(time.Now().Add(lingerLimit))
-			_, _ = io.Copy(io.Discard, c.r)
+			if _, err := io.Copy(io.Discard, c.r); err == nil {
+				c.cancel() // the caller has left; what was no request may be the beginning of one
+			}
 			return
 		}
 		x.req, x.close = req.WithContext(ctx), req.Close
@@ -146,7 +148,7 @@
 // when the caller has left.
 func (c *conn) request(lim Limits) (req *http.Request, status int) {
 	_ = c.SetReadDeadline(time.Now().Add(lim.HeaderTime))
-	c.left = int64(lim.Header)
+	c.left = int64(lim.Header) - int64(c.r.Buffered())
 	req, err := http.ReadRequest(c.r)
 	c.left = math.MaxInt64
 	switch {
--- /dev/null
+++ b/internal/pipe/pipe_test.go
@@ -0,0 +1,209 @@
+package pipe
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// start serves a handler on loopback until the test ends.
+func start(t *testing.T, h http.HandlerFunc) (s *Server, addr string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s = &Server{Handler: h, MaxConns: 16, Limits: func() Limits {
+		return Limits{Header: 4096, Body: 1 << 16, Bodies: 1 << 20, HeaderTime: time.Second, Idle: 5 * time.Second}
+	}}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = s.Serve(ln)
+	}()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		s.Shutdown(ctx)
+		<-done
+	})
+	return s, ln.Addr().String()
+}
+
+// dial opens a connection that the test closes.
+func dial(t *testing.T, addr string) (c net.Conn, r *bufio.Reader) {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	return c, bufio.NewReader(c)
+}
+
+func send(t *testing.T, c net.Conn, text string) {
+	t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// receive reads one answer with its whole body.
+func receive(t *testing.T, r *bufio.Reader) (resp *http.Response, body string) {
+	t.Helper()
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp, string(b)
+}
+
+// Guards against requests sent ahead that wait for the ones before them, and against answers out of order.
+func TestReadsAhead(t *testing.T) {
+	const n = 5
+	started := make(chan string, n)
+	release := make(chan struct{})
+	_, addr := start(t, func(w http.ResponseWriter, r *http.Request) {
+		started <- r.URL.Path
+		if r.URL.Path == "/0" {
+			<-release
+		}
+		_, _ = io.WriteString(w, r.URL.Path)
+	})
+	c, r := dial(t, addr)
+	for i := range n {
+		send(t, c, fmt.Sprintf("GET /%d HTTP/1.1\r\nHost: h\r\n\r\n", i))
+	}
+	for range n {
+		select {
+		case <-started:
+		case <-time.After(5 * time.Second):
+			t.Fatal("a request sent ahead did not start while the first one runs")
+		}
+	}
+	close(release)
+	for i := range n {
+		if _, got := receive(t, r); got != fmt.Sprintf("/%d", i) {
+			t.Errorf("answer %d: got %q, want /%d", i, got, i)
+		}
+	}
+}
+
+// Guards against work that goes on for a caller who has left.
+func TestLeavingCancels(t *testing.T) {
+	tests := map[string]struct{ request string }{
+		"kept connection":        {"GET / HTTP/1.1\r\nHost: h\r\n\r\n"},
+		"connection to close":    {"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"},
+		"several sent ahead":     {strings.Repeat("GET / HTTP/1.1\r\nHost: h\r\n\r\n", 3)},
+		"body in chunks":         {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n"},
+		"body with a length":     {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab"},
+		"half of a next request": {"GET / HTTP/1.1\r\nHost: h\r\n\r\nGET /x HT"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			running, cancelled := make(chan struct{}, 8), make(chan struct{}, 8)
+			_, addr := start(t, func(_ http.ResponseWriter, r *http.Request) {
+				running <- struct{}{}
+				<-r.Context().Done()
+				cancelled <- struct{}{}
+			})
+			c, _ := dial(t, addr)
+			send(t, c, tt.request)
+			<-running
+			_ = c.Close()
+			select {
+			case <-cancelled:
+			case <-time.After(5 * time.Second):
+				t.Error("request of a caller who left: got still running, want cancelled")
+			}
+		})
+	}
+}
+
+// Guards against a request that reaches a handler in part or is read as another one.
+func TestRefused(t *testing.T) {
+	tests := map[string]struct {
+		request string
+		want    int
+	}{
+		"no request":            {"hello\r\n\r\n", http.StatusBadRequest},
+		"headers too large":     {"GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 5000) + "\r\n\r\n", http.StatusRequestHeaderFieldsTooLarge},
+		"body too large":        {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 70000\r\n\r\n", http.StatusRequestEntityTooLarge},
+		"chunks too large":      {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n11171\r\n" + strings.Repeat("x", 0x11171) + "\r\n0\r\n\r\n", http.StatusRequestEntityTooLarge},
+		"headers that stop":     {"GET / HTTP/1.1\r\nHost:", http.StatusRequestTimeout},
+		"two different lengths": {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", http.StatusBadRequest},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, addr := start(t, func(http.ResponseWriter, *http.Request) { t.Error("handler: got a request, want none") })
+			c, r := dial(t, addr)
+			send(t, c, tt.request)
+			resp, _ := receive(t, r)
+			if resp.StatusCode != tt.want || !resp.Close {
+				t.Errorf("answer: got %d, close %t, want %d, close true", resp.StatusCode, resp.Close, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against a stop that cuts a request that was read, or that leaves a caller in doubt whether the next one was.
+func TestShutdown(t *testing.T) {
+	running, release := make(chan struct{}), make(chan struct{})
+	s, addr := start(t, func(w http.ResponseWriter, _ *http.Request) {
+		close(running)
+		<-release
+		_, _ = io.WriteString(w, "whole")
+	})
+	c, r := dial(t, addr)
+	idle, idleReader := dial(t, addr)
+	send(t, c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-running
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		s.Shutdown(ctx)
+	}()
+	if _, err := idleReader.ReadByte(); err != io.EOF {
+		t.Errorf("idle connection %v: got %v, want EOF", idle.LocalAddr(), err)
+	}
+	close(release)
+	resp, body := receive(t, r)
+	if body != "whole" || !resp.Close {
+		t.Errorf("answer: got %q, close %t, want \"whole\", close true", body, resp.Close)
+	}
+	select {
+	case <-stopped:
+	case <-time.After(5 * time.Second):
+		t.Error("shutdown: got no end, want one after the last answer")
+	}
+}
+
+// Guards against a body that is held twice as long as it is needed, so that the bound on bodies fills up.
+func TestBodiesAreReleased(t *testing.T) {
+	s, addr := start(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = w.Write(Body(r))
+	})
+	c, r := dial(t, addr)
+	for range 50 {
+		send(t, c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 30000\r\n\r\n"+strings.Repeat("b", 30000))
+		if resp, body := receive(t, r); resp.StatusCode != http.StatusOK || len(body) != 30000 {
+			t.Fatalf("answer: got %d with %d bytes, want 200 with 30000", resp.StatusCode, len(body))
+		}
+	}
+	if got := s.held.Load(); got != 0 {
+		t.Errorf("bytes held after the last answer: got %d, want 0", got)
+	}
+}
