side, fleet, route: keep the last server of a service in use, and find lost and new ones

(2) The list held a lost server whose address another one had by then, so the node did not know that its own was the last. (3) A server that joins is taken to have little room and was never drawn.

Change: the last server that can be reached stays in use for the first part of a stop; a newer member displaces the old one at its address; a peer without a recent report gets the next call that it is drawn for.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -44,7 +44,7 @@
 	defer r.mu.Unlock()
 	for _, m := range members {
 		if r.join(m, now) {
-			news = append(news, m)
+			news = append(append(news, m), r.state.Displace(m, now)...)
 		}
 	}
 	r.publish(len(news) > 0)
--- a/internal/side/node.go
+++ b/internal/side/node.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"briarworks.example/briarworks/internal/gossip"
+	"briarworks.example/briarworks/internal/pause"
 	"briarworks.example/briarworks/internal/peer"
 	"briarworks.example/briarworks/internal/relay"
 	"briarworks.example/briarworks/internal/roster"
@@ -56,8 +57,9 @@
 	config   atomic.Pointer[inForce]
 	configMu sync.Mutex // guards the replacement of config
 	own      atomic.Pointer[life.State]
-	mu       sync.Mutex // guards self and the replacement of own
+	mu       sync.Mutex // guards self, leaving and the replacement of own
 	self     fleet.Member
+	leaving  bool        // Leave was called
 	logged   level.Level // last one that was logged; owned by the goroutine of tick
 	found    atomic.Bool // members were read from the store, or the wait for them is over
 	stopping atomic.Bool
@@ -248,7 +250,7 @@
 	if s.Instance != before.Instance || s.Born.After(before.Born) {
 		n.self.Incarnation = max(n.self.Incarnation+1, ident.Incarnation(now.UnixNano()))
 	}
-	n.self.Left = s.Phase != life.Ready || n.stopping.Load()
+	n.self.Left = s.Phase != life.Ready || n.leaving
 	n.announce(now)
 	return true
 }
@@ -313,13 +315,56 @@
 	return n.config.Load() != nil && n.found.Load() && !n.stopping.Load()
 }
 
-// Retire makes the node report that it is not ready and tells the fleet that its server is not to be used.
-// Requests are still served.
-func (n *Node) Retire(ctx context.Context) {
+// Retire makes the node report that it is not ready, and tells the fleet that its server is not to be used.
+// Requests are still served. The only server of a service stays in use until Leave: while a planned restart
+// of its node lasts, nobody else could take its work.
+func (n *Node) Retire(ctx context.Context, now time.Time) {
 	n.stopping.Store(true)
+	if n.alone(ctx) {
+		n.Log.Info("lastServerStays", zap.String("service", string(n.Settings.Service)))
+		return
+	}
+	n.Leave(ctx, now)
+}
+
+// alone reports whether no other server of the own service can be reached. An entry alone shows nothing: that
+// of a machine that was lost stays.
+func (n *Node) alone(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, reachWait)
+	defer cancel()
+	for again := true; again; again = pause.For(ctx, reachPause) {
+		others := 0
+		for _, m := range n.Roster.Table().Of(n.Settings.Service) {
+			if m.Server == n.Settings.Server {
+				continue
+			}
+			if others++; n.Book.Connected(m.Address) {
+				return false
+			}
+		}
+		if others == 0 {
+			return true
+		}
+	}
+	return true
+}
+
+// Times of looking for other servers of the own service.
+const (
+	reachWait  = 300 * time.Millisecond
+	reachPause = 20 * time.Millisecond
+)
+
+// Leave tells the fleet that the own server is not to be used, and waits until the connected nodes have
+// taken it.
+func (n *Node) Leave(ctx context.Context, now time.Time) {
 	n.mu.Lock()
-	n.self.Left = true
-	n.announce(time.Now())
+	if n.self.Left && n.leaving {
+		n.mu.Unlock()
+		return
+	}
+	n.leaving, n.self.Left = true, true
+	n.announce(now)
 	m := n.self
 	n.mu.Unlock()
 	n.Gossip.Tell(ctx, []fleet.Member{m})
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -113,6 +113,24 @@
 	return s.Apply(m, now)
 }
 
+// Displace marks servers as left whose address belongs to m now, a newer member, and returns them. An address
+// is given to another server some time after its last one has ended, and the last one may have ended without
+// a word.
+func (s *State) Displace(m Member, now time.Time) (gone []Member) {
+	if m.Left || m.Address == "" {
+		return nil
+	}
+	for _, old := range s.members {
+		if old.Address != m.Address || old.Server == m.Server || old.Left || old.Incarnation >= m.Incarnation {
+			continue
+		}
+		if s.Leave(old.Server, old.Incarnation, now) {
+			gone = append(gone, s.members[old.Server])
+		}
+	}
+	return gone
+}
+
 // Expire drops members that were not announced again within the retention, and leave marks after
 // twice that time, and reports whether any was dropped.
 func (s *State) Expire(now time.Time, retention time.Duration) (changed bool) {
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"os"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -179,3 +180,39 @@
 		t.Error("second leave: got changed")
 	}
 }
+
+// Guards against a lost server that stays in the list for ever while its address is that of another one.
+func TestDisplace(t *testing.T) {
+	now := time.Unix(1000, 0)
+	at := func(server, address string, inc ident.Incarnation) Member {
+		return Member{Server: ident.Server(server), Service: "s", Address: ident.Address(address), Incarnation: inc, Announced: now}
+	}
+	tests := map[string]struct {
+		next Member
+		want []ident.Server // that stay
+	}{
+		"address used again":           {at("new", "a", 5), []ident.Server{"b", "new"}},
+		"another address":              {at("new", "c", 5), []ident.Server{"a", "b", "new"}},
+		"older entry comes late":       {at("new", "a", 1), []ident.Server{"a", "b", "new"}},
+		"same server starts again":     {at("a", "a", 9), []ident.Server{"a", "b"}},
+		"leave mark at a used address": {Member{Server: "new", Address: "a", Incarnation: 9, Left: true, Announced: now}, []ident.Server{"a", "b"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var s State
+			s.Apply(at("a", "a", 2), now)
+			s.Apply(at("b", "b", 3), now)
+			s.Apply(tt.next, now)
+			s.Displace(tt.next, now)
+			var got []ident.Server
+			for _, m := range s.Table().All() {
+				if !m.Left {
+					got = append(got, m.Server)
+				}
+			}
+			if !slices.Equal(got, tt.want) {
+				t.Errorf("members: got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
--- a/pkg/route/peer.go
+++ b/pkg/route/peer.go
@@ -216,6 +216,13 @@
 	return int64(at) >= max(since, first)
 }
 
+// stale reports whether the peer has had no call for so long that its report says nothing. It then gets the
+// next call that it is drawn for: its last report may show little room, as that of a server that has just
+// started does, and nobody would ever learn that it has more.
+func (s *state) stale(t int64) bool {
+	return s.inFlight.Load() == 0 && t-s.reported.Load() > int64(ReportAge)
+}
+
 // roomAt returns the slots that the peer is taken to have free.
 func (s *state) roomAt(t int64) int32 {
 	room := s.room.Load()
--- a/pkg/route/route_test.go
+++ b/pkg/route/route_test.go
@@ -424,6 +424,35 @@
 }
 
 // Guards against a choice that prefers some peers when others cannot be used.
+// Guards against a server that has just started and gets nothing: it is taken to have little room, and
+// without a call nobody learns that it has more. Seen on tokachi-hanger quiet-1.
+func TestNewServerGetsWork(t *testing.T) {
+	set := smallSet(2)
+	old, fresh := set.peers[0], set.peers[1]
+	now := start
+	got := 0
+	old.Start()
+	old.Finish(Feedback{Free: 20, Latency: time.Millisecond}, now)
+	for range 200 {
+		now = now.Add(20 * time.Millisecond)
+		p, ok := set.Pick(now, Avoid{}, rand.Uint64())
+		if !ok {
+			t.Fatal("pick: got none, want a peer")
+		}
+		p.Start()
+		p.Finish(Feedback{Free: 20, Latency: time.Millisecond}, now)
+		if p == fresh {
+			got++
+		}
+		if old.InFlight() != 0 {
+			t.Fatal("calls in flight: got some, want none")
+		}
+	}
+	if got < 60 {
+		t.Errorf("calls to the new server: got %d of 200, want at least 60", got)
+	}
+}
+
 func TestPickEven(t *testing.T) {
 	const draws = 40000
 	tests := map[string]func(s *Set, avoid *Avoid){
--- a/pkg/route/set.go
+++ b/pkg/route/set.go
@@ -80,12 +80,14 @@
 type choice struct {
 	index [MaxPeers]uint8
 	room  [MaxPeers]int32
+	stale [MaxPeers]bool
 	n     uint32
 }
 
-func (c *choice) add(i int, room int32) {
+func (c *choice) add(i int, room int32, stale bool) {
 	c.index[c.n] = uint8(i)
 	c.room[c.n] = room
+	c.stale[c.n] = stale
 	c.n++
 }
 
@@ -95,7 +97,7 @@
 		return c.index[0]
 	}
 	first, second := two(rnd, c.n)
-	if c.room[second] > c.room[first] {
+	if c.stale[second] && !c.stale[first] || c.stale[second] == c.stale[first] && c.room[second] > c.room[first] {
 		return c.index[second]
 	}
 	return c.index[first]
@@ -135,7 +137,13 @@
 	if !p.ready(t, avoid, rnd) || !q.ready(t, avoid, rnd) {
 		return nil
 	}
-	if q.state.roomAt(t) > p.state.roomAt(t) {
+	switch stale := p.state.stale(t); {
+	case q.state.stale(t) != stale:
+		if stale {
+			return p
+		}
+		return q
+	case q.state.roomAt(t) > p.state.roomAt(t):
 		return q
 	}
 	return p
@@ -160,16 +168,16 @@
 		if avoid.n > 0 && avoid.Has(p.Member.Server) {
 			continue
 		}
-		room := p.state.roomAt(t)
+		room, stale := p.state.roomAt(t), p.state.stale(t)
 		switch {
 		case p.state.heldBack(t, rnd):
-			held.add(i, room)
+			held.add(i, room, stale)
 		case room <= 0:
-			full.add(i, room)
+			full.add(i, room, stale)
 		case i < s.near:
-			near.add(i, room)
+			near.add(i, room, stale)
 		default:
-			far.add(i, room)
+			far.add(i, room, stale)
 		}
 	}
 	for _, c := range [...]*choice{&near, &far, &full, &held} {
