--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -168,9 +168,41 @@
 	return d/2 + time.Duration(mrand.Int64N(int64(d)))
 }
 
+// Looking for nodes that were restarted.
+const (
+	recallFor = 2 * time.Minute // after a leave
+	recallBy  = 16.0            // nodes of the fleet that look in one period on average
+)
+
+// recall asks a member that left lately whether its node is back. A node that starts while the store is away
+// and without seeds knows nobody, so those that knew it have to call it.
+func (g *Gossip) recall(ctx context.Context) {
+	all := g.Roster.Table().All()
+	if mrand.Float64()*float64(len(all)) > recallBy {
+		return
+	}
+	known, now := g.known(), time.Now()
+	var left []ident.Address
+	for _, m := range all {
+		if m.Left && m.Address != "" && !known(m.Address) && now.Sub(m.Announced).Abs() < recallFor && m.Server != g.Self.Server {
+			left = append(left, m.Address)
+		}
+	}
+	if len(left) == 0 {
+		return
+	}
+	addr := left[mrand.IntN(len(left))]
+	short, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if _, reply, err := g.Book.SyncTo(short, addr, g.summary()); err == nil {
+		g.follow(short, addr, reply)
+	}
+}
+
 // exchange compares state with one connected node, or with one that can be reached.
 func (g *Gossip) exchange(ctx context.Context) {
 	g.Book.Forget(g.known())
+	defer g.recall(ctx)
 	short, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	from, reply := g.Book.Sync(short, g.summary())
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -20,6 +20,7 @@
 	"briarworks.example/briarworks/internal/fakes"
 	"briarworks.example/briarworks/internal/flight"
 	"briarworks.example/briarworks/internal/policy"
+	"briarworks.example/briarworks/internal/ports"
 	"briarworks.example/briarworks/internal/probe"
 	"briarworks.example/briarworks/internal/record"
 	"briarworks.example/briarworks/internal/record/recpb"
@@ -126,10 +127,10 @@
 }
 
 // ports are below those that systems give to outgoing connections.
-var ports = probe.Ports{First: 31000, Count: 1700}
+var free = probe.Ports{Range: ports.Range{First: 31000, Count: 1700}}
 
 // ports returns free addresses on loopback.
-func (f *testFleet) ports(n int) []ident.Address { return ports.Addresses(f, n) }
+func (f *testFleet) ports(n int) []ident.Address { return free.Addresses(f, n) }
 
 // add starts a backend server, which calls the next service if there is one, and its node.
 func (f *testFleet) add(service ident.Service, next string, change func(*setup.Settings)) *member {
--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -1,14 +1,12 @@
 package probe
 
 import (
-	"fmt"
 	"net"
-	"os"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"briarworks.example/briarworks/internal/ports"
 	"briarworks.example/briarworks/pkg/ident"
 )
 
@@ -42,37 +40,15 @@
 	return c.Conn.Write(p)
 }
 
-// Ports gives out ports of a range, each once; it is made with its range. The range should be one that the
-// system does not use for outgoing connections, since one of them could take a port that was free a moment ago.
-type Ports struct {
-	First, Count int
-
-	mu   sync.Mutex
-	next int
-}
-
-// host returns a loopback address of this process's own. Two runs of the tests at a time took each other's
-// ports between the look and the use while they shared one address.
-func host() string {
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>15&0x7f, pid>>7&0xff, 1+pid&0x7f)
-}
+// Ports gives out ports of a range to tests.
+type Ports struct{ ports.Range }
 
 // Addresses returns loopback addresses with free ports.
-func (p *Ports) Addresses(t testing.TB, n int) (all []ident.Address) {
+func (p *Ports) Addresses(t testing.TB, n int) []ident.Address {
 	t.Helper()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for tries := 0; len(all) < n; tries++ {
-		if tries == p.Count {
-			t.Fatal("no free ports")
-		}
-		addr := fmt.Sprintf("%s:%d", host(), p.First+p.next%p.Count)
-		p.next++
-		if ln, err := net.Listen("tcp", addr); err == nil {
-			_ = ln.Close()
-			all = append(all, ident.Address(addr))
-		}
+	all, err := p.Free(n)
+	if err != nil {
+		t.Fatal(err)
 	}
 	return all
 }
--- a/internal/system/fleet_test.go
+++ b/internal/system/fleet_test.go
@@ -24,6 +24,7 @@
 	"briarworks.example/briarworks/internal/applog"
 	"briarworks.example/briarworks/internal/fakes"
 	_ "briarworks.example/briarworks/internal/node" // a change there must not leave a cached result of these tests
+	"briarworks.example/briarworks/internal/ports"
 	"briarworks.example/briarworks/internal/probe"
 	"briarworks.example/briarworks/internal/record"
 	"briarworks.example/briarworks/internal/setup"
@@ -128,7 +129,7 @@
 }
 
 // ports are below those that systems give to outgoing connections. Fleets run at the same time.
-var ports = probe.Ports{First: 23000, Count: 8000}
+var free = probe.Ports{Range: ports.Range{First: 23000, Count: 8000}}
 
 // server is a backend server with its node.
 type server struct {
@@ -154,7 +155,7 @@
 // all is over.
 func newSystem(t *testing.T, slots int) *system {
 	t.Helper()
-	s := &system{t: t, logAddress: ports.Addresses(t, 1)[0]}
+	s := &system{t: t, logAddress: free.Addresses(t, 1)[0]}
 	s.log = start(t, "briarfake", "log", "--listen", string(s.logAddress))
 	for i := range 2 {
 		s.calendar = append(s.calendar, s.add("calendar", i, nil))
@@ -175,7 +176,7 @@
 // add starts a backend server and its node.
 func (s *system) add(service string, i int, seeds []ident.Address) *server {
 	s.t.Helper()
-	a := ports.Addresses(s.t, 5)
+	a := free.Addresses(s.t, 5)
 	v := &server{set: setup.Settings{
 		Server: ident.Server(fmt.Sprintf("%s-%d", service, i)), Service: ident.Service(service), DataCentre: "c",
 		Listen:  setup.Listen{Callers: a[0], Local: a[1], Peers: a[2], Operator: a[3]},
