side: serve calls for the first part of a planned stop

Change: a node announces its leave when it stops serving, not when it is told to stop. This replaces the rule for the last server. Members displace others at their address only where the platform uses addresses again: TestExchangeOfMembers of internal/node, whose members share one address, had failed.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -21,6 +21,7 @@
 type Roster struct {
 	Self      fleet.Member
 	Retention time.Duration        // of the log; a member that is silent for longer is forgotten
+	Displace  bool                 // a newer member ends older ones at its address, where the platform uses addresses again
 	Changed   func([]fleet.Member) // called without the lock, with the members that were news; may be nil
 
 	mu    sync.Mutex // held by writers
@@ -44,7 +45,10 @@
 	defer r.mu.Unlock()
 	for _, m := range members {
 		if r.join(m, now) {
-			news = append(append(news, m), r.state.Displace(m, now)...)
+			news = append(news, m)
+			if r.Displace {
+				news = append(news, r.state.Displace(m, now)...)
+			}
 		}
 	}
 	r.publish(len(news) > 0)
--- a/internal/side/build.go
+++ b/internal/side/build.go
@@ -57,7 +57,7 @@
 
 func newPaths() *share.Paths { return &share.Paths{} }
 
-func newRoster(self fleet.Member) *roster.Roster { return &roster.Roster{Self: self} }
+func newRoster(self fleet.Member) *roster.Roster { return &roster.Roster{Self: self, Displace: true} }
 
 func newGate(s *setup.Sidecar, paths *share.Paths) *admit.Gate {
 	return admit.New(admit.Config{Service: s.Service, Slots: defaultSlots, Paths: paths, QueueLen: maxQueue})
--- a/internal/side/node.go
+++ b/internal/side/node.go
@@ -12,7 +12,6 @@
 	"go.uber.org/zap"
 
 	"briarworks.example/briarworks/internal/gossip"
-	"briarworks.example/briarworks/internal/pause"
 	"briarworks.example/briarworks/internal/peer"
 	"briarworks.example/briarworks/internal/relay"
 	"briarworks.example/briarworks/internal/roster"
@@ -315,45 +314,9 @@
 	return n.config.Load() != nil && n.found.Load() && !n.stopping.Load()
 }
 
-// Retire makes the node report that it is not ready, and tells the fleet that its server is not to be used.
-// Requests are still served. The only server of a service stays in use until Leave: while a planned restart
-// of its node lasts, nobody else could take its work.
-func (n *Node) Retire(ctx context.Context, now time.Time) {
-	n.stopping.Store(true)
-	if n.alone(ctx) {
-		n.Log.Info("lastServerStays", zap.String("service", string(n.Settings.Service)))
-		return
-	}
-	n.Leave(ctx, now)
-}
-
-// alone reports whether no other server of the own service can be reached. An entry alone shows nothing: that
-// of a machine that was lost stays.
-func (n *Node) alone(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, reachWait)
-	defer cancel()
-	for again := true; again; again = pause.For(ctx, reachPause) {
-		others := 0
-		for _, m := range n.Roster.Table().Of(n.Settings.Service) {
-			if m.Server == n.Settings.Server {
-				continue
-			}
-			if others++; n.Book.Connected(m.Address) {
-				return false
-			}
-		}
-		if others == 0 {
-			return true
-		}
-	}
-	return true
-}
-
-// Times of looking for other servers of the own service.
-const (
-	reachWait  = 300 * time.Millisecond
-	reachPause = 20 * time.Millisecond
-)
+// Retire makes the node report that it is not ready. Its server stays in use until Leave: in a planned restart
+// of nodes the servers run on, and taking them out for the whole stop leaves their service short of room.
+func (n *Node) Retire() { n.stopping.Store(true) }
 
 // Leave tells the fleet that the own server is not to be used, and waits until the connected nodes have
 // taken it.
