--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -34,7 +34,8 @@
 	Retried func(reason.Retry)                                                                              // counts a retry
 	Up      func() reason.Refusal                                                                           // why the own server takes no work, None when it does; may be nil
 
-	Connected func(ident.Address) bool // a connection to a node is open; starts one otherwise; may be nil
+	Turned    func(req *call.Request, why reason.Refusal) // told of a request that the own server does not get; may be nil
+	Connected func(ident.Address) bool                    // a connection to a node is open; starts one otherwise; may be nil
 	Gate      *admit.Gate
 	Paths     *share.Paths
 	Flights   *flight.Table
@@ -194,15 +195,23 @@
 // local admits the request to the own backend server and runs it there.
 func (r *Relay) local(ctx context.Context, req *call.Request) call.Result {
 	if why := r.up(); why != reason.None {
-		return r.annotate(req, call.Refuse(why), req.Budget)
+		return r.turn(req, why)
 	}
 	a := r.admit(ctx, req)
 	if a.why != reason.None {
-		return r.annotate(req, call.Refuse(a.why), req.Budget)
+		return r.turn(req, a.why)
 	}
 	return r.run(ctx, req, a.ticket)
 }
 
+// turn refuses a request before the own server.
+func (r *Relay) turn(req *call.Request, why reason.Refusal) call.Result {
+	if r.Turned != nil {
+		r.Turned(req, why)
+	}
+	return r.annotate(req, call.Refuse(why), req.Budget)
+}
+
 // admitted is a ticket, or the reason why there is none.
 type admitted struct {
 	ticket *ticket
--- a/internal/side/node.go
+++ b/internal/side/node.go
@@ -19,6 +19,7 @@
 	"briarworks.example/briarworks/internal/setup"
 	"briarworks.example/briarworks/internal/stats"
 	"briarworks.example/briarworks/pkg/admit"
+	"briarworks.example/briarworks/pkg/call"
 	"briarworks.example/briarworks/pkg/chain"
 	"briarworks.example/briarworks/pkg/fleet"
 	"briarworks.example/briarworks/pkg/ident"
@@ -94,6 +95,7 @@
 	n.own.Store(&life.State{})
 	n.Relay.Up = n.up
 	n.Gate.OnWindow(n.rolled)
+	n.Relay.Turned = n.turned
 	n.Relay.Control.Graph.Changed = func(kind ident.Kind, calls []chain.Call) {
 		n.Log.Info("callsLearned", zap.String("kind", string(kind)), zap.Stringer("calls", chain.List(calls)))
 	}
@@ -161,6 +163,16 @@
 // findWait is how long a node that starts waits for the members from the store before it serves without them.
 const findWait = 2 * time.Second
 
+// turned writes a line for a request that the own server does not get, with what decided it.
+func (n *Node) turned(req *call.Request, why reason.Refusal) {
+	if ce := n.Log.Check(zap.InfoLevel, "turnedAway"); ce != nil {
+		ce.Write(zap.String("id", string(req.Key)), zap.String("kind", string(req.Kind)), zap.String("reason", why.String()),
+			zap.Int("rank", int(req.Rank)), zap.Duration("left", req.Left(n.Relay.Now())), zap.Duration("patience", req.Patience),
+			zap.Int("queued", n.Gate.Queued()), zap.Int32("running", int32(n.Gate.Inflight())), zap.Int32("limit", int32(n.Gate.Limit())),
+			zap.String("phase", n.Own().Phase.String()))
+	}
+}
+
 // levelStep is the change of the own server's level that is logged.
 const levelStep = 0.1
 
