--- a/internal/relay/control.go
+++ b/internal/relay/control.go
@@ -13,8 +13,8 @@
 )
 
 // Control decides what Forward lets in and repeats, from what answers tell of the services further down. The
-// exported fields are set before the first request. Its methods without a name of their own do nothing on
-// nil, so that a node that does not use Forward needs none.
+// exported fields are set before the first request. The methods that Serve uses too (came, begin, end, tell and
+// learn) do nothing on nil, since a node that does not use Forward has no Control.
 type Control struct {
 	Own      *level.Controller // of the own server
 	Learned  *level.Table
