--- a/cmd/briarworks/node.go
+++ b/cmd/briarworks/node.go
@@ -23,18 +23,19 @@
 const memoryGoal = 56 << 20
 
 func nodeCommand() *cobra.Command {
-	var file string
-	c := &cobra.Command{
+	return processCommand(&cobra.Command{
 		Use: "node", Short: "Run the node beside a backend server",
 		Long: "Run the node beside a backend server until SIGTERM or an interrupt. A stop takes no new work,\n" +
 			"ends what is in flight and exits with 0.",
 		Example: "  briarworks node --settings node.yaml",
-		Args:    cobra.NoArgs,
-		RunE: func(c *cobra.Command, _ []string) error {
-			return runNode(c.Context(), file, c.OutOrStdout())
-		},
-	}
-	c.Flags().StringVar(&file, "settings", "node.yaml", "file with the node's settings")
+	}, runNode)
+}
+
+// processCommand completes a command that runs a process by a settings file until its context ends.
+func processCommand(c *cobra.Command, run func(ctx context.Context, file string, out io.Writer) error) *cobra.Command {
+	file := c.Flags().String("settings", "node.yaml", "file with the node's settings")
+	c.Args = cobra.NoArgs
+	c.RunE = func(c *cobra.Command, _ []string) error { return run(c.Context(), *file, c.OutOrStdout()) }
 	return c
 }
 
--- a/cmd/briarworks/sidecar.go
+++ b/cmd/briarworks/sidecar.go
@@ -32,19 +32,12 @@
 )
 
 func sidecarCommand() *cobra.Command {
-	var file string
-	c := &cobra.Command{
+	return processCommand(&cobra.Command{
 		Use: "sidecar", Short: "Run the node beside a backend server on the platform",
 		Long: "Run the node beside a backend server on the platform until SIGTERM or an interrupt. The node finds\n" +
 			"its fleet and its configuration in the platform's store. SIGHUP reads the settings again.",
 		Example: "  briarworks sidecar --settings node.yaml",
-		Args:    cobra.NoArgs,
-		RunE: func(c *cobra.Command, _ []string) error {
-			return runSidecar(c.Context(), file, c.OutOrStdout())
-		},
-	}
-	c.Flags().StringVar(&file, "settings", "node.yaml", "file with the node's settings")
-	return c
+	}, runSidecar)
 }
 
 func readSidecar(file string) (*setup.Sidecar, error) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"briarworks.example/briarworks/internal/pause"
+
 	"github.com/samber/oops"
 	"go.uber.org/zap"
 
@@ -194,21 +196,7 @@
 
 // tick drives the gate's windows.
 func (n *Node) tick(ctx context.Context) {
-	every(ctx, tickPeriod, func(now time.Time) { n.Gate.Tick(now) })
-}
-
-// every calls f with the time of each tick until ctx ends.
-func every(ctx context.Context, d time.Duration, f func(now time.Time)) {
-	t := time.NewTicker(d)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			f(time.Now())
-		}
-	}
+	pause.Every(ctx, tickPeriod, func(now time.Time) { n.Gate.Tick(now) })
 }
 
 // random returns 128 random bits as text.
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"briarworks.example/briarworks/internal/admin"
+	"briarworks.example/briarworks/internal/pause"
 	"briarworks.example/briarworks/pkg/fleet"
 )
 
@@ -15,7 +16,7 @@
 const startingFor = 5 * time.Second
 
 func (n *Node) gauge(ctx context.Context) {
-	every(ctx, gaugePeriod, func(now time.Time) {
+	pause.Every(ctx, gaugePeriod, func(now time.Time) {
 		s := n.Stats
 		s.Set("limit", float64(n.Gate.Limit()))
 		s.Set("inflight", float64(n.Gate.Inflight()))
--- a/internal/node/streams.go
+++ b/internal/node/streams.go
@@ -199,7 +199,7 @@
 // carry writes the accepted configuration again before its record expires.
 func (n *Node) carry(ctx context.Context) {
 	chance := ident.Fraction(mrand.Float64())
-	every(ctx, carryCheck, func(now time.Time) {
+	pause.Every(ctx, carryCheck, func(now time.Time) {
 		if n.carryOnce(ctx, now, chance) {
 			chance = ident.Fraction(mrand.Float64())
 		}
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -158,7 +158,7 @@
 // exchange compares state with one connected peer at a time, and with the seeds while no peer is known.
 func (n *Node) exchange(ctx context.Context) {
 	n.join(ctx)
-	every(ctx, syncPeriod, func(now time.Time) {
+	pause.Every(ctx, syncPeriod, func(now time.Time) {
 		n.Roster.Expire(now)
 		n.Book.Forget(n.addresses())
 		short, cancel := context.WithTimeout(ctx, syncTimeout)
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -1,4 +1,4 @@
-// Package pause waits for a time or the end of a context, whichever comes first.
+// Package pause waits for a time or the end of a context, whichever comes first, once or again and again.
 package pause
 
 import (
@@ -17,3 +17,17 @@
 		return ctx.Err() == nil
 	}
 }
+
+// Every calls f with the time of each tick until ctx ends.
+func Every(ctx context.Context, d time.Duration, f func(now time.Time)) {
+	t := time.NewTicker(d)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			f(time.Now())
+		}
+	}
+}
--- a/internal/setup/setup_test.go
+++ b/internal/setup/setup_test.go
@@ -133,3 +133,57 @@
 		}
 	})
 }
+
+const validSidecar = `server: sidecar-a-1
+service: front
+dataCentre: a
+listen:
+  callers: 10.1.0.8:8304
+  ready: 10.1.0.8:8302
+  beats: 10.1.0.8:8306
+  peers: 10.1.0.8:7620
+  operator: 10.1.0.8:7621
+backend: 10.1.0.8:8301
+store: 10.200.1.7:8309
+seeds: []
+retries:
+  ratio: 0.2
+  window: 10s
+  slack: 49
+stopTimeout: 6s
+memory: 284
+`
+
+// Guards against settings of the platform with which a node would start and then be unreachable, and against
+// the refusal of numbers that the platform writes with or without a fraction.
+func TestSidecar(t *testing.T) {
+	tests := map[string]struct {
+		old, new string
+		want     string // beginning of the one problem; empty for none
+	}{
+		"as rendered":             {"", "", ""},
+		"whole ratio":             {"ratio: 0.2", "ratio: 1", ""},
+		"fraction of slack":       {"slack: 49", "slack: 49.5", ""},
+		"no seeds":                {"seeds: []\n", "", ""},
+		"seeds":                   {"seeds: []", `seeds: ["10.1.0.9:8306"]`, ""},
+		"ratio above one":         {"ratio: 0.2", "ratio: 1.5", "f:14:10: retries.ratio: must be at most 1"},
+		"ratio that is no number": {"ratio: 0.2", "ratio: some", "f:14:10: retries.ratio: got \"some\", want a number"},
+		"no store":                {"store: 10.200.1.7:8309\n", "", "f:1:1: store: required field is missing"},
+		"peers on every address":  {"10.1.0.8:7620", "0.0.0.0:7620", "f:8:10: listen.peers: must be an address that other nodes can call"},
+		"address used twice":      {"10.1.0.8:8302", "10.1.0.8:8304", "f:6:10: listen.ready: 10.1.0.8:8304 is already used by listen.callers"},
+		"too little memory":       {"memory: 284", "memory: 8", "f:18:9: memory: must be at least 32"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, err := DecodeSidecar("f", []byte(strings.Replace(validSidecar, tt.old, tt.new, 1)))
+			var got Problems
+			errors.As(err, &got)
+			switch {
+			case tt.want == "" && err != nil:
+				t.Errorf("problems: got %v, want none", err)
+			case tt.want != "" && (len(got) != 1 || !strings.HasPrefix(got[0].Error(), tt.want)):
+				t.Errorf("problems: got %v, want one that begins with %q", err, tt.want)
+			}
+		})
+	}
+}
--- a/internal/side/node.go
+++ b/internal/side/node.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"briarworks.example/briarworks/internal/gossip"
+	"briarworks.example/briarworks/internal/pause"
 	"briarworks.example/briarworks/internal/peer"
 	"briarworks.example/briarworks/internal/relay"
 	"briarworks.example/briarworks/internal/roster"
@@ -190,19 +191,12 @@
 		zap.Int("turnedAway", w.Turned), zap.Duration("wait", w.Wait), zap.Int32("limit", int32(n.Gate.Limit())))
 }
 
+// tick drives the gate's windows and the estimate of the calls.
 func (n *Node) tick(ctx context.Context) {
-	t := time.NewTicker(tickPeriod)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			now := time.Now()
-			n.Relay.Control.Graph.Tick(now)
-			n.Gate.Tick(now)
-		}
-	}
+	pause.Every(ctx, tickPeriod, func(now time.Time) {
+		n.Relay.Control.Graph.Tick(now)
+		n.Gate.Tick(now)
+	})
 }
 
 // Table returns the routes in force, nil before the first configuration.
