server: send what runs once on fresh connections only

Cause: a server, or something on the way, forgets idle connections. A claim sent on one is reset, and its outcome stays unknown: the caller is told 502 and must not repeat it.

Change: a request that must not be repeated takes a connection that was used within 250 ms, or a new one. TestForgottenConnection failed before.

--- a/internal/server/pool.go
+++ b/internal/server/pool.go
@@ -114,15 +114,26 @@
 	trimmer atomic.Pointer[time.Timer] // runs while connections are idle
 }
 
-// take returns an idle connection or a new one. It waits while all may not carry another request.
-func (p *pool) take(ctx context.Context) (c *conn, err error) {
+// onceIdle is how long a connection may have been idle that carries a request which must not be repeated. A
+// server, or something on the way, may have forgotten an idle connection without a word; what is sent on it is
+// then reset, and nobody knows whether it ran.
+const onceIdle = 250 * time.Millisecond
+
+// take returns an idle connection or a new one. It waits while all may not carry another request. Once tells
+// that the request must not be repeated.
+func (p *pool) take(ctx context.Context, once bool) (c *conn, err error) {
+	idle := p.kept()
+	if once {
+		idle = min(idle, onceIdle)
+	}
+
 	select {
 	case p.slots <- struct{}{}:
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
 	for {
-		c, ok := p.idle.Take(time.Now().Add(-p.kept())) // trim may be late
+		c, ok := p.idle.Take(time.Now().Add(-idle)) // trim may be late
 		if !ok {
 			break
 		}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -110,7 +110,7 @@
 		return call.Refuse(reason.BadRequest)
 	}
 	p := c.pool.Load()
-	k, err := p.take(ctx)
+	k, err := p.take(ctx, !req.Idempotent)
 	if err != nil {
 		return failed(ctx, err, false)
 	}
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -356,3 +356,62 @@
 		})
 	}
 }
+
+// Guards against a request that must run once and is lost on a connection that the server has forgotten: what
+// is sent on it is reset, and the outcome stays unknown.
+func TestForgottenConnection(t *testing.T) {
+	tests := map[string]struct {
+		idempotent bool
+		want       reason.Outcome
+	}{
+		"runs once":             {false, reason.Ran},
+		"may be repeated above": {true, reason.Unknown},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = ln.Close() }()
+			go func() {
+				for {
+					c, err := ln.Accept()
+					if err != nil {
+						return
+					}
+					go forget(c)
+				}
+			}()
+			client := New(ident.Address(ln.Addr().String()), 4)
+			defer client.Close()
+			ask := func() call.Result {
+				now := time.Now()
+				req := &call.Request{Method: http.MethodPost, Path: "/", Idempotent: tt.idempotent, Deadline: now.Add(5 * time.Second)}
+				return client.Run(context.Background(), req, "token", now)
+			}
+			if got := ask().Outcome; got != reason.Ran {
+				t.Fatalf("first request: got %s, want ran", got)
+			}
+			time.Sleep(onceIdle + 150*time.Millisecond)
+			if got := ask().Outcome; got != tt.want {
+				t.Errorf("request after an idle time: got %s, want %s", got, tt.want)
+			}
+		})
+	}
+}
+
+// forget answers one request of a connection and resets the connection when another one comes.
+func forget(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, req.Body)
+	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	if _, err = r.ReadByte(); err == nil {
+		_ = c.(*net.TCPConn).SetLinger(0)
+	}
+}
