--- a/internal/side/node.go
+++ b/internal/side/node.go
@@ -34,7 +34,7 @@
 // tickPeriod is how often the gate ends waits and rolls its windows.
 const tickPeriod = 20 * time.Millisecond
 
-// settings of a routes table and the text that it was decoded from.
+// inForce is a configuration that is in force and the text that it was decoded from.
 type inForce struct {
 	table *match.Table
 	text  []byte
