emul, briarfake: show the path over the emulated platform

briarfake platform runs a small fleet in one process and loads it: calm, ten times the load, calm, a server that leaves, a store that is away.

--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,7 @@
 
 demo: build
 	./scripts/demo
+	./bin/briarfake platform
 
 # Runs the tests that internal/matrix names and writes docs/matrix.md.
 matrix:
