relay, level, side, cmd: use one piece where this change had written the same again

- relay: a node whose calls carry no token makes none and keeps no table of flights by token.
On the platform each request drew 128 random bits and was put into a table that nobody read; side's copy of random() goes.
- level: levels are kept by kind, so the worst one of a kind no longer walks over those of all kinds for each answer.
- side: the wait for members uses pause.For; Leave loses a check that was dead since Retire no longer calls it.
- relay: a request for the own server is counted in one place.
- cmd: readSettings and eventCore serve both commands that run a node.
- gossip and match lose a field and a method that nothing used.

Behaviour stays as it is; no test was changed.

--- a/cmd/briarworks/node.go
+++ b/cmd/briarworks/node.go
@@ -39,13 +39,18 @@
 	return c
 }
 
-// runNode runs a node until ctx ends and then stops it gracefully.
-func runNode(ctx context.Context, file string, out io.Writer) (err error) {
+// readSettings reads the settings file of a process.
+func readSettings[S any](file string, decode func(file string, text []byte) (*S, error)) (*S, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
-		return fmt.Errorf("%w; name the file with the node's settings with --settings", err)
+		return nil, fmt.Errorf("%w; name the file with the node's settings with --settings", err)
 	}
-	s, err := setup.Decode(file, text)
+	return decode(file, text)
+}
+
+// runNode runs a node until ctx ends and then stops it gracefully.
+func runNode(ctx context.Context, file string, out io.Writer) (err error) {
+	s, err := readSettings(file, setup.Decode)
 	if err != nil {
 		return err
 	}
@@ -67,8 +72,14 @@
 
 // newLogger writes one line of key=value pairs for each event.
 func newLogger(out io.Writer) *zap.Logger {
+	return zap.New(eventCore(zapcore.Lock(zapcore.AddSync(out)), zapcore.SecondsDurationEncoder))
+}
+
+// eventCore encodes each event as one line of key=value pairs.
+func eventCore(out zapcore.WriteSyncer, durations zapcore.DurationEncoder) zapcore.Core {
 	cfg := zap.NewProductionEncoderConfig()
 	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	cfg.EncodeDuration = durations
 	cfg.MessageKey = "event"
-	return zap.New(zapcore.NewCore(zaplogfmt.NewEncoder(cfg), zapcore.Lock(zapcore.AddSync(out)), zap.InfoLevel))
+	return zapcore.NewCore(zaplogfmt.NewEncoder(cfg), out, zap.InfoLevel)
 }
--- a/cmd/briarworks/sidecar.go
+++ b/cmd/briarworks/sidecar.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"os"
 	"os/signal"
@@ -10,7 +9,6 @@
 	"syscall"
 	"time"
 
-	zaplogfmt "github.com/jsternberg/zap-logfmt"
 	"github.com/spf13/cobra"
 	"go.uber.org/fx"
 	"go.uber.org/zap"
@@ -40,20 +38,12 @@
 	}, runSidecar)
 }
 
-func readSidecar(file string) (*setup.Sidecar, error) {
-	text, err := os.ReadFile(file)
-	if err != nil {
-		return nil, fmt.Errorf("%w; name the file with the node's settings with --settings", err)
-	}
-	return setup.DecodeSidecar(file, text)
-}
-
 // runSidecar runs a node until ctx ends and then stops it gracefully.
 func runSidecar(ctx context.Context, file string, out io.Writer) error {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
-	s, err := readSidecar(file)
+	s, err := readSettings(file, setup.DecodeSidecar)
 	if err != nil {
 		return err
 	}
@@ -81,7 +71,7 @@
 // reload checks the settings file again. What a node learns from it is fixed at its start: its addresses and
 // those of its server and store. A change is logged, so that an operator knows that a restart is due.
 func reload(file string, log *zap.Logger) {
-	if _, err := readSidecar(file); err != nil {
+	if _, err := readSettings(file, setup.DecodeSidecar); err != nil {
 		log.Error("settingsUnusable", zap.Error(err))
 		return
 	}
@@ -90,10 +80,6 @@
 
 // sidecarLogger writes one line of key=value pairs for each event, thinned under load.
 func sidecarLogger(out zapcore.WriteSyncer) *zap.Logger {
-	cfg := zap.NewProductionEncoderConfig()
-	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	cfg.EncodeDuration = zapcore.MillisDurationEncoder
-	cfg.MessageKey = "event"
-	core := zapcore.NewCore(zaplogfmt.NewEncoder(cfg), out, zap.InfoLevel)
+	core := eventCore(out, zapcore.MillisDurationEncoder)
 	return zap.New(zapcore.NewSamplerWithOptions(core, time.Second, lineFirst, lineEvery))
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -5,8 +5,6 @@
 	mrand "math/rand/v2"
 	"time"
 
-	"go.uber.org/zap"
-
 	"briarworks.example/briarworks/internal/pause"
 	"briarworks.example/briarworks/internal/peer"
 	"briarworks.example/briarworks/internal/roster"
@@ -43,14 +41,13 @@
 	Seeds  []ident.Address // nodes that may answer when no member is known
 	Config func() Config   // in force; its version is 0 when there is none
 	Adopt  func(Config)    // takes the configuration of another node
-	Log    *zap.Logger
 
 	news chan []fleet.Member
 }
 
 // New returns a gossip for the given node; its fields may still be changed before Run.
-func New(self fleet.Member, r *roster.Roster, b *peer.Book, log *zap.Logger) *Gossip {
-	return &Gossip{Self: self, Roster: r, Book: b, Log: log, news: make(chan []fleet.Member, maxNews)}
+func New(self fleet.Member, r *roster.Roster, b *peer.Book) *Gossip {
+	return &Gossip{Self: self, Roster: r, Book: b, news: make(chan []fleet.Member, maxNews)}
 }
 
 // News queues members to be told to the connected nodes.
--- a/internal/relay/control.go
+++ b/internal/relay/control.go
@@ -50,7 +50,7 @@
 	return 1
 }
 
-// came notes a request that another node sent to the own server.
+// came notes a request for the own server, of this node or of another one.
 func (c *Control) came(req *call.Request) {
 	if c != nil {
 		c.Origins.Add(req.Kind, ident.Service(req.Caller))
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -55,7 +55,7 @@
 		here, p := s.next()
 		switch {
 		case here:
-			r.Control.Origins.Add(req.Kind, r.Self.Service)
+			r.Control.came(req)
 			res = r.local(ctx, req)
 			r.Control.learn(req, &res, r.Now())
 			res.Served = r.Self.Server
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -23,7 +23,7 @@
 	Self    fleet.Member
 	Now     func() time.Time
 	Rand    func() uint64
-	Token   func() flight.Token
+	Token   func() flight.Token                                                                             // names a request to the own server; nil when its calls carry no token
 	Rules   func() *rules.Snapshot                                                                          // nil before the first configuration
 	Routes  func(ident.Service) *route.Set                                                                  // nil when no server of the service is known
 	Run     func(ctx context.Context, req *call.Request, token flight.Token, now time.Time) call.Result     // own backend server
@@ -259,15 +259,20 @@
 // run runs an admitted request on the own backend server.
 func (r *Relay) run(ctx context.Context, req *call.Request, t *ticket) call.Result {
 	start := r.Now()
-	f := &flight.Flight{Token: r.Token(), Request: req, Ctx: ctx}
+	f := &flight.Flight{Request: req, Ctx: ctx}
 	f.Pool.Fill(req.Budget)
-	r.Flights.Add(f)
+	if r.Token != nil {
+		f.Token = r.Token()
+		r.Flights.Add(f)
+	}
 	r.Control.begin(req)
 	res := call.Refuse(reason.LeaseLapsed)
 	if req.StartBy.IsZero() || start.Before(req.StartBy) {
 		res = r.Run(ctx, req, f.Token, start)
 	}
-	r.Flights.Remove(f)
+	if r.Token != nil {
+		r.Flights.Remove(f)
+	}
 	r.Control.end(req)
 	now := r.Now()
 	total := now.Sub(start)
--- a/internal/side/build.go
+++ b/internal/side/build.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	mrand "math/rand/v2"
 	"net"
 	"time"
@@ -11,7 +9,6 @@
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
-	"briarworks.example/briarworks/internal/flight"
 	"briarworks.example/briarworks/internal/gossip"
 	"briarworks.example/briarworks/internal/peer"
 	"briarworks.example/briarworks/internal/relay"
@@ -87,8 +84,8 @@
 	}
 }
 
-func newGossip(s *setup.Sidecar, self fleet.Member, r *roster.Roster, b *peer.Book, log *zap.Logger) *gossip.Gossip {
-	g := gossip.New(self, r, b, log)
+func newGossip(s *setup.Sidecar, self fleet.Member, r *roster.Roster, b *peer.Book) *gossip.Gossip {
+	g := gossip.New(self, r, b)
 	g.Seeds = seeds(s)
 	return g
 }
@@ -110,9 +107,9 @@
 
 func newRelay(self fleet.Member, r *roster.Roster, b *peer.Book, c *server.Client, g *admit.Gate, paths *share.Paths, ctl *relay.Control, st *stats.Stats) *relay.Relay {
 	return &relay.Relay{
-		Self: self, Now: time.Now, Rand: mrand.Uint64, Token: func() flight.Token { return flight.Token(random()) },
+		Self: self, Now: time.Now, Rand: mrand.Uint64,
 		Routes: r.Set, Run: c.Run, Send: b.Call, Connected: b.Connected, Seq: func() ident.Seq { return 0 },
-		Retried: st.Retried, Gate: g, Paths: paths, Flights: &flight.Table{}, Bound: maxCarried, Control: ctl,
+		Retried: st.Retried, Gate: g, Paths: paths, Bound: maxCarried, Control: ctl,
 	}
 }
 
@@ -133,10 +130,3 @@
 		Ranks: func() int { return 1 }, Services: func() int { return 0 },
 	}
 }
-
-// random returns 128 random bits as text.
-func random() string {
-	var b [16]byte
-	_, _ = rand.Read(b[:]) // never fails
-	return hex.EncodeToString(b[:])
-}
--- a/internal/side/node.go
+++ b/internal/side/node.go
@@ -148,11 +148,7 @@
 	n.wg.Go(func() { n.Gossip.Run(ctx) })
 	n.wg.Go(func() { n.tick(ctx) })
 	n.wg.Go(func() {
-		t := time.NewTimer(findWait)
-		defer t.Stop()
-		select {
-		case <-ctx.Done():
-		case <-t.C:
+		if pause.For(ctx, findWait) {
 			n.found.Store(true)
 		}
 	})
@@ -328,10 +324,6 @@
 // taken it.
 func (n *Node) Leave(ctx context.Context, now time.Time) {
 	n.mu.Lock()
-	if n.self.Left && n.leaving {
-		n.mu.Unlock()
-		return
-	}
 	n.leaving, n.self.Left = true, true
 	n.announce(now)
 	m := n.self
--- a/pkg/level/table.go
+++ b/pkg/level/table.go
@@ -19,12 +19,12 @@
 // Table holds the levels that a node learned from answers, by kind of work and service. The zero value is
 // ready; all methods may be called at the same time.
 type Table struct {
-	m sync.Map // key -> *learned
+	m sync.Map // ident.Kind -> *services
 }
 
-type key struct {
-	kind    ident.Kind
-	service ident.Service
+// services holds the levels of one kind.
+type services struct {
+	m sync.Map // ident.Service -> *learned
 }
 
 type learned struct {
@@ -34,15 +34,13 @@
 
 // Learn takes in the level on an answer.
 func (t *Table) Learn(kind ident.Kind, service ident.Service, l Level, now time.Time) {
-	k := key{kind, service}
-	v, ok := t.m.Load(k)
-	if !ok {
+	x := t.find(kind, service)
+	if x == nil {
 		if l <= 0 {
 			return // nothing is held back, which is what an unknown service stands for
 		}
-		v, _ = t.m.LoadOrStore(k, &learned{})
+		x = t.add(kind, service)
 	}
-	x := v.(*learned)
 	at := x.at.Load()
 	if !x.at.CompareAndSwap(at, now.UnixNano()) {
 		return // another answer at the same moment; the average is a sample anyway
@@ -55,25 +53,49 @@
 
 // Of returns the level of a kind at a service.
 func (t *Table) Of(kind ident.Kind, service ident.Service, now time.Time) Level {
-	v, ok := t.m.Load(key{kind, service})
-	if !ok {
-		return 0
+	if x := t.find(kind, service); x != nil {
+		return x.read(now)
 	}
-	x := v.(*learned)
-	return Level(fade(math.Float64frombits(x.bits.Load()), time.Duration(now.UnixNano()-x.at.Load())))
+	return 0
 }
 
 // Worst returns the highest level of a kind over all services.
 func (t *Table) Worst(kind ident.Kind, now time.Time) (worst Level) {
-	t.m.Range(func(k, _ any) bool {
-		if x := k.(key); x.kind == kind {
-			worst = max(worst, t.Of(kind, x.service, now))
-		}
+	v, ok := t.m.Load(kind)
+	if !ok {
+		return 0
+	}
+	v.(*services).m.Range(func(_, x any) bool {
+		worst = max(worst, x.(*learned).read(now))
 		return true
 	})
 	return worst
 }
 
+// find returns what is known of a kind at a service, nil when that is nothing.
+func (t *Table) find(kind ident.Kind, service ident.Service) *learned {
+	v, ok := t.m.Load(kind)
+	if !ok {
+		return nil
+	}
+	x, ok := v.(*services).m.Load(service)
+	if !ok {
+		return nil
+	}
+	return x.(*learned)
+}
+
+func (t *Table) add(kind ident.Kind, service ident.Service) *learned {
+	v, _ := t.m.LoadOrStore(kind, &services{})
+	x, _ := v.(*services).m.LoadOrStore(service, &learned{})
+	return x.(*learned)
+}
+
+// read returns the level now.
+func (x *learned) read(now time.Time) Level {
+	return Level(fade(math.Float64frombits(x.bits.Load()), time.Duration(now.UnixNano()-x.at.Load())))
+}
+
 // fade lowers a level that no answer has confirmed for some time.
 func fade(l float64, age time.Duration) float64 {
 	if age <= fresh {
--- a/pkg/match/match.go
+++ b/pkg/match/match.go
@@ -181,8 +181,3 @@
 	}
 	return r.Parts[len(r.Parts)-1].Service
 }
-
-// Uses reports whether the route may send requests to a service.
-func (r *Route) Uses(service ident.Service) bool {
-	return slices.ContainsFunc(r.Parts, func(p Part) bool { return p.Service == service && p.Weight > 0 })
-}
