outlog: write all queued lines at the end

Nothing had been dropped. The goroutine that joins lines took up to 16 KiB out of the queue while the test still wrote, so 4,096 lines of 5 bytes could fit. Reading it showed a fault of the product: Close wrote one joined write and lost what was queued behind it; of 1,024 lines of 300 bytes 110 to 440 were written.

Change: Close writes until the queue is empty.

--- a/internal/outlog/outlog.go
+++ b/internal/outlog/outlog.go
@@ -62,7 +62,10 @@
 		case p := <-w.queue:
 			buf = w.flush(append(buf[:0], p...))
 		case <-w.stop:
-			w.flush(buf[:0])
+			for len(w.queue) > 0 {
+				buf = w.flush(buf[:0])
+			}
+			w.flush(buf[:0]) // what was dropped since the last write
 			return
 		}
 	}
