soak: play seeded faults against real nodes and check the promises

Adds internal/soak and 'briarfake soak': nodes run as processes over the emulated platform, a loopback proxy delays, mutes, cuts one way and resets their connections, signals stop, kill, pause and reload them, and the store fails. Requests, runs, leaves and configurations are noted and compared with the promises. 'advertise' names the address at which other nodes reach a node, so that a proxy can stand before it.

relay: a request that a first server may have run was told as not run when the later ones refused it (TestForward, 'unknown, then refused for ever', failed before). It is told as unknown now.

--- a/cmd/briarfake/main.go
+++ b/cmd/briarfake/main.go
@@ -25,7 +25,7 @@
 		Use: "briarfake", Short: "Stand-ins for the log, a backend server and callers",
 		SilenceUsage: true,
 	}
-	root.AddCommand(logCommand(), serverCommand(), callerCommand(), waitCommand(), reportCommand(), platformCommand())
+	root.AddCommand(logCommand(), serverCommand(), callerCommand(), waitCommand(), reportCommand(), platformCommand(), soakCommand())
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	if err := root.ExecuteContext(ctx); err != nil {
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -65,13 +65,22 @@
 			res.Served = p.Member.Server
 			s.avoid.Add(p.Member.Server)
 		default:
-			return res
+			return s.final(res)
 		}
 		if !s.again(ctx, res) {
-			return res
+			break
 		}
 	}
-	return res
+	return s.final(res)
+}
+
+// final returns what the last result means for the whole request: a refusal proves nothing about an earlier
+// server that may have run it.
+func (s *spread) final(last call.Result) call.Result {
+	if last.Outcome == reason.NotRun && s.doubt {
+		last.Outcome = reason.Unknown
+	}
+	return last
 }
 
 // spread is the state of one request that is offered to several servers.
@@ -80,6 +89,7 @@
 	req   *call.Request
 	avoid route.Avoid // servers that were tried
 	sent  int         // attempts that may have reached a server
+	doubt bool        // one of these may have run
 }
 
 // next returns where the request goes next: the own server, a peer, or neither. The own server is taken
@@ -131,6 +141,7 @@
 	}
 	if reached(res) {
 		s.sent++
+		s.doubt = s.doubt || res.Outcome == reason.Unknown
 		c, kind := r.Control, s.req.Kind
 		if s.sent >= s.req.Attempts || !c.Budget.Spend(c.fan(kind), c.inner(kind), r.Now()) {
 			return false
--- a/internal/relay/forward_test.go
+++ b/internal/relay/forward_test.go
@@ -71,6 +71,7 @@
 		"outcome unknown, idempotent":     {[]call.Result{lost, ran}, true, 2, 10, reason.Ran, 2},
 		"outcome unknown, runs once":      {[]call.Result{lost, ran}, false, 2, 10, reason.Unknown, 1},
 		"unknown, then refused, attempts": {[]call.Result{lost, busy, lost, ran}, true, 2, 10, reason.Unknown, 3},
+		"unknown, then refused for ever":  {[]call.Result{lost, busy}, true, 2, 10, reason.Unknown, maxPlaces},
 		"held back by the node":           {[]call.Result{call.Refuse(reason.Overload), ran}, true, 2, 10, reason.NotRun, 1},
 	}
 	for name, tt := range tests {
--- a/internal/setup/sidecar.go
+++ b/internal/setup/sidecar.go
@@ -15,6 +15,7 @@
 	Service     ident.Service    `yaml:"service" validate:"name"`
 	DataCentre  ident.DataCentre `yaml:"dataCentre" validate:"name"`
 	Listen      Ports            `yaml:"listen"`
+	Advertise   ident.Address    `yaml:"advertise,omitempty" unit:"IP number and port" validate:"omitempty,address"`
 	Backend     ident.Address    `yaml:"backend" unit:"IP number and port" validate:"address"`
 	Store       ident.Address    `yaml:"store" unit:"IP number and port" validate:"address"`
 	Seeds       []ident.Address  `yaml:"seeds,omitempty" unit:"IP numbers and ports" validate:"max=16,dive,address"`
@@ -23,6 +24,14 @@
 	Memory      int              `yaml:"memory" unit:"MB" default:"256" validate:"min=32,max=65536"`
 }
 
+// Reach returns the address at which other nodes reach this one.
+func (s *Sidecar) Reach() ident.Address {
+	if s.Advertise != "" {
+		return s.Advertise
+	}
+	return s.Listen.Peers
+}
+
 // Ports holds the addresses on which such a node listens.
 type Ports struct {
 	Callers  ident.Address `yaml:"callers" unit:"IP number and port" validate:"address"`
@@ -66,8 +75,12 @@
 	} {
 		once(source, used, own.field, own.address)
 	}
-	if !source.Faulty("listen.peers") && unspecified(at.Peers) {
-		source.Add("listen.peers", "must be an address that other nodes can call, not 0.0.0.0 or [::]")
+	field := "listen.peers"
+	if s.Advertise != "" {
+		field = "advertise"
+	}
+	if !source.Faulty(field) && unspecified(s.Reach()) {
+		source.Add(field, "must be an address that other nodes can call, not 0.0.0.0 or [::]")
 	}
 	return s, source.Err()
 }
--- a/internal/side/build.go
+++ b/internal/side/build.go
@@ -45,7 +45,7 @@
 
 func newSelf(s *setup.Sidecar) fleet.Member {
 	return fleet.Member{
-		Server: s.Server, Service: s.Service, DataCentre: s.DataCentre, Address: s.Listen.Peers,
+		Server: s.Server, Service: s.Service, DataCentre: s.DataCentre, Address: s.Reach(),
 		Incarnation: ident.Incarnation(time.Now().UnixNano()), Slots: defaultSlots, Conns: defaultConns,
 	}
 }
--- /dev/null
+++ b/internal/soak/load.go
@@ -0,0 +1,173 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"briarworks.example/briarworks/internal/pause"
+	"briarworks.example/briarworks/platform/emul"
+)
+
+// Load is the callers of all machines. Each keeps its connection until the other end is gone.
+type Load struct {
+	World   *World
+	Callers int           // beside each node
+	Think   time.Duration // mean time between an answer and the next request
+	For     time.Duration
+}
+
+// Shares of the requests of a caller.
+const (
+	writePart  = 3  // one in this many must not run twice
+	leavePart  = 25 // one in this many is given up before its answer
+	newestPart = 4  // one in this many uses the newest route
+	deadline   = 1500 * time.Millisecond
+	redial     = 50 * time.Millisecond
+	patience   = 4 * time.Second // of a caller beyond its deadline, so that a late answer is seen
+)
+
+// Run sends requests until the time is over and returns how many were sent and served.
+func (l Load) Run(ctx context.Context, name string) (sent, served int) {
+	ctx, cancel := context.WithTimeout(ctx, l.For)
+	defer cancel()
+	var (
+		mu sync.Mutex
+		wg sync.WaitGroup
+	)
+	for _, m := range l.World.machines {
+		for i := range l.Callers {
+			c := &caller{
+				load: l, machine: m, name: fmt.Sprintf("%s-%d-%d", name, m.n, i),
+				rand: rand.New(rand.NewPCG(l.World.Seed, uint64(m.n*l.Callers+i))),
+			}
+			wg.Go(func() {
+				c.run(ctx)
+				mu.Lock()
+				defer mu.Unlock()
+				sent, served = sent+c.sent, served+c.served
+			})
+		}
+	}
+	wg.Wait()
+	return sent, served
+}
+
+// caller sends one request after the other to one node.
+type caller struct {
+	load    Load
+	machine *machine
+	name    string
+	rand    *rand.Rand
+	conn    net.Conn
+	r       *bufio.Reader
+	n       int
+	sent    int
+	served  int
+}
+
+func (c *caller) run(ctx context.Context) {
+	defer c.hangUp()
+	for pause.For(ctx, time.Duration(c.rand.Int64N(int64(2*c.load.Think)))) {
+		if c.conn == nil && !c.dial() {
+			pause.For(ctx, redial)
+			continue
+		}
+		r := c.next()
+		c.ask(&r)
+		c.sent++
+		if r.Status == http.StatusOK || r.Left {
+			c.served++
+		}
+		c.load.World.Ledger.Add(r)
+	}
+}
+
+func (c *caller) dial() bool {
+	conn, err := net.DialTimeout("tcp", string(c.machine.settings.Listen.Callers), time.Second)
+	if err != nil {
+		return false
+	}
+	c.conn, c.r = conn, bufio.NewReader(conn)
+	return true
+}
+
+func (c *caller) hangUp() {
+	if c.conn != nil {
+		_ = c.conn.Close()
+		c.conn = nil
+	}
+}
+
+// next makes the next request.
+func (c *caller) next() Request {
+	c.n++
+	r := Request{
+		ID: fmt.Sprintf("%s-%d", c.name, c.n), Node: c.machine.n, Start: c.machine.started(), Idempotent: c.rand.IntN(writePart) != 0,
+		Version: 1, Deadline: deadline,
+	}
+	if c.rand.IntN(newestPart) == 0 {
+		r.Version = c.load.World.Ledger.InForce(time.Now(), ApplyBound)
+	}
+	kind := "write"
+	if r.Idempotent {
+		kind = "read"
+	}
+	r.Path = fmt.Sprintf("/%s/%d/%s?n=%d", kind, r.Version, c.name, c.n)
+	return r
+}
+
+func (m *machine) started() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.starts
+}
+
+// ask sends a request and waits for its answer.
+func (c *caller) ask(r *Request) {
+	r.Began = time.Now()
+	defer func() { r.Ended = time.Now() }()
+	method, body := http.MethodGet, r.body()
+	if !r.Idempotent {
+		method = http.MethodPost
+	}
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Briarworks-Attempt-Id: %s\r\nX-Briarworks-Deadline-Ms: %d\r\nX-Briarworks-Caller-Service: forged\r\nContent-Length: %d\r\n\r\n%s",
+		method, r.Path, emul.Host, r.ID, r.Deadline.Milliseconds(), len(body), body)
+	_ = c.conn.SetDeadline(r.Began.Add(r.Deadline + patience))
+	if _, err := io.WriteString(c.conn, head); err != nil {
+		c.hangUp()
+		return
+	}
+	r.Sent = time.Now()
+	if c.rand.IntN(leavePart) == 0 {
+		time.Sleep(time.Duration(c.rand.Int64N(int64(2 * serverWork))))
+		r.Left = true
+		c.hangUp()
+		return
+	}
+	c.answer(r)
+}
+
+// answer reads the answer to a request.
+func (c *caller) answer(r *Request) {
+	resp, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		c.hangUp()
+		return
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		c.hangUp()
+		return
+	}
+	r.Status, r.Body, r.Sealed = resp.StatusCode, string(body), resp.Header.Get("X-Briarworks-Server-Seal") != ""
+	if resp.Close {
+		c.hangUp()
+	}
+}
--- /dev/null
+++ b/internal/soak/proxy_test.go
@@ -0,0 +1,110 @@
+package soak
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"reflect"
+	"testing"
+	"time"
+)
+
+// echo starts a server that sends back what it gets.
+func echo(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = io.Copy(c, c)
+				_ = c.Close()
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// Guards against a proxy that loses or changes bytes, or whose faults do not strike.
+func TestProxy(t *testing.T) {
+	const short, long = 50 * time.Millisecond, 2 * time.Second
+	tests := map[string]struct {
+		strike func(*Proxy)
+		within time.Duration
+		want   error // of a read; nil when the echo comes
+		mend   func(*Proxy)
+	}{
+		"open":          {func(*Proxy) {}, long, nil, nil},
+		"delayed":       {func(p *Proxy) { p.Delay(short) }, long, nil, nil},
+		"muted":         {func(p *Proxy) { p.Mute(true, true) }, short, os.ErrDeadlineExceeded, func(p *Proxy) { p.Mute(false, false) }},
+		"one way muted": {func(p *Proxy) { p.Mute(false, true) }, short, os.ErrDeadlineExceeded, func(p *Proxy) { p.Mute(false, false) }},
+		"reset":         {func(p *Proxy) { p.Reset() }, long, net.ErrClosed, nil},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var p Proxy
+			if err := p.Start("127.0.0.1:0", echo(t)); err != nil {
+				t.Fatal(err)
+			}
+			defer p.Close()
+			c, err := net.Dial("tcp", p.Addr())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = c.Close() }()
+			buf := make([]byte, 5)
+			if _, err = io.WriteString(c, "first"); err != nil {
+				t.Fatal(err)
+			}
+			if _, err = io.ReadFull(c, buf); err != nil {
+				t.Fatal(err)
+			}
+			tt.strike(&p)
+			_, _ = io.WriteString(c, "after")
+			_ = c.SetReadDeadline(time.Now().Add(tt.within))
+			_, err = io.ReadFull(c, buf)
+			if tt.want == nil && (err != nil || string(buf) != "after") || errors.Is(tt.want, os.ErrDeadlineExceeded) != errors.Is(err, os.ErrDeadlineExceeded) || (tt.want != nil) != (err != nil) {
+				t.Fatalf("read: got %q %v, want error %v", buf, err, tt.want)
+			}
+			if tt.mend == nil {
+				return
+			}
+			tt.mend(&p)
+			_ = c.SetReadDeadline(time.Now().Add(long))
+			if _, err = io.ReadFull(c, buf); err != nil || string(buf) != "after" {
+				t.Errorf("read after the fault: got %q %v, want what was held up", buf, err)
+			}
+		})
+	}
+}
+
+// Guards against a plan that its seed does not determine, and against a kind of fault that no plan has.
+func TestPlan(t *testing.T) {
+	const nodes, span = 6, 10 * time.Second
+	seen := make(map[Kind]bool)
+	for seed := range uint64(50) {
+		plan := Plan(seed, nodes, span)
+		if again := Plan(seed, nodes, span); !reflect.DeepEqual(plan, again) {
+			t.Fatalf("seed %d: got two plans, want the same one", seed)
+		}
+		for _, s := range plan {
+			seen[s.Kind] = true
+			if s.At < 0 || s.At >= span || s.Node < 0 || s.Node >= nodes || s.Kind.lasting() != (s.For > 0) {
+				t.Errorf("seed %d: got step %+v, want one within the run", seed, s)
+			}
+		}
+	}
+	for k := range kinds {
+		if !seen[k] {
+			t.Errorf("kind %v: got none in 50 plans, want some", k)
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/soak.go
@@ -0,0 +1,168 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/samber/oops"
+
+	"briarworks.example/briarworks/internal/pause"
+)
+
+// Config is one run; the zero fields mean the defaults.
+type Config struct {
+	Program string        // path of the command briarworks
+	Dir     string        // for settings, logs and the report
+	Seed    uint64        // of the plan and of the callers
+	Nodes   int           // default 6
+	Callers int           // beside each node, default 3
+	Span    time.Duration // of the faults, default 10 s
+	Say     func(format string, args ...any)
+}
+
+// Defaults of Config.
+const (
+	defaultNodes   = 6
+	defaultCallers = 3
+	defaultSpan    = 10 * time.Second
+	think          = 40 * time.Millisecond
+	calmFor        = time.Second     // before the first fault
+	recoverFor     = 3 * time.Second // after the last one, before the service is measured
+	measureFor     = 2 * time.Second
+	quietFor       = time.Second // for requests that still run at the end
+)
+
+func (c *Config) complete() {
+	if c.Nodes <= 0 {
+		c.Nodes = defaultNodes
+	}
+	if c.Callers <= 0 {
+		c.Callers = defaultCallers
+	}
+	if c.Span <= 0 {
+		c.Span = defaultSpan
+	}
+	if c.Say == nil {
+		c.Say = func(string, ...any) {}
+	}
+}
+
+// Result is what a run has shown.
+type Result struct {
+	Sent, Served int     // while faults struck
+	Recovered    float64 // part that was served once they were over
+	Statuses     map[int]int
+	Breaches     []Breach
+}
+
+// Run plays one run. The error is one of the run itself; promises that did not hold are in the result.
+func Run(ctx context.Context, cfg Config) (res Result, err error) {
+	defer func() { err = oops.In("soak").Wrapf(err, "soak: seed %d", cfg.Seed) }()
+	cfg.complete()
+	w := &World{Program: cfg.Program, Dir: cfg.Dir, Nodes: cfg.Nodes, Seed: cfg.Seed, Say: cfg.Say}
+	if err = w.Open(ctx); err != nil {
+		if w.cancel != nil {
+			w.Close()
+		}
+		return res, err
+	}
+	plan := Plan(cfg.Seed, cfg.Nodes, cfg.Span)
+	span := calmFor + cfg.Span + time.Second
+	loaded := make(chan struct{})
+	go func() {
+		defer close(loaded)
+		res.Sent, res.Served = Load{World: w, Callers: cfg.Callers, Think: think, For: span}.Run(ctx, "faults")
+	}()
+	pause.For(ctx, calmFor)
+	w.Play(ctx, plan)
+	<-loaded
+	w.settle(ctx)
+	pause.For(ctx, recoverFor)
+	sent, served := Load{World: w, Callers: cfg.Callers, Think: think, For: measureFor}.Run(ctx, "after")
+	pause.For(ctx, quietFor)
+	w.Close()
+	res.Breaches = Check(&w.Ledger, w.Served())
+	if res.Recovered = float64(served) / float64(max(sent, 1)); res.Recovered < servedPart {
+		res.Breaches = append(res.Breaches, Breach{"recovery", "", fmt.Sprintf("%d of %d requests served after the faults, want %v", served, sent, servedPart)})
+	}
+	res.Breaches = append(res.Breaches, w.panics()...)
+	res.Statuses = w.Ledger.statuses()
+	return res, os.WriteFile(filepath.Join(cfg.Dir, "report.txt"), []byte(w.timeline(plan, res)), 0o600)
+}
+
+// settle waits until the last fault has ended and every node is ready.
+func (w *World) settle(ctx context.Context) {
+	for end := time.Now().Add(readyLimit); time.Now().Before(end) && (w.Ledger.lasting() || !w.ready()); {
+		if !pause.For(ctx, readyPause) {
+			return
+		}
+	}
+}
+
+// lasting reports whether a disturbance has not ended.
+func (l *Ledger) lasting() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	all := append([]Span(nil), l.store...)
+	for _, spans := range l.spans {
+		all = append(all, spans...)
+	}
+	for _, spans := range l.servers {
+		all = append(all, spans...)
+	}
+	for _, s := range all {
+		if s.To.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *Ledger) statuses() map[int]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	all := make(map[int]int)
+	for _, r := range l.requests {
+		if !r.Left {
+			all[r.Status]++
+		}
+	}
+	return all
+}
+
+// faultWords are what a process writes that must not go on as it does.
+var faultWords = []string{"panic:", "fatal error:", "WARNING: DATA RACE"}
+
+// panics looks for such words in the logs of the processes.
+func (w *World) panics() (all []Breach) {
+	for _, m := range w.machines {
+		name := filepath.Join(w.Dir, fmt.Sprintf("node-%d.log", m.n))
+		text, err := os.ReadFile(name)
+		if err != nil {
+			all = append(all, Breach{"log", "", err.Error()})
+		}
+		for _, word := range faultWords {
+			if bytes.Contains(text, []byte(word)) {
+				all = append(all, Breach{"log", "", fmt.Sprintf("node %d wrote %q", m.n, word)})
+			}
+		}
+	}
+	return all
+}
+
+// String returns the result on one line.
+func (r Result) String() string {
+	codes := make([]string, 0, len(r.Statuses))
+	for code, n := range r.Statuses {
+		codes = append(codes, fmt.Sprintf("%d:%d", code, n))
+	}
+	sort.Strings(codes)
+	return fmt.Sprintf("sent %d, served %d (by status %s), after the faults %.3f, breaches %d",
+		r.Sent, r.Served, strings.Join(codes, " "), r.Recovered, len(r.Breaches))
+}
--- /dev/null
+++ b/internal/soak/world.go
@@ -0,0 +1,315 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/samber/oops"
+
+	"briarworks.example/briarworks/internal/pause"
+	"briarworks.example/briarworks/internal/ports"
+	"briarworks.example/briarworks/internal/setup"
+	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/platform/emul"
+)
+
+// Sizes of the emulated servers and routes.
+const (
+	serverSlots  = 16
+	serverWork   = 20 * time.Millisecond
+	routeTimeout = 2 * time.Second
+	beatPeriod   = 300 * time.Millisecond
+	readyLimit   = 20 * time.Second // for all nodes to be ready at the start
+	readyPause   = 50 * time.Millisecond
+)
+
+// World is the machines of one run. The exported fields are set before Open.
+type World struct {
+	Program string // path of the command briarworks
+	Dir     string // for settings and logs
+	Nodes   int
+	Seed    uint64
+	Say     func(format string, args ...any) // told of each step; may be nil
+
+	Ledger Ledger
+
+	fleet    emul.Fleet
+	machines []*machine
+	servers  atomic.Int64
+	version  atomic.Int64
+	mu       sync.Mutex // guards all
+	all      []*emul.Server
+	wg       sync.WaitGroup // of steps and reports
+	cancel   context.CancelFunc
+	ctx      context.Context
+}
+
+// machine is a server, the node beside it and the proxies between them and the rest.
+type machine struct {
+	n        int
+	settings *setup.Sidecar
+	file     string
+	service  string
+	peers    Proxy // before the node's port for other nodes
+	store    Proxy // between the node and the store
+	backend  Proxy // between the node and its server
+
+	mu      sync.Mutex // guards the fields below
+	proc    *process
+	starts  int
+	server  *emul.Server
+	number  int    // of the server
+	state   string // what the server says of itself
+	faults  map[Kind]bool
+	changed bool // the server is being replaced
+}
+
+// free holds the ports of all worlds of a process.
+var free = ports.Range{First: 28000, Count: 3000}
+
+// Open starts the store, the servers and the nodes, and waits until all nodes are ready.
+func (w *World) Open(ctx context.Context) (err error) {
+	defer func() { err = oops.In("soak").Wrapf(err, "soak: open") }()
+	w.ctx, w.cancel = context.WithCancel(ctx)
+	w.fleet.Store = &emul.Store{}
+	if err = w.fleet.Open(); err != nil {
+		return err
+	}
+	w.Configure()
+	for i := range w.Nodes {
+		m := &machine{n: i, service: "front", state: "ready", faults: make(map[Kind]bool)}
+		if i%2 == 1 {
+			m.service = "back"
+		}
+		w.machines = append(w.machines, m)
+		if err = w.add(m); err != nil {
+			return err
+		}
+	}
+	for end := time.Now().Add(readyLimit); !w.ready(); {
+		if time.Now().After(end) || !pause.For(ctx, readyPause) {
+			return oops.Errorf("the nodes are not ready after %v", readyLimit)
+		}
+	}
+	return nil
+}
+
+// add starts one machine.
+func (w *World) add(m *machine) (err error) {
+	a, err := free.Free(8)
+	if err != nil {
+		return err
+	}
+	if err = w.newServer(m); err != nil {
+		return err
+	}
+	if err = errors.Join(
+		m.peers.Start(string(a[5]), string(a[3])),
+		m.store.Start(string(a[6]), w.fleet.Addr()),
+		m.backend.Start(string(a[7]), m.server.Addr),
+	); err != nil {
+		return err
+	}
+	m.settings = &setup.Sidecar{
+		Server: ident.Server(fmt.Sprintf("node-%d", m.n)), Service: ident.Service(m.service),
+		DataCentre: ident.DataCentre(fmt.Sprintf("dc%d", m.n/2%3)),
+		Listen:     setup.Ports{Callers: a[0], Ready: a[1], Beats: a[2], Peers: a[3], Operator: a[4]},
+		Advertise:  a[5], Backend: a[7], Store: a[6],
+		Retries:     setup.Retries{Ratio: 0.2, Window: 10 * time.Second, Slack: 50},
+		StopTimeout: StopBound, Memory: 256,
+	}
+	text, err := yaml.Marshal(m.settings)
+	if err != nil {
+		return err
+	}
+	m.file = filepath.Join(w.Dir, fmt.Sprintf("node-%d.yaml", m.n))
+	if err = os.WriteFile(m.file, text, 0o600); err != nil {
+		return err
+	}
+	if err = w.boot(m); err != nil {
+		return err
+	}
+	w.wg.Go(func() { w.report(m) })
+	return nil
+}
+
+// newServer starts another server of a machine's service.
+func (w *World) newServer(m *machine) error {
+	number := int(w.servers.Add(1))
+	s := &emul.Server{
+		Service: m.service, Instance: fmt.Sprintf("i-%d", number), Slots: serverSlots, Work: serverWork,
+		Behave: func(id string, _ int) emul.Behaviour { return m.behave(id) },
+		Call: func(ctx context.Context, path, id string, ms int64) bool {
+			return w.call(ctx, string(m.settings.Listen.Callers), path, id, ms)
+		},
+	}
+	if m.service == "front" {
+		s.Next = "/deep/"
+	}
+	if err := s.Start(""); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	m.server, m.number, m.state = s, number, "ready"
+	m.mu.Unlock()
+	w.mu.Lock()
+	w.all = append(w.all, s)
+	w.mu.Unlock()
+	return nil
+}
+
+// boot starts the process of a node.
+func (w *World) boot(m *machine) error {
+	p, err := start(filepath.Join(w.Dir, fmt.Sprintf("node-%d.log", m.n)), w.Program, "sidecar", "--settings", m.file)
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	m.proc = p
+	m.starts++
+	m.mu.Unlock()
+	w.wg.Go(func() {
+		<-p.exited
+		if !p.wanted() {
+			w.Ledger.Exit(fmt.Sprintf("node %d ended by itself: %v", m.n, p.cmd.ProcessState))
+		}
+	})
+	return nil
+}
+
+// behave tells what goes wrong with a request at the machine's server; a part of the requests fails.
+func (m *machine) behave(id string) (b emul.Behaviour) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.faults) == 0 || id[len(id)-1]%2 == 0 {
+		return b
+	}
+	b.Shed, b.Lose, b.Truncate = m.faults[Shed], m.faults[Lose], m.faults[Truncate]
+	if m.faults[Slow] {
+		b.Delay = slowBy
+	}
+	return b
+}
+
+// slowBy is what a slow server takes longer.
+const slowBy = 400 * time.Millisecond
+
+// call makes a call of a server through the node beside it.
+func (w *World) call(ctx context.Context, node, path, id string, ms int64) bool {
+	hr, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+node+path, http.NoBody)
+	if err != nil {
+		return false
+	}
+	hr.Host = emul.Host
+	hr.Close = true
+	hr.Header.Set("X-Briarworks-Attempt-Id", id)
+	hr.Header.Set("X-Briarworks-Deadline-Ms", strconv.FormatInt(ms, 10))
+	resp, err := calls.Do(hr)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err == nil && resp.StatusCode == http.StatusOK
+}
+
+var calls = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
+// report sends the reports of a machine's server until the run ends.
+func (w *World) report(m *machine) {
+	pause.Every(w.ctx, beatPeriod, func(time.Time) { w.beat(m) })
+}
+
+// beat sends one report and reports whether it was acknowledged.
+func (w *World) beat(m *machine) bool {
+	m.mu.Lock()
+	s, state := m.server, m.state
+	m.mu.Unlock()
+	if state == "" {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(w.ctx, time.Second)
+	defer cancel()
+	status, err := s.Report(ctx, string(m.settings.Listen.Beats), state)
+	return err == nil && status == http.StatusOK
+}
+
+// ready reports whether all nodes say that callers may come.
+func (w *World) ready() bool {
+	for _, m := range w.machines {
+		resp, err := http.Get("http://" + string(m.settings.Listen.Ready) + "/v1/readiness")
+		if err != nil {
+			return false
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			return false
+		}
+	}
+	return true
+}
+
+// Configure writes the next configuration, which has one more route than the one before.
+func (w *World) Configure() {
+	n := int(w.version.Add(1))
+	routes := []emul.Route{{Name: "deep", Prefix: "/deep/", Service: "back", Idempotent: true, Attempts: attempts, Timeout: routeTimeout}}
+	for v := 1; v <= n; v++ {
+		routes = append(routes,
+			emul.Route{Name: fmt.Sprintf("read%d", v), Prefix: fmt.Sprintf("/read/%d/", v), Service: "front", Idempotent: true, Attempts: attempts, Timeout: routeTimeout},
+			emul.Route{Name: fmt.Sprintf("write%d", v), Prefix: fmt.Sprintf("/write/%d/", v), Service: "front", Attempts: attempts, Timeout: routeTimeout})
+	}
+	w.fleet.Configure(n, routes...)
+	w.Ledger.Configured(n, time.Now())
+}
+
+// Served returns the requests that all servers have run.
+func (w *World) Served() (all []Served) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i, s := range w.all {
+		for _, r := range s.Runs() {
+			all = append(all, Served{r, i + 1})
+		}
+	}
+	return all
+}
+
+// Close ends all processes that the world has started, and what it listens on.
+func (w *World) Close() {
+	w.cancel()
+	for _, m := range w.machines {
+		m.mu.Lock()
+		p := m.proc
+		m.mu.Unlock()
+		if p == nil {
+			continue
+		}
+		p.end(syscall.SIGKILL)
+		p.wait(readyLimit)
+	}
+	w.wg.Wait()
+	for _, m := range w.machines {
+		for _, p := range []*Proxy{&m.peers, &m.store, &m.backend} {
+			if p.ln != nil {
+				p.Close()
+			}
+		}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, s := range w.all {
+		s.Close()
+	}
+	w.fleet.Close()
+}
