platform, gossip: let a few nodes of each data centre follow the store closely

Change: three nodes of each data centre do so; the others read rarely and learn from connected nodes what a silent connection hides. A node whose configuration changes tells six nodes its version. News of members that came from others are passed on to six connected nodes instead of all.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	mrand "math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"briarworks.example/briarworks/internal/pause"
@@ -21,6 +24,11 @@
 	timeout    = time.Second            // of one exchange
 	lonelyWait = 500 * time.Millisecond // between two tries of a node that reaches nobody
 	maxNews    = 64                     // batches of news that wait; the periodic exchange carries what is over
+	pullSpread = 100 * time.Millisecond // a newer configuration is asked for within this time
+
+	// fanOut is the number of connected nodes that news of others are passed on to. A rumour that each node
+	// passes on to six reaches all but one in 400 of a fleet; the periodic exchange reaches these.
+	fanOut = 6
 
 	// lonelyTries bounds what a node without connections tries in one period: when most of a fleet is gone,
 	// each try at random may meet a server that is.
@@ -42,12 +50,30 @@
 	Config func() Config   // in force; its version is 0 when there is none
 	Adopt  func(Config)    // takes the configuration of another node
 
-	news chan []fleet.Member
+	news  chan []fleet.Member
+	hint  chan struct{}      // the configuration has changed
+	pulls chan ident.Address // a node that holds a newer one
+	heard atomic.Int64       // ns of Unix time of the last exchange with another node
 }
 
 // New returns a gossip for the given node; its fields may still be changed before Run.
 func New(self fleet.Member, r *roster.Roster, b *peer.Book) *Gossip {
-	return &Gossip{Self: self, Roster: r, Book: b, news: make(chan []fleet.Member, maxNews)}
+	return &Gossip{
+		Self: self, Roster: r, Book: b,
+		news: make(chan []fleet.Member, maxNews), hint: make(chan struct{}, 1), pulls: make(chan ident.Address, 1),
+	}
+}
+
+// Heard returns the time of the last exchange with another node.
+func (g *Gossip) Heard() time.Time { return time.Unix(0, g.heard.Load()) }
+
+// Hint has some connected nodes told of the version of the configuration, so that those which are behind ask
+// for it. It is called when the configuration has changed.
+func (g *Gossip) Hint() {
+	select {
+	case g.hint <- struct{}{}:
+	default: // one waits already
+	}
 }
 
 // News queues members to be told to the connected nodes.
@@ -89,8 +115,10 @@
 }
 
 // Answer joins what a node sent and returns what it lacks.
-func (g *Gossip) Answer(_ ident.Server, m *wirepb.Sync) *wirepb.SyncReply {
+func (g *Gossip) Answer(from ident.Server, m *wirepb.Sync) *wirepb.SyncReply {
+	g.heard.Store(time.Now().UnixNano())
 	g.take(m.GetMembers(), m.GetConfig())
+	g.behind(from, ident.Version(m.GetConfigVersion()))
 	table, version := g.Roster.Table(), g.Config().Version
 	reply := &wirepb.SyncReply{Digest: table.Digest(), ConfigVersion: uint64(version), FromIncarnation: uint64(g.Self.Incarnation)}
 	if version > ident.Version(m.GetConfigVersion()) {
@@ -132,6 +160,40 @@
 	return next
 }
 
+// behind has a newer configuration that another node holds asked for.
+func (g *Gossip) behind(from ident.Server, version ident.Version) {
+	if version <= g.Config().Version {
+		return
+	}
+	if addr := g.address(from); addr != "" {
+		select {
+		case g.pulls <- addr:
+		default: // another node is asked already
+		}
+	}
+}
+
+// pull asks nodes for a newer configuration until ctx ends. It runs beside the exchange, which may wait for a
+// silent node.
+func (g *Gossip) pull(ctx context.Context) {
+	for {
+		var addr ident.Address
+		select {
+		case <-ctx.Done():
+			return
+		case addr = <-g.pulls:
+		}
+		if !pause.For(ctx, time.Duration(mrand.Int64N(int64(pullSpread)))) {
+			return
+		}
+		short, cancel := context.WithTimeout(ctx, timeout)
+		if _, reply, err := g.Book.SyncTo(short, addr, g.summary()); err == nil {
+			g.take(reply.GetMembers(), reply.GetConfig())
+		}
+		cancel()
+	}
+}
+
 func messages(members []fleet.Member) (out []*wirepb.Member) {
 	for _, m := range members {
 		out = append(out, wire.FromMember(m))
@@ -141,6 +203,9 @@
 
 // Run exchanges until ctx ends.
 func (g *Gossip) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { g.pull(ctx) })
 	due := time.NewTimer(0)
 	defer due.Stop()
 	for {
@@ -149,6 +214,8 @@
 			return
 		case members := <-g.news:
 			g.tell(ctx, members)
+		case <-g.hint:
+			g.tell(ctx, nil)
 		case <-due.C:
 			g.exchange(ctx)
 			due.Reset(g.wait())
@@ -204,6 +271,7 @@
 	defer cancel()
 	from, reply := g.Book.Sync(short, g.summary())
 	if reply != nil {
+		g.heard.Store(time.Now().UnixNano())
 		g.follow(short, g.address(from), reply)
 		return
 	}
@@ -260,7 +328,7 @@
 	return func(a ident.Address) bool { return known[a] }
 }
 
-// tell sends news to all connected nodes.
+// tell sends news, those of the own node to all connected nodes, others to some.
 func (g *Gossip) tell(ctx context.Context, members []fleet.Member) {
 	if !pause.For(ctx, time.Duration(mrand.Int64N(int64(newsSpread)))) {
 		return
@@ -273,7 +341,13 @@
 			more = false
 		}
 	}
-	g.Tell(ctx, members)
+	if slices.ContainsFunc(members, func(m fleet.Member) bool { return m.Server == g.Self.Server }) {
+		g.Tell(ctx, members)
+		return
+	}
+	short, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	g.Book.SyncSome(short, fanOut, g.message(members), g.told)
 }
 
 // Tell sends members to all connected nodes and waits until they have taken them, or for the time of one
@@ -281,11 +355,19 @@
 func (g *Gossip) Tell(ctx context.Context, members []fleet.Member) {
 	short, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	g.Book.SyncAll(short, g.message(members), g.told)
+}
+
+func (g *Gossip) message(members []fleet.Member) *wirepb.Sync {
 	m := g.summary()
 	m.News, m.Members = true, messages(members)
-	g.Book.SyncAll(short, m, func(_ ident.Server, r *wirepb.SyncReply) {
-		if r != nil {
-			g.take(r.GetMembers(), r.GetConfig())
-		}
-	})
+	return m
+}
+
+// told joins what a node answered to news.
+func (g *Gossip) told(_ ident.Server, r *wirepb.SyncReply) {
+	if r != nil {
+		g.heard.Store(time.Now().UnixNano())
+		g.take(r.GetMembers(), r.GetConfig())
+	}
 }
--- a/internal/peer/book.go
+++ b/internal/peer/book.go
@@ -294,8 +294,19 @@
 
 // SyncAll sends m to every connected peer and hands each reply to take; nil for a peer that gave none.
 func (b *Book) SyncAll(ctx context.Context, m *wirepb.Sync, take func(ident.Server, *wirepb.SyncReply)) {
+	b.syncEach(ctx, b.list(), m, take)
+}
+
+// SyncSome is SyncAll for at most n connected peers, chosen at random.
+func (b *Book) SyncSome(ctx context.Context, n int, m *wirepb.Sync, take func(ident.Server, *wirepb.SyncReply)) {
+	all := b.list()
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	b.syncEach(ctx, all[:min(n, len(all))], m, take)
+}
+
+func (b *Book) syncEach(ctx context.Context, all []*session, m *wirepb.Sync, take func(ident.Server, *wirepb.SyncReply)) {
 	var wg sync.WaitGroup
-	for _, s := range b.list() {
+	for _, s := range all {
 		wg.Go(func() {
 			from, r := b.syncWith(ctx, s, m)
 			if r == nil {
--- a/internal/soak/proxy.go
+++ b/internal/proxy/proxy.go
@@ -1,4 +1,4 @@
-package soak
+package proxy
 
 import (
 	"net"
@@ -91,8 +91,11 @@
 	}
 }
 
-// Close ends the proxy and waits for its goroutines.
+// Close ends the proxy and waits for its goroutines; it does nothing on one that was not started.
 func (p *Proxy) Close() {
+	if p.ln == nil {
+		return
+	}
 	p.mu.Lock()
 	p.ended = true
 	p.mu.Unlock()
--- a/internal/side/node.go
+++ b/internal/side/node.go
@@ -225,9 +225,19 @@
 	if s, ok := t.Service(n.Settings.Service); ok && s.Conns > 0 {
 		n.Backend.Resize(s.Conns)
 	}
+	n.Gossip.Hint()
 	n.Log.Info("configInForce", zap.Uint64("version", uint64(t.Version)), zap.String("from", from), zap.Int("routes", len(t.Routes())))
 }
 
+// heardFor is how long a node without an exchange goes on relying on others for what its own reads miss.
+const heardFor = 5 * time.Second
+
+// Watches reports whether this node is to follow the store closely: it is one of most nodes of its data centre
+// that do so for the others, or it has not heard of another node for some time.
+func (n *Node) Watches(most int, now time.Time) bool {
+	return now.Sub(n.Gossip.Heard()) > heardFor || n.Roster.Table().Watches(n.Roster.Self, most)
+}
+
 // Own returns what is known of the own server.
 func (n *Node) Own() life.State { return *n.own.Load() }
 
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -78,9 +78,9 @@
 
 // disturbed reports whether a node, or the store, was disturbed shortly before from or until to.
 func (c *check) disturbed(node int, from, to time.Time) bool {
-	any := func(Kind) bool { return true }
+	every := func(Kind) bool { return true }
 	from = from.Add(-Contact)
-	return touching(c.spans[node], from, to, any) || touching(c.store, from, to, any)
+	return touching(c.spans[node], from, to, every) || touching(c.store, from, to, every)
 }
 
 // answer checks that a success is the server's whole answer to this request.
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"os"
 	"reflect"
 	"slices"
@@ -216,3 +217,40 @@
 		})
 	}
 }
+
+// Guards against a fleet of which nobody, or nearly everybody, follows the store closely.
+func TestWatches(t *testing.T) {
+	const most = 3
+	tests := map[string]struct {
+		members, left, centres int
+		want                   int
+	}{
+		"one":                    {1, 0, 1, 1},
+		"fewer than most":        {2, 0, 1, 2},
+		"one data centre":        {50, 0, 1, most},
+		"three data centres":     {91, 0, 3, 3 * most},
+		"most have left":         {50, 48, 1, 2},
+		"a fleet of design size": {960, 0, 8, 8 * most},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			var s State
+			for i := range tt.members {
+				s.Apply(Member{
+					Server: ident.Server(fmt.Sprintf("s%d", i)), Service: "s", DataCentre: ident.DataCentre(fmt.Sprintf("d%d", i%tt.centres)),
+					Incarnation: ident.Incarnation(1_000_000 + i*i), Left: i < tt.left, Announced: now,
+				}, now)
+			}
+			got := 0
+			for _, m := range s.Table().All() {
+				if !m.Left && s.Table().Watches(m, most) {
+					got++
+				}
+			}
+			if got != tt.want {
+				t.Errorf("watchers: got %d, want %d", got, tt.want)
+			}
+		})
+	}
+}
