lazy: hold state by key in one place, and count repeats over the window of the settings

Six places loaded or made an entry of a sync.Map by hand. retries.window was read, but the budget counted over 10 s whatever it said (TestBudgetWindow, 'short' and 'one minute', failed before).

--- a/internal/relay/control.go
+++ b/internal/relay/control.go
@@ -1,13 +1,13 @@
 package relay
 
 import (
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"briarworks.example/briarworks/pkg/call"
 	"briarworks.example/briarworks/pkg/chain"
 	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/lazy"
 	"briarworks.example/briarworks/pkg/level"
 	"briarworks.example/briarworks/pkg/retry"
 )
@@ -24,7 +24,7 @@
 	Ranks    func() int // ranks of the configuration
 	Services func() int // services of the configuration
 
-	kinds sync.Map // ident.Kind -> *known
+	kinds lazy.Map[ident.Kind, known]
 }
 
 // known is what answers told of a kind of work.
@@ -38,14 +38,14 @@
 
 // inner reports whether a kind is called by servers and not by callers.
 func (c *Control) inner(kind ident.Kind) bool {
-	v, ok := c.kinds.Load(kind)
-	return ok && v.(*known).inner.Load()
+	k := c.kinds.Find(kind)
+	return k != nil && k.inner.Load()
 }
 
 // fan returns the arrivals at one service that a repeat of the kind causes.
 func (c *Control) fan(kind ident.Kind) float64 {
-	if v, ok := c.kinds.Load(kind); ok {
-		return max(1, float64(v.(*known).fan.Load())/fanUnit)
+	if k := c.kinds.Find(kind); k != nil {
+		return max(1, float64(k.fan.Load())/fanUnit)
 	}
 	return 1
 }
@@ -90,11 +90,7 @@
 		return
 	}
 	c.Learned.Learn(req.Kind, req.Service, res.Level, now)
-	v, ok := c.kinds.Load(req.Kind)
-	if !ok {
-		v, _ = c.kinds.LoadOrStore(req.Kind, &known{})
-	}
-	k := v.(*known)
+	k := c.kinds.Of(req.Kind)
 	if k.inner.Load() != res.Inner {
 		k.inner.Store(res.Inner)
 	}
--- a/internal/relay/onward.go
+++ b/internal/relay/onward.go
@@ -85,7 +85,7 @@
 }
 
 func (r *Relay) tries(req *call.Request, pool *retry.Pool) *tries {
-	t := &tries{relay: r, req: req, pool: pool, ratio: r.ratio(req.Service)}
+	t := &tries{relay: r, req: req, pool: pool, ratio: r.ratios.Of(req.Service)}
 	t.ratio.Call(r.Now())
 	return t
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -11,6 +10,7 @@
 	"briarworks.example/briarworks/pkg/call"
 	"briarworks.example/briarworks/pkg/fleet"
 	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/lazy"
 	"briarworks.example/briarworks/pkg/reason"
 	"briarworks.example/briarworks/pkg/retry"
 	"briarworks.example/briarworks/pkg/route"
@@ -44,7 +44,7 @@
 
 	draining atomic.Bool
 	active   atomic.Int64
-	ratios   sync.Map // ident.Service -> *retry.Ratio
+	ratios   lazy.Map[ident.Service, retry.Ratio]
 	joins    joins
 }
 
@@ -299,11 +299,3 @@
 	r.Control.tell(req, &res, now)
 	return res
 }
-
-func (r *Relay) ratio(service ident.Service) *retry.Ratio {
-	if x, ok := r.ratios.Load(service); ok {
-		return x.(*retry.Ratio)
-	}
-	x, _ := r.ratios.LoadOrStore(service, &retry.Ratio{})
-	return x.(*retry.Ratio)
-}
--- a/internal/side/build.go
+++ b/internal/side/build.go
@@ -124,7 +124,7 @@
 func newControl(s *setup.Sidecar, r *roster.Roster) *relay.Control {
 	return &relay.Control{
 		Own: &level.Controller{}, Learned: &level.Table{}, Graph: &chain.Graph{}, Origins: &chain.Origins{},
-		Budget: &retry.Budget{Share: s.Retries.Ratio * budgetShare, Slack: func() float64 {
+		Budget: &retry.Budget{Window: s.Retries.Window, Share: s.Retries.Ratio * budgetShare, Slack: func() float64 {
 			return s.Retries.Slack * budgetShare / float64(max(len(r.Table().All()), 1))
 		}},
 		Ranks: func() int { return 1 }, Services: func() int { return 0 },
--- a/pkg/chain/graph.go
+++ b/pkg/chain/graph.go
@@ -3,11 +3,11 @@
 import (
 	"fmt"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/lazy"
 	"briarworks.example/briarworks/pkg/level"
 )
 
@@ -44,7 +44,7 @@
 type Graph struct {
 	Changed func(kind ident.Kind, calls []Call) // told when a kind begins or ceases to make a call; may be nil; set before Tick
 
-	counts sync.Map // ident.Kind -> *count
+	counts lazy.Map[ident.Kind, count]
 	view   atomic.Pointer[map[ident.Kind][]Call]
 
 	// Owned by the goroutine that calls Tick.
@@ -91,17 +91,9 @@
 // levelUnit is the unit in which levels are summed.
 const levelUnit = 1e6
 
-func (g *Graph) count(k ident.Kind) *count {
-	if c, ok := g.counts.Load(k); ok {
-		return c.(*count)
-	}
-	c, _ := g.counts.LoadOrStore(k, &count{})
-	return c.(*count)
-}
-
 // Begin counts a request that starts to run on the server, and the level at which it was let in.
 func (g *Graph) Begin(k ident.Kind, l level.Level) {
-	c := g.count(k)
+	c := g.counts.Of(k)
 	c.levels.Add(int64(l * levelUnit))
 	c.running.Add(1)
 	c.runs.Add(1)
@@ -109,7 +101,7 @@
 
 // End counts a request that Begin counted and that has ended.
 func (g *Graph) End(k ident.Kind, l level.Level) {
-	c := g.count(k)
+	c := g.counts.Of(k)
 	c.running.Add(-1)
 	c.levels.Add(-int64(l * levelUnit))
 }
@@ -124,7 +116,7 @@
 	for kind, calls := range *v {
 		for _, c := range calls {
 			if c.Kind == call {
-				n := g.count(kind)
+				n := g.counts.Of(kind)
 				sum += n.levels.Load()
 				running += int64(n.running.Load())
 			}
@@ -137,7 +129,7 @@
 }
 
 // Call counts a call that came from the server's machine.
-func (g *Graph) Call(k ident.Kind) { g.count(k).calls.Add(1) }
+func (g *Graph) Call(k ident.Kind) { g.counts.Of(k).calls.Add(1) }
 
 // Calls returns the kinds of calls that a kind of work makes; the slice must not be changed.
 func (g *Graph) Calls(k ident.Kind) []Call {
@@ -167,20 +159,19 @@
 }
 
 func (g *Graph) observe(span float64) {
-	g.counts.Range(func(k, _ any) bool {
-		if _, ok := g.index[k.(ident.Kind)]; !ok {
-			g.index[k.(ident.Kind)] = len(g.kinds)
-			g.kinds = append(g.kinds, k.(ident.Kind))
+	g.counts.Range(func(k ident.Kind, _ *count) {
+		if _, ok := g.index[k]; !ok {
+			g.index[k] = len(g.kinds)
+			g.kinds = append(g.kinds, k)
 			g.last = append(g.last, reading{})
 		}
-		return true
 	})
 	p := &g.seen[g.n%periods]
 	g.n++
 	p.span = span
 	p.columns = p.columns[:0]
 	for i, kind := range g.kinds {
-		c := g.count(kind)
+		c := g.counts.Of(kind)
 		now := reading{c.running.Load(), c.runs.Load(), c.calls.Load()}
 		old := g.last[i]
 		g.last[i] = now
--- /dev/null
+++ b/pkg/lazy/map_test.go
@@ -0,0 +1,47 @@
+package lazy
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+)
+
+// Guards against two values for one key when it is first asked for by several goroutines at once, which would
+// lose what is counted in one of them.
+func TestMap(t *testing.T) {
+	const asks = 50
+	tests := map[string][]string{
+		"one key":    {"a"},
+		"some keys":  {"a", "b", "c"},
+		"key of ''":  {""},
+		"no keys":    nil,
+		"equal keys": {"a", "a"},
+	}
+	for name, keys := range tests {
+		t.Run(name, func(t *testing.T) {
+			var m Map[string, atomic.Int64]
+			if got := m.Find("other"); got != nil {
+				t.Errorf("key that was not asked for: got a value, want none")
+			}
+			var wg sync.WaitGroup
+			want := make(map[string]int64)
+			for _, key := range keys {
+				want[key] += asks
+				for range asks {
+					wg.Go(func() { m.Of(key).Add(1) })
+				}
+			}
+			wg.Wait()
+			got := make(map[string]int64)
+			m.Range(func(k string, v *atomic.Int64) { got[k] = v.Load() })
+			if len(got) != len(want) {
+				t.Errorf("keys: got %v, want %v", got, want)
+			}
+			for key, n := range want {
+				if got[key] != n || m.Find(key).Load() != n {
+					t.Errorf("count of %q: got %d, want %d", key, got[key], n)
+				}
+			}
+		})
+	}
+}
--- a/pkg/level/table.go
+++ b/pkg/level/table.go
@@ -2,11 +2,11 @@
 
 import (
 	"math"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/lazy"
 )
 
 // Times of learned levels.
@@ -19,12 +19,12 @@
 // Table holds the levels that a node learned from answers, by kind of work and service. The zero value is
 // ready; all methods may be called at the same time.
 type Table struct {
-	m sync.Map // ident.Kind -> *services
+	kinds lazy.Map[ident.Kind, services]
 }
 
 // services holds the levels of one kind.
 type services struct {
-	m sync.Map // ident.Service -> *learned
+	lazy.Map[ident.Service, learned]
 }
 
 type learned struct {
@@ -39,7 +39,7 @@
 		if l <= 0 {
 			return // nothing is held back, which is what an unknown service stands for
 		}
-		x = t.add(kind, service)
+		x = t.kinds.Of(kind).Of(service)
 	}
 	at := x.at.Load()
 	if !x.at.CompareAndSwap(at, now.UnixNano()) {
@@ -61,34 +61,18 @@
 
 // Worst returns the highest level of a kind over all services.
 func (t *Table) Worst(kind ident.Kind, now time.Time) (worst Level) {
-	v, ok := t.m.Load(kind)
-	if !ok {
-		return 0
+	if s := t.kinds.Find(kind); s != nil {
+		s.Range(func(_ ident.Service, x *learned) { worst = max(worst, x.read(now)) })
 	}
-	v.(*services).m.Range(func(_, x any) bool {
-		worst = max(worst, x.(*learned).read(now))
-		return true
-	})
 	return worst
 }
 
 // find returns what is known of a kind at a service, nil when that is nothing.
 func (t *Table) find(kind ident.Kind, service ident.Service) *learned {
-	v, ok := t.m.Load(kind)
-	if !ok {
-		return nil
+	if s := t.kinds.Find(kind); s != nil {
+		return s.Find(service)
 	}
-	x, ok := v.(*services).m.Load(service)
-	if !ok {
-		return nil
-	}
-	return x.(*learned)
-}
-
-func (t *Table) add(kind ident.Kind, service ident.Service) *learned {
-	v, _ := t.m.LoadOrStore(kind, &services{})
-	x, _ := v.(*services).m.LoadOrStore(service, &learned{})
-	return x.(*learned)
+	return nil
 }
 
 // read returns the level now.
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/lazy"
 )
 
 // Budget is one node's part of the repeats that a whole fleet may make. A repeated request repeats the calls
@@ -12,27 +13,33 @@
 // are, all repeats draw from one purse, sized by the service that gets the fewest requests. The exported
 // fields are set before first use; the zero value allows nothing.
 type Budget struct {
-	Share float64        // repeats per request
-	Slack func() float64 // repeats per window allowed in any case at this node; may be nil
+	Window time.Duration  // over which requests and repeats are counted; 0 means RatioWindow
+	Share  float64        // repeats per request
+	Slack  func() float64 // repeats per window allowed in any case at this node; may be nil
 
-	services sync.Map // ident.Service -> *ring
+	services lazy.Map[ident.Service, ring]
 	mu       sync.Mutex
 	spent    [ratioBuckets]spent
 }
 
-// spent is what was drawn in one second.
+// spent is what was drawn in one step of the window.
 type spent struct {
-	sec  uint64
+	step uint64
 	cost float64
 }
 
+// step returns the number of the step of the window that a time is in; a window has ratioSeconds of them.
+func (b *Budget) step(now time.Time) uint64 {
+	w := b.Window
+	if w <= 0 {
+		w = RatioWindow
+	}
+	return uint64(now.UnixNano()) / (uint64(w) / ratioSeconds)
+}
+
 // Request counts a caller's request to a service.
 func (b *Budget) Request(service ident.Service, now time.Time) {
-	v, ok := b.services.Load(service)
-	if !ok {
-		v, _ = b.services.LoadOrStore(service, &ring{})
-	}
-	v.(*ring).add(uint64(now.Unix()))
+	b.services.Of(service).add(b.step(now))
 }
 
 // callsShare is the part of the budget that repeats of servers' calls may use. When a service fails a part of
@@ -42,8 +49,8 @@
 // Spend draws the cost of a repeat, which is the number of arrivals that it causes at one service, and
 // reports whether there was enough; inner tells that it is a call of a server.
 func (b *Budget) Spend(cost float64, inner bool, now time.Time) bool {
-	sec := uint64(now.Unix())
-	allowed := b.Share * float64(b.fewest(sec))
+	step := b.step(now)
+	allowed := b.Share * float64(b.fewest(step))
 	if b.Slack != nil {
 		allowed += b.Slack()
 	}
@@ -54,29 +61,28 @@
 	defer b.mu.Unlock()
 	sum := cost
 	for i := range b.spent {
-		if s := &b.spent[i]; sec-s.sec < ratioSeconds {
+		if s := &b.spent[i]; step-s.step < ratioSeconds {
 			sum += s.cost
 		}
 	}
 	if sum > allowed {
 		return false
 	}
-	s := &b.spent[sec%ratioBuckets]
-	if s.sec != sec {
-		*s = spent{sec: sec}
+	s := &b.spent[step%ratioBuckets]
+	if s.step != step {
+		*s = spent{step: step}
 	}
 	s.cost += cost
 	return true
 }
 
 // fewest returns the requests in the window to the service that got the fewest.
-func (b *Budget) fewest(sec uint64) (n uint64) {
+func (b *Budget) fewest(step uint64) (n uint64) {
 	first := true
-	b.services.Range(func(_, v any) bool {
-		if got := v.(*ring).sum(sec); got > 0 && (first || got < n) {
+	b.services.Range(func(_ ident.Service, r *ring) {
+		if got := r.sum(step); got > 0 && (first || got < n) {
 			n, first = got, false
 		}
-		return true
 	})
 	return n
 }
--- a/pkg/retry/budget_test.go
+++ b/pkg/retry/budget_test.go
@@ -47,17 +47,31 @@
 	}
 }
 
-// Guards against a budget that is never renewed, and one that is renewed before its window is over.
+// Guards against a budget that is never renewed, one that is renewed before its window is over, and one that
+// counts over another window than its settings say.
 func TestBudgetWindow(t *testing.T) {
-	now := time.Unix(1000, 0)
-	b := &Budget{Slack: func() float64 { return 1 }}
-	for _, step := range []struct {
+	type step struct {
 		after time.Duration
 		want  bool
-	}{{0, true}, {time.Second, false}, {8 * time.Second, false}, {2 * time.Second, true}} {
-		now = now.Add(step.after)
-		if got := b.Spend(1, false, now); got != step.want {
-			t.Errorf("spend at %v: got %t, want %t", now.Unix(), got, step.want)
-		}
+	}
+	tests := map[string]struct {
+		window time.Duration
+		steps  []step
+	}{
+		"default":    {0, []step{{0, true}, {time.Second, false}, {8 * time.Second, false}, {2 * time.Second, true}}},
+		"short":      {time.Second, []step{{0, true}, {800 * time.Millisecond, false}, {300 * time.Millisecond, true}}},
+		"one minute": {time.Minute, []step{{0, true}, {10 * time.Second, false}, {40 * time.Second, false}, {11 * time.Second, true}}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1200, 0)
+			b := &Budget{Window: tt.window, Slack: func() float64 { return 1 }}
+			for _, step := range tt.steps {
+				now = now.Add(step.after)
+				if got := b.Spend(1, false, now); got != step.want {
+					t.Errorf("spend at %v: got %t, want %t", now, got, step.want)
+				}
+			}
+		})
 	}
 }
