--- a/internal/outlog/outlog.go
+++ b/internal/outlog/outlog.go
@@ -15,7 +15,8 @@
 // Bounds of the log.
 const (
 	queueLen   = 2048
-	flushBytes = 16 << 10 // lines are joined up to this size before they are written
+	flushBytes = 16 << 10               // lines are joined up to this size before they are written
+	closeWait  = 500 * time.Millisecond // for a reader of the log that has stopped reading
 )
 
 // Writer is a sink for log lines; Close writes what is queued.
@@ -48,10 +49,14 @@
 // Sync does nothing: lines are written as they come.
 func (w *Writer) Sync() error { return nil }
 
-// Close writes the lines that are queued; what is written after it is lost.
+// Close writes the lines that are queued; what is written after it is lost, and what nobody reads for half a
+// second.
 func (w *Writer) Close() {
 	w.end.Do(func() { close(w.stop) })
-	<-w.done
+	select {
+	case <-w.done:
+	case <-time.After(closeWait):
+	}
 }
 
 func (w *Writer) run() {
--- a/internal/outlog/outlog_test.go
+++ b/internal/outlog/outlog_test.go
@@ -89,3 +89,17 @@
 		t.Errorf("lines after the close: got %d, want %d", got, sent)
 	}
 }
+
+// Guards against a process that never ends because nobody reads its log.
+func TestCloseWithBlockedSink(t *testing.T) {
+	g := &gate{open: make(chan struct{})}
+	w := New(g)
+	_, _ = w.Write([]byte("line\n"))
+	began := time.Now()
+	w.Close()
+	if took := time.Since(began); took < closeWait/2 || took > closeWait+2*time.Second {
+		t.Errorf("close with a blocked sink: got %v, want about %v", took, closeWait)
+	}
+	close(g.open)
+	<-w.done
+}
