platform: keep the refusal record in the store

A node on the platform logged and counted its refusals only. TestRefusalRecord covers a stop of the node and a store that forgets its history; the emulated store tells the first offset that it keeps, as the platform's does.

--- a/cmd/briarworks/source.go
+++ b/cmd/briarworks/source.go
@@ -16,6 +16,7 @@
 	"briarworks.example/briarworks/internal/record/recpb"
 	"briarworks.example/briarworks/pkg/audit"
 	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/platform"
 )
 
 // Bounds of reading the record.
@@ -25,9 +26,10 @@
 	maxLine     = 4 << 20          // bytes of one exported record
 )
 
-// source is where the refusal record is read from: the log or exported files.
+// source is where the refusal record is read from: the log, the platform's store or exported files.
 type source struct {
 	log   string
+	store string
 	files []string
 	from  int64
 }
@@ -35,9 +37,11 @@
 func (s *source) flags(c *cobra.Command) {
 	f := c.Flags()
 	f.StringVar(&s.log, "log", "", "IP number and port of the log, as in 127.0.0.1:9000")
+	f.StringVar(&s.store, "store", "", "IP number and port of the platform's store, for nodes that run as sidecar")
 	f.StringArrayVar(&s.files, "file", nil, "exported file to read instead of the log; may be repeated")
 	f.Int64Var(&s.from, "from", 0, "first offset of the log to read")
-	c.MarkFlagsMutuallyExclusive("log", "file")
+	c.MarkFlagsMutuallyExclusive("log", "store", "file")
+	c.MarkFlagsMutuallyExclusive("store", "from")
 }
 
 // check reports a source that cannot be read whatever the log does.
@@ -47,8 +51,10 @@
 		return errors.New("--from must be at least 0")
 	case len(s.files) > 0:
 		return nil
+	case s.store != "":
+		return checkAddress("store", s.store)
 	case s.log == "":
-		return errors.New("name the log with --log or exported files with --file")
+		return errors.New("name the log with --log, the platform's store with --store or exported files with --file")
 	}
 	return checkAddress("log", s.log)
 }
@@ -61,6 +67,10 @@
 	if len(s.files) > 0 {
 		return x, s.eachFile(take)
 	}
+	if s.store != "" {
+		x.skipped, err = platform.ReadRefusals(ctx, platform.NewStore(ident.Address(s.store)), take)
+		return x, err
+	}
 	return s.eachPage(ctx, take)
 }
 
--- a/internal/flush/flush.go
+++ b/internal/flush/flush.go
@@ -45,6 +45,7 @@
 	Tick   time.Duration // time between two looks at the ledger; 1 s when 0
 	Spread time.Duration // the first append waits for a random part of this; 10 s when 0
 	Stop   time.Duration // bound of the last appends at a stop; 3 s when 0
+	Lazy   bool          // nothing is written before the first refusal, where each append has a price
 
 	once      sync.Once
 	mu        sync.Mutex
@@ -130,7 +131,7 @@
 	f.witnesses = nil
 	f.mu.Unlock()
 	var recs []*recpb.Record
-	if !f.opened {
+	if !f.opened && !f.idle() {
 		recs = append(recs, f.id("open", record.FromOpen(audit.Open{
 			Server: f.Ledger.Server, Incarnation: f.Ledger.Incarnation,
 		})))
@@ -147,10 +148,13 @@
 		}
 		return err
 	}
-	f.opened = true
+	f.opened = f.opened || !f.idle()
 	return nil
 }
 
+// idle reports whether a lazy flusher has nothing to write about.
+func (f *Flusher) idle() bool { return f.Lazy && f.Ledger.Seq() == 0 }
+
 // batch writes a batch. One that may not be on the log stays pending with its numbers and its id.
 func (f *Flusher) batch(ctx context.Context, b audit.Batch) error {
 	err := f.append(ctx, record.FromBatch(b))
@@ -178,6 +182,9 @@
 	if err != nil {
 		f.failed(err)
 	}
+	if f.idle() {
+		return
+	}
 	if err := f.append(ctx, f.id("close", record.FromClose(audit.Close{
 		Server: f.Ledger.Server, Incarnation: f.Ledger.Incarnation, Last: f.Ledger.Seq(),
 	}))); err != nil {
--- a/internal/side/build.go
+++ b/internal/side/build.go
@@ -17,6 +17,7 @@
 	"briarworks.example/briarworks/internal/setup"
 	"briarworks.example/briarworks/internal/stats"
 	"briarworks.example/briarworks/pkg/admit"
+	"briarworks.example/briarworks/pkg/audit"
 	"briarworks.example/briarworks/pkg/chain"
 	"briarworks.example/briarworks/pkg/fleet"
 	"briarworks.example/briarworks/pkg/ident"
@@ -40,7 +41,7 @@
 
 // Module provides a node from its settings and a logger; the adapter of the platform supplies the rest.
 var Module = fx.Module("side",
-	fx.Provide(newSelf, newStats, newPaths, newRoster, newGate, newBackend, newBook, newGossip, newControl, newRelay, New),
+	fx.Provide(newSelf, newStats, newPaths, newRoster, newGate, newBackend, newBook, newGossip, newLedger, newControl, newRelay, New),
 )
 
 func newSelf(s *setup.Sidecar) fleet.Member {
@@ -90,6 +91,16 @@
 	return g
 }
 
+func newLedger(self fleet.Member) *audit.Ledger {
+	return &audit.Ledger{
+		Server: self.Server, Incarnation: self.Incarnation, Service: self.Service, DataCentre: self.DataCentre, Limit: ledgerLimit,
+	}
+}
+
+// ledgerLimit bounds the memory of refusals that are not written yet. It is below the default, since a machine of
+// the platform has as little as 184 MB.
+const ledgerLimit ident.Bytes = 2 << 20
+
 // seeds returns the addresses of other nodes at the seeds' machines: the ports are the same on all.
 func seeds(s *setup.Sidecar) (all []ident.Address) {
 	_, port, err := net.SplitHostPort(string(s.Listen.Peers))
@@ -105,10 +116,10 @@
 	return all
 }
 
-func newRelay(self fleet.Member, r *roster.Roster, b *peer.Book, c *server.Client, g *admit.Gate, paths *share.Paths, ctl *relay.Control, st *stats.Stats) *relay.Relay {
+func newRelay(self fleet.Member, r *roster.Roster, b *peer.Book, c *server.Client, g *admit.Gate, paths *share.Paths, ctl *relay.Control, st *stats.Stats, l *audit.Ledger) *relay.Relay {
 	return &relay.Relay{
 		Self: self, Now: time.Now, Rand: mrand.Uint64,
-		Routes: r.Set, Run: c.Run, Send: b.Call, Connected: b.Connected, Seq: func() ident.Seq { return 0 },
+		Routes: r.Set, Run: c.Run, Send: b.Call, Connected: b.Connected, Seq: l.Seq,
 		Retried: st.Retried, Gate: g, Paths: paths, Bound: maxCarried, Control: ctl,
 	}
 }
--- a/internal/side/node.go
+++ b/internal/side/node.go
@@ -11,6 +11,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
+	"briarworks.example/briarworks/internal/flush"
 	"briarworks.example/briarworks/internal/gossip"
 	"briarworks.example/briarworks/internal/pause"
 	"briarworks.example/briarworks/internal/peer"
@@ -20,6 +21,7 @@
 	"briarworks.example/briarworks/internal/setup"
 	"briarworks.example/briarworks/internal/stats"
 	"briarworks.example/briarworks/pkg/admit"
+	"briarworks.example/briarworks/pkg/audit"
 	"briarworks.example/briarworks/pkg/call"
 	"briarworks.example/briarworks/pkg/chain"
 	"briarworks.example/briarworks/pkg/fleet"
@@ -55,6 +57,9 @@
 	Decode  func(text []byte) (*match.Table, error) // reads a configuration of the platform
 	Publish func(fleet.Member)                      // takes the own entry to the store; must not block
 
+	Ledger *audit.Ledger
+	Record *flush.Flusher // writes the ledger; the adapter sets where to
+
 	config   atomic.Pointer[inForce]
 	configMu sync.Mutex // guards the replacement of config
 	own      atomic.Pointer[life.State]
@@ -69,6 +74,12 @@
 	wg       sync.WaitGroup
 }
 
+// Times of writing the refusal record.
+const (
+	recordSpread = 3 * time.Second        // of the first appends of a fleet that starts
+	recordStop   = 250 * time.Millisecond // for the last append of a stop, whose time is bounded
+)
+
 // parts are what New ties together.
 type parts struct {
 	fx.In
@@ -83,6 +94,7 @@
 	Book     *peer.Book
 	Backend  *server.Client
 	Gossip   *gossip.Gossip
+	Ledger   *audit.Ledger
 }
 
 // New ties the parts together by their function fields.
@@ -90,8 +102,12 @@
 	n := &Node{
 		Settings: p.Settings, Log: p.Log, Stats: p.Stats, Roster: p.Roster, Gate: p.Gate, Relay: p.Relay,
 		Book: p.Book, Backend: p.Backend, Gossip: p.Gossip, self: p.Self,
-		Publish: func(fleet.Member) {},
+		Publish: func(fleet.Member) {}, Ledger: p.Ledger,
 	}
+	n.Record = &flush.Flusher{Ledger: p.Ledger, Lazy: true, Spread: recordSpread, Stop: recordStop, Failed: func(err error) {
+		n.Stats.Count("refusalsNotWritten")
+		n.Log.Warn("refusalsNotWritten", zap.Error(err))
+	}}
 	n.self.Left = true // until the own server is known to be ready
 	n.own.Store(&life.State{})
 	n.Relay.Up = n.up
@@ -147,6 +163,7 @@
 	n.wg.Go(func() { n.Book.Watch(ctx) })
 	n.wg.Go(func() { n.Gossip.Run(ctx) })
 	n.wg.Go(func() { n.tick(ctx) })
+	n.wg.Go(func() { n.Record.Run(ctx) })
 	n.wg.Go(func() {
 		if pause.For(ctx, findWait) {
 			n.found.Store(true)
@@ -195,6 +212,16 @@
 	})
 }
 
+// Refused notes an answer that this node made itself, in the refusal record and the metrics.
+func (n *Node) Refused(e audit.Entry, now time.Time) {
+	if t := n.Table(); t != nil {
+		e.Version = t.Version
+	}
+	e.Protected = e.Rank == 0
+	n.Ledger.Note(e, now)
+	n.Stats.Refused(e.Kind, e.Reason)
+}
+
 // Table returns the routes in force, nil before the first configuration.
 func (n *Node) Table() *match.Table {
 	if c := n.config.Load(); c != nil {
