delay, peer: take off the time for which a call was held up on its way

In a connection that carried nothing for a second and then everything, it was run with its whole time although its caller had gone. Change: calls are stamped with the sender's clock, which counts sleep; the receiver takes off what a call was late beyond the fastest message of the session. TestHeldUpCall failed before.

--- a/internal/peer/book.go
+++ b/internal/peer/book.go
@@ -63,6 +63,7 @@
 	OnSync      func(from ident.Server, m *wirepb.Sync) *wirepb.SyncReply     // a peer compares state
 	OnLost      func(server ident.Server, inc ident.Incarnation, silent bool) // a session to a peer ended
 
+	clock     clock
 	ids       atomic.Uint64
 	links     sync.Map // ident.Address -> *Link
 	calls     calls
@@ -93,7 +94,7 @@
 }
 
 func (b *Book) hello() *wirepb.Hello {
-	h := &wirepb.Hello{Protocol: uint32(wire.Protocol), Server: string(b.Server), Incarnation: uint64(b.Incarnation)}
+	h := &wirepb.Hello{Protocol: uint32(wire.Protocol), Server: string(b.Server), Incarnation: uint64(b.Incarnation), SentNs: int64(b.clock.stamp(b.Now()))}
 	if n := b.newest(); n > wire.Protocol {
 		h.Newest = uint32(n)
 	}
@@ -224,6 +225,7 @@
 		now := b.Now()
 		paused := now.Sub(prev) > pausedLimit
 		prev = now
+		b.clock.look(now)
 		for _, s := range b.list() {
 			b.look(s, now, paused)
 		}
--- a/internal/peer/in.go
+++ b/internal/peer/in.go
@@ -14,6 +14,7 @@
 
 	"briarworks.example/briarworks/internal/wire"
 	"briarworks.example/briarworks/internal/wire/wirepb"
+	"briarworks.example/briarworks/pkg/delay"
 	"briarworks.example/briarworks/pkg/ident"
 )
 
@@ -99,6 +100,7 @@
 	matches := wire.Version(h.GetProtocol()) == wire.Protocol
 	if matches {
 		s.who.Store(b.identify(h))
+		s.meter.Late(delay.Stamp(h.GetSentNs()), b.clock.stamp(b.Now()))
 	}
 	b.reply(st, &wirepb.Envelope{Body: &wirepb.Envelope_Hello{Hello: b.hello()}})
 	if !matches {
@@ -118,7 +120,7 @@
 		b.refuse(s, EventGarbled, fmt.Sprintf("call %d before a Hello, repeated, or settled before", m.GetCallId()))
 		return false
 	}
-	req := wire.ToRequest(m, now)
+	req := wire.ToRequest(m, now, s.meter.Late(delay.Stamp(m.GetSentNs()), b.clock.stamp(now)))
 	ctx, cancel := context.WithDeadline(context.Background(), req.Deadline)
 	defer cancel()
 	closed := make(chan error, 1)
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -17,6 +17,7 @@
 	"briarworks.example/briarworks/internal/spare"
 	"briarworks.example/briarworks/internal/wire"
 	"briarworks.example/briarworks/internal/wire/wirepb"
+	"briarworks.example/briarworks/pkg/delay"
 	"briarworks.example/briarworks/pkg/ident"
 )
 
@@ -156,6 +157,7 @@
 	silent      atomic.Bool              // closed because it was silent
 	kept        spare.List[*stream]      // streams that wait for the next call
 	served      sync.Map                 // *yamux.Stream of the peer -> *atomic.Int64, since when it waits for a call, ns; 0 when it does not
+	meter       delay.Meter              // of what the peer sends
 	short       bool                     // opened for one exchange; its end is no loss of the peer
 }
 
--- a/internal/peer/out.go
+++ b/internal/peer/out.go
@@ -105,7 +105,7 @@
 	now := b.Now()
 	s.begin(now)
 	defer s.end()
-	m := wire.FromRequest(id, req, now)
+	m := wire.FromRequest(id, req, now, b.clock.stamp(now))
 	if err = wire.Write(st, &wirepb.Envelope{Body: &wirepb.Envelope_Call{Call: m}}); err != nil {
 		return nil, err
 	}
