route, relay: avoid servers that stand out by their errors, and repeat what one failed

Change: a server whose errors are at least six of the last 32 calls, and twice the median of its siblings, gets calls only when the others have no room, for 1 s at a time. An error of a kind that may be repeated and makes no more than one call is offered to another server, within the attempts of the route and the budget of the fleet; if that is refused, the caller gets the server's error. TestErrors and the cases 'server's error' of TestForward failed before.

--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"briarworks.example/briarworks/pkg/call"
+	"briarworks.example/briarworks/pkg/ident"
 	"briarworks.example/briarworks/pkg/reason"
 	"briarworks.example/briarworks/pkg/retry"
 	"briarworks.example/briarworks/pkg/route"
@@ -58,6 +60,7 @@
 			r.Control.came(req)
 			res = r.local(ctx, req)
 			r.Control.learn(req, &res, r.Now())
+			r.own.Note(erred(res) || failed(res), func() int { return r.usualErrors(req.Service) }, r.Now())
 			res.Served = r.Self.Server
 			s.avoid.Add(r.Self.Server)
 		case p != nil:
@@ -74,15 +77,27 @@
 	return s.final(res)
 }
 
-// final returns what the last result means for the whole request: a refusal proves nothing about an earlier
-// server that may have run it.
+// final returns what the last result means for the whole request: a server's answer, also an error, goes before
+// a refusal, and a refusal proves nothing about an earlier server that may have run the request.
 func (s *spread) final(last call.Result) call.Result {
-	if last.Outcome == reason.NotRun && s.doubt {
+	switch {
+	case last.Outcome == reason.Ran:
+	case s.failure != nil:
+		return *s.failure
+	case last.Outcome == reason.NotRun && s.doubt:
 		last.Outcome = reason.Unknown
 	}
 	return last
 }
 
+// usualErrors returns the usual errors of the other servers of a service.
+func (r *Relay) usualErrors(service ident.Service) int {
+	if set := r.Routes(service); set != nil {
+		return set.UsualErrors(nil)
+	}
+	return 0
+}
+
 // spread is the state of one request that is offered to several servers.
 type spread struct {
 	relay *Relay
@@ -90,6 +105,8 @@
 	avoid route.Avoid // servers that were tried
 	sent  int         // attempts that may have reached a server
 	doubt bool        // one of these may have run
+
+	failure *call.Result // the error with which a server answered
 }
 
 // next returns where the request goes next: the own server, a peer, or neither. The own server is taken
@@ -98,11 +115,12 @@
 	r := s.relay
 	now := r.Now()
 	own := s.req.Service == r.Self.Service && !s.avoid.Has(r.Self.Server) && r.up() == reason.None
-	if own && r.Gate.Free() > 0 {
+	free := r.Gate.Free() > 0
+	if own && free && !r.own.Doubtful(now) {
 		return true, nil
 	}
 	p = s.peer(now)
-	if own && (p == nil || p.Room(now) <= 0) {
+	if own && (p == nil || p.Room(now) <= 0 || free && p.Doubtful(now)) {
 		return true, nil
 	}
 	return false, p
@@ -136,10 +154,15 @@
 func (s *spread) again(ctx context.Context, res call.Result) bool {
 	r := s.relay
 	why, safe := retry.Decide(s.req, res)
+	failed := s.mayFail(res)
+	if failed {
+		s.failure = &res
+		why, safe = reason.RetryServerError, true
+	}
 	if !safe || ctx.Err() != nil {
 		return false
 	}
-	if reached(res) {
+	if failed || reached(res) {
 		s.sent++
 		s.doubt = s.doubt || res.Outcome == reason.Unknown
 		c, kind := r.Control, s.req.Kind
@@ -151,6 +174,13 @@
 	return true
 }
 
+// mayFail tells whether a server's error is worth another server: the request may be repeated, and a repeat makes
+// few calls. A kind that calls others mostly fails because of these, and would fail again.
+func (s *spread) mayFail(res call.Result) bool {
+	return res.Outcome == reason.Ran && res.Status >= http.StatusInternalServerError && res.Status != http.StatusGatewayTimeout &&
+		s.req.Idempotent && s.relay.Control.fan(s.req.Kind) <= 1
+}
+
 // reached tells whether a request may have come to a server, so that the next attempt is a repeat.
 func reached(res call.Result) bool {
 	return res.Outcome == reason.Unknown || res.Reason == reason.ServerShed
--- a/internal/relay/forward_test.go
+++ b/internal/relay/forward_test.go
@@ -51,6 +51,9 @@
 // must run once, and against repeats beyond the budget; a refusal before the server costs none of these.
 func TestForward(t *testing.T) {
 	ran := call.Result{Outcome: reason.Ran, Status: 200, Fraction: 1}
+	erring := call.Result{Outcome: reason.Ran, Status: 500, Fraction: 1}
+	late := call.Result{Outcome: reason.Ran, Status: 504, Fraction: 1}
+	chained := call.Result{Outcome: reason.Ran, Status: 500, Fraction: 1, Fan: 4}
 	busy, shed, lost := call.Refuse(reason.QueueTimeout), call.Refuse(reason.ServerShed), call.Doubt(reason.ConnectionLost)
 	tests := map[string]struct {
 		answers    []call.Result // the last one is repeated
@@ -72,6 +75,12 @@
 		"outcome unknown, runs once":      {[]call.Result{lost, ran}, false, 2, 10, reason.Unknown, 1},
 		"unknown, then refused, attempts": {[]call.Result{lost, busy, lost, ran}, true, 2, 10, reason.Unknown, 3},
 		"unknown, then refused for ever":  {[]call.Result{lost, busy}, true, 2, 10, reason.Unknown, maxPlaces},
+		"server's error, idempotent":      {[]call.Result{erring, ran}, true, 2, 10, reason.Ran, 2},
+		"server's error, runs once":       {[]call.Result{erring, ran}, false, 2, 10, reason.Ran, 1},
+		"server's error, no budget":       {[]call.Result{erring, ran}, true, 2, 0, reason.Ran, 1},
+		"server's error, then refused":    {[]call.Result{erring, busy}, true, 3, 10, reason.Ran, maxPlaces},
+		"server's error at the deadline":  {[]call.Result{late, ran}, true, 2, 10, reason.Ran, 1},
+		"server's error of calls below":   {[]call.Result{chained, ran}, true, 2, 10, reason.Ran, 1},
 		"held back by the node":           {[]call.Result{call.Refuse(reason.Overload), ran}, true, 2, 10, reason.NotRun, 1},
 	}
 	for name, tt := range tests {
--- a/internal/relay/onward.go
+++ b/internal/relay/onward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"briarworks.example/briarworks/internal/flight"
@@ -146,7 +147,7 @@
 	p.Start()
 	res := r.Send(ctx, p.Member.Address, req)
 	now := r.Now()
-	fb := route.Feedback{Failed: failed(res), Free: route.NoReport}
+	fb := route.Feedback{Failed: failed(res), Erred: erred(res), Free: route.NoReport}
 	if answered(res) {
 		fb.Free = res.Free
 		if res.Outcome == reason.Ran {
@@ -175,6 +176,11 @@
 	return res.Outcome == reason.Unknown && res.Reason == reason.DeadlinePassed
 }
 
+// erred tells whether the server answered with an error, or turned the request away after its node had let it in.
+func erred(res call.Result) bool {
+	return res.Outcome == reason.Ran && res.Status >= http.StatusInternalServerError || res.Reason == reason.ServerShed
+}
+
 // answered tells whether the result came from the peer rather than from the connection to it.
 func answered(res call.Result) bool {
 	switch res.Reason {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -46,6 +46,7 @@
 	active   atomic.Int64
 	ratios   lazy.Map[ident.Service, retry.Ratio]
 	joins    joins
+	own      route.Errors // of the own server, for requests that begin here
 }
 
 // Drain makes the node refuse new work from now on; calls of requests in flight go on.
--- a/pkg/reason/reason.go
+++ b/pkg/reason/reason.go
@@ -100,10 +100,11 @@
 	RetryNeverRan                  // the connection broke and the peer proved that the call never ran
 	RetryIdempotent                // the outcome is unknown and the kind is idempotent
 	RetryBrokenAnswer              // the answer was broken off and the kind is idempotent
+	RetryServerError               // the server answered with an error and the kind is idempotent
 	retryCount
 )
 
-var retries = [...]string{"peerRefused", "serverShed", "unreachable", "neverRan", "idempotent", "brokenAnswer"}
+var retries = [...]string{"peerRefused", "serverShed", "unreachable", "neverRan", "idempotent", "brokenAnswer", "serverError"}
 
 // String returns the name used in logs and metrics.
 func (r Retry) String() string { return name(retries[:], int(r)) }
--- /dev/null
+++ b/pkg/route/errs_test.go
@@ -0,0 +1,84 @@
+package route
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// Replays a service of which one server, or each, fails a part of its calls. Guards against a server that goes on
+// getting its full part of the calls while others have room, against one that is left out although all fail alike,
+// and against one that is never used again.
+func TestErrors(t *testing.T) {
+	tests := map[string]struct {
+		fails [6]float64 // part of the calls that each server fails
+		full  bool       // the others have no room
+		least float64    // part of the calls that the first server gets
+		most  float64
+	}{
+		"all sound":                  {[6]float64{}, false, 0.1, 0.24},
+		"one fails two fifths":       {[6]float64{0.4}, false, 0, 0.05},
+		"one fails all":              {[6]float64{1}, false, 0, 0.05},
+		"one fails few":              {[6]float64{0.02}, false, 0.1, 0.24},
+		"all fail alike":             {[6]float64{0.4, 0.4, 0.4, 0.4, 0.4, 0.4}, false, 0.05, 0.3},
+		"one fails, others are full": {[6]float64{0.4}, true, 0.3, 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			rnd := rand.New(rand.NewPCG(1, 2))
+			s := smallSet(6)
+			now := start
+			got := 0
+			const calls = 6000
+			for i := range calls {
+				now = now.Add(2 * time.Millisecond)
+				p, ok := s.Pick(now, Avoid{}, rnd.Uint64())
+				if !ok {
+					t.Fatal("no peer")
+				}
+				which := 0
+				for j, q := range s.Peers() {
+					if q == p {
+						which = j
+					}
+				}
+				if which == 0 && i > calls/4 {
+					got++
+				}
+				p.Start()
+				fb := Feedback{Free: 20, Latency: 10 * time.Millisecond, Erred: rnd.Float64() < tt.fails[which]}
+				if tt.full && which != 0 {
+					fb.Free = 0
+				}
+				p.Finish(fb, now)
+			}
+			if part := float64(got) / (calls * 3 / 4); part < tt.least || part > tt.most {
+				t.Errorf("part of the calls that the first server gets: got %.3f, want %.2f to %.2f", part, tt.least, tt.most)
+			}
+		})
+	}
+}
+
+// Guards against a server that stays in doubt once it answers again.
+func TestDoubtEnds(t *testing.T) {
+	var e Errors
+	now := start
+	none := func() int { return 0 }
+	for range errorCalls {
+		e.Note(true, none, now)
+	}
+	if !e.Doubtful(now) {
+		t.Error("after errors only: got no doubt, want one")
+	}
+	now = now.Add(DoubtTime)
+	if e.Doubtful(now) {
+		t.Error("after its time: got a doubt, want none")
+	}
+	for range errorCalls {
+		e.Note(false, none, now)
+	}
+	e.Note(true, none, now)
+	if e.Doubtful(now) {
+		t.Error("one error among successes: got a doubt, want none")
+	}
+}
--- a/pkg/route/peer.go
+++ b/pkg/route/peer.go
@@ -40,6 +40,7 @@
 // Feedback is what a caller learned from one finished call.
 type Feedback struct {
 	Failed  bool          // the peer or its server is at fault; a refusal as notRun for load is not a failure
+	Erred   bool          // the server answered with an error of its own, or failed the call in another way
 	Free    ident.Slots   // free slots on the answer, or NoReport
 	Latency time.Duration // 0 when the call says nothing about the time that work takes
 }
@@ -68,6 +69,7 @@
 	latency  atomic.Int64  // smoothed latency, ns
 	until    atomic.Int64  // end of the last ejection, ns of Unix time; 0 when never ejected
 	length   atomic.Int64  // length of the last ejection without jitter, ns
+	errors   Errors
 	_        [64]byte
 }
 
@@ -104,6 +106,7 @@
 			s.reported.Store(t)
 		}
 	}
+	s.errors.Note(fb.Erred || fb.Failed, func() int { return p.set.UsualErrors(p) }, now)
 	if s.beforeReturn(fb.Latency, t) {
 		return
 	}
--- a/pkg/route/set.go
+++ b/pkg/route/set.go
@@ -114,8 +114,8 @@
 }
 
 // Pick returns the peer for a call: the better of two random peers in the own data centre while one
-// there has room, else of those elsewhere with room, else of all. Ejected peers and those to avoid
-// are left out; rnd is uniform over all 64-bit values. It returns false when no peer is left.
+// there has room, else of those elsewhere with room, else of all. Peers that stand out by their errors follow
+// those that have room. Ejected peers and those to avoid are left out; rnd is uniform over all 64-bit values. It returns false when no peer is left.
 func (s *Set) Pick(now time.Time, avoid Avoid, rnd uint64) (*Peer, bool) {
 	t := now.UnixNano()
 	if s.near < 2 {
@@ -152,12 +152,12 @@
 // ready reports whether the peer may be used without regard to the others of its set, and has room.
 func (p *Peer) ready(t int64, avoid Avoid, rnd uint64) bool {
 	return !p.state.ejected(t) && !(avoid.n > 0 && avoid.Has(p.Member.Server)) &&
-		!p.state.heldBack(t, rnd) && p.state.roomAt(t) > 0
+		!p.state.heldBack(t, rnd) && !p.state.errors.doubtful(t) && p.state.roomAt(t) > 0
 }
 
 // pickAny chooses among all peers by draw; rnd decides which ones are held back, as in pickNear.
 func (s *Set) pickAny(t int64, avoid Avoid, rnd, draw uint64) (*Peer, bool) {
-	var near, far, full, held choice
+	var near, far, doubted, full, held choice
 	ejected := 0
 	for i, p := range s.peers {
 		// More peers than allowed can be ejected when the set shrank or calls failed at once.
@@ -174,13 +174,15 @@
 			held.add(i, room, stale)
 		case room <= 0:
 			full.add(i, room, stale)
+		case p.state.errors.doubtful(t):
+			doubted.add(i, room, stale)
 		case i < s.near:
 			near.add(i, room, stale)
 		default:
 			far.add(i, room, stale)
 		}
 	}
-	for _, c := range [...]*choice{&near, &far, &full, &held} {
+	for _, c := range [...]*choice{&near, &far, &doubted, &full, &held} {
 		if c.n > 0 {
 			return s.peers[c.better(draw)], true
 		}
