relay: make a second attempt when the first takes unusually long

Change: a request that may be repeated, makes no more than one call and is not held back gets a second attempt at another server with room when the first takes longer than four spreads above the mean of its kind (as for the retransmission of packets). It counts as a repeat in the budget of the fleet. The first good answer is the answer and ends the other attempt; a server that was overtaken counts an error. TestHedge, 'first hangs', failed before by the missing mechanism.

--- a/internal/relay/control.go
+++ b/internal/relay/control.go
@@ -31,8 +31,12 @@
 type known struct {
 	inner atomic.Bool
 	fan   atomic.Int64 // thousandths
+	usual retry.Usual  // time of a request that began here
 }
 
+// usual returns what is known of the time that requests of a kind take.
+func (c *Control) usual(kind ident.Kind) *retry.Usual { return &c.kinds.Of(kind).usual }
+
 // fanUnit is the unit in which a fan is kept.
 const fanUnit = 1000
 
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -55,21 +56,24 @@
 	res := call.Refuse(reason.NoServer)
 	for range maxPlaces {
 		here, p := s.next()
-		switch {
-		case here:
-			r.Control.came(req)
-			res = r.local(ctx, req)
-			r.Control.learn(req, &res, r.Now())
-			r.own.Note(erred(res) || failed(res), func() int { return r.usualErrors(req.Service) }, r.Now())
-			res.Served = r.Self.Server
-			s.avoid.Add(r.Self.Server)
-		case p != nil:
-			res = r.send(ctx, p, req)
-			res.Served = p.Member.Server
-			s.avoid.Add(p.Member.Server)
-		default:
+		if !here && p == nil {
 			return s.final(res)
 		}
+		server := r.Self.Server
+		if !here {
+			server = p.Member.Server
+		}
+		s.avoid.Add(server)
+		res = s.hedged(ctx, s.avoid, func(ctx context.Context) call.Result {
+			var res call.Result
+			if here {
+				res = r.here(ctx, req)
+			} else {
+				res = r.send(ctx, p, req)
+			}
+			res.Served = server
+			return res
+		})
 		if !s.again(ctx, res) {
 			break
 		}
@@ -77,6 +81,21 @@
 	return s.final(res)
 }
 
+// here runs a request that begins at this node on the own server.
+func (r *Relay) here(ctx context.Context, req *call.Request) call.Result {
+	r.Control.came(req)
+	res := r.local(ctx, req)
+	now := r.Now()
+	r.Control.learn(req, &res, now)
+	failed := erred(res) || failed(res) || overtaken(ctx)
+	r.own.Note(failed, func() int { return r.usualErrors(req.Service) }, now)
+	return res
+}
+
+// overtaken reports whether a second attempt was answered before the one of this context, which says that its
+// server is slow or gone.
+func overtaken(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errOvertaken) }
+
 // final returns what the last result means for the whole request: a server's answer, also an error, goes before
 // a refusal, and a refusal proves nothing about an earlier server that may have run the request.
 func (s *spread) final(last call.Result) call.Result {
@@ -119,7 +138,7 @@
 	if own && free && !r.own.Doubtful(now) {
 		return true, nil
 	}
-	p = s.peer(now)
+	p = r.draw(s.req.Service, s.avoid, now)
 	if own && (p == nil || p.Room(now) <= 0 || free && p.Doubtful(now)) {
 		return true, nil
 	}
@@ -129,16 +148,15 @@
 // peerDraws is how often a peer is drawn again for one that is connected.
 const peerDraws = 4
 
-// peer draws a peer, if possible one to which a connection is open: to wait for a dial may take as long as
-// the whole request.
-func (s *spread) peer(now time.Time) (p *route.Peer) {
-	r := s.relay
-	set := r.Routes(s.req.Service)
+// draw draws a peer, if possible one to which a connection is open: to wait for a dial may take as long as the
+// whole request. It returns nil when there is none.
+func (r *Relay) draw(service ident.Service, avoid route.Avoid, now time.Time) (p *route.Peer) {
+	set := r.Routes(service)
 	if set == nil {
 		return nil
 	}
 	for range peerDraws {
-		q, ok := set.Pick(now, s.avoid, r.Rand())
+		q, ok := set.Pick(now, avoid, r.Rand())
 		if !ok {
 			return p
 		}
@@ -163,8 +181,7 @@
 		return false
 	}
 	if failed || reached(res) {
-		s.sent++
-		s.doubt = s.doubt || res.Outcome == reason.Unknown
+		s.count(res)
 		c, kind := r.Control, s.req.Kind
 		if s.sent >= s.req.Attempts || !c.Budget.Spend(c.fan(kind), c.inner(kind), r.Now()) {
 			return false
@@ -174,6 +191,14 @@
 	return true
 }
 
+// count notes an attempt that may have reached a server.
+func (s *spread) count(res call.Result) {
+	if res.Outcome == reason.Ran || reached(res) {
+		s.sent++
+	}
+	s.doubt = s.doubt || res.Outcome == reason.Unknown
+}
+
 // mayFail tells whether a server's error is worth another server: the request may be repeated, and a repeat makes
 // few calls. A kind that calls others mostly fails because of these, and would fail again.
 func (s *spread) mayFail(res call.Result) bool {
--- /dev/null
+++ b/internal/relay/hedge.go
@@ -0,0 +1,121 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"briarworks.example/briarworks/pkg/call"
+	"briarworks.example/briarworks/pkg/reason"
+	"briarworks.example/briarworks/pkg/retry"
+	"briarworks.example/briarworks/pkg/route"
+)
+
+// errOvertaken ends an attempt when a second one has been answered first.
+var errOvertaken = errors.New("relay: another attempt was answered first")
+
+// hedge is a second attempt at a request whose first one takes unusually long. The load it answers is a server
+// that hangs, has become slow or is gone without a word, which calls would otherwise wait for until their deadline.
+type hedge struct {
+	s      *spread
+	avoid  route.Avoid // the servers that were tried, with the one of the first attempt
+	first  context.CancelCauseFunc
+	timer  *time.Timer
+	cancel context.CancelFunc // of the second attempt
+	done   chan struct{}      // closed when the second attempt has ended or was not made
+	sent   bool               // it was made; read after done
+	res    call.Result        // read after done
+}
+
+// hedgeLeast is the shortest time after which a second attempt is made: the timing of a busy machine varies by
+// this much.
+const hedgeLeast = 20 * time.Millisecond
+
+// hedged makes an attempt at a server, and a second one elsewhere when the first takes unusually long.
+func (s *spread) hedged(ctx context.Context, avoid route.Avoid, attempt func(context.Context) call.Result) call.Result {
+	usual := s.relay.Control.usual(s.req.Kind)
+	began := s.relay.Now()
+	after, ok := usual.After()
+	if !ok || !s.mayHedge() || 2*after > s.req.Left(began) {
+		res := attempt(ctx)
+		s.time(usual, &res, began)
+		return res
+	}
+	first, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	h := &hedge{s: s, avoid: avoid, first: cancel, done: make(chan struct{})}
+	second, stop := context.WithCancel(ctx)
+	defer stop()
+	h.timer = time.AfterFunc(max(after, hedgeLeast), func() { h.run(second) })
+	res := attempt(first)
+	if h.timer.Stop() {
+		s.time(usual, &res, began)
+		return res
+	}
+	if good(&res) {
+		stop()
+	}
+	<-h.done
+	res = h.join(res)
+	s.time(usual, &res, began)
+	return res
+}
+
+// mayHedge reports whether a second attempt is worth its load: the request may be repeated, a repeat makes few
+// calls, no attempt was made before, and the service holds no work back.
+func (s *spread) mayHedge() bool {
+	c := s.relay.Control
+	return s.req.Idempotent && s.sent == 0 && s.req.Attempts > 1 && c.fan(s.req.Kind) <= 1 &&
+		c.Learned.Of(s.req.Kind, s.req.Service, s.relay.Now()) <= 0
+}
+
+// run makes the second attempt, if a server with room is known and the budget of the fleet allows it.
+func (h *hedge) run(ctx context.Context) {
+	defer close(h.done)
+	r := h.s.relay
+	now := r.Now()
+	p := r.draw(h.s.req.Service, h.avoid, now)
+	if p == nil || p.Room(now) <= 0 || p.Doubtful(now) || r.Connected != nil && !r.Connected(p.Member.Address) {
+		return
+	}
+	c, kind := r.Control, h.s.req.Kind
+	if !c.Budget.Spend(c.fan(kind), c.inner(kind), now) {
+		return
+	}
+	r.Retried(reason.RetryOverdue)
+	h.sent = true
+	req := *h.s.req
+	h.res = r.send(ctx, p, &req)
+	h.res.Served = p.Member.Server
+	if good(&h.res) {
+		h.first(errOvertaken)
+	}
+}
+
+// join returns what both attempts mean together.
+func (h *hedge) join(first call.Result) call.Result {
+	if !h.sent {
+		return first
+	}
+	kept, other := first, h.res
+	switch {
+	case good(&first), !good(&h.res) && first.Outcome == reason.Ran:
+	case h.res.Outcome == reason.Ran, first.Outcome == reason.NotRun:
+		kept, other = h.res, first
+	}
+	h.s.count(other)
+	return kept
+}
+
+// good reports whether a server has answered, and not with an error.
+func good(res *call.Result) bool {
+	return res.Outcome == reason.Ran && res.Status < http.StatusInternalServerError
+}
+
+// time takes in how long a request took that was answered, with a second attempt if one was made.
+func (s *spread) time(usual *retry.Usual, res *call.Result, began time.Time) {
+	if good(res) {
+		usual.Add(s.relay.Now().Sub(began))
+	}
+}
--- /dev/null
+++ b/internal/relay/hedge_test.go
@@ -0,0 +1,92 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"briarworks.example/briarworks/pkg/call"
+	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/reason"
+)
+
+// Replays calls to a server that does not answer, or answers late, while the others do. Guards against calls that
+// wait for it until their deadline, and against second attempts that are not allowed or cost more than they help.
+func TestHedge(t *testing.T) {
+	const (
+		usual = 5 * time.Millisecond
+		slow  = 120 * time.Millisecond
+		left  = time.Second
+	)
+	ran := call.Result{Outcome: reason.Ran, Status: 200, Fraction: 1}
+	type answer struct {
+		after time.Duration // beyond the deadline for never
+		res   call.Result
+	}
+	tests := map[string]struct {
+		first, second answer
+		change        func(*Relay, *call.Request)
+		want          reason.Outcome
+		most          time.Duration // until the answer
+		sent          int
+	}{
+		"in time":                     {answer{usual, ran}, answer{usual, ran}, nil, reason.Ran, slow, 1},
+		"first hangs":                 {answer{2 * left, ran}, answer{usual, ran}, nil, reason.Ran, slow, 2},
+		"first is slow":               {answer{slow, ran}, answer{2 * left, ran}, nil, reason.Ran, 2 * slow, 2},
+		"both hang":                   {answer{2 * left, ran}, answer{2 * left, ran}, nil, reason.Unknown, 2 * left, 2},
+		"first hangs, second is shed": {answer{slow, ran}, answer{usual, call.Refuse(reason.ServerShed)}, nil, reason.Ran, 2 * slow, 2},
+		"first fails late":            {answer{slow, call.Doubt(reason.ServerFailed)}, answer{2 * slow, ran}, nil, reason.Ran, 4 * slow, 2},
+		"must run once":               {answer{slow, ran}, answer{usual, ran}, func(_ *Relay, r *call.Request) { r.Idempotent = false }, reason.Ran, 2 * slow, 1},
+		"one attempt":                 {answer{slow, ran}, answer{usual, ran}, func(_ *Relay, r *call.Request) { r.Attempts = 1 }, reason.Ran, 2 * slow, 1},
+		"no budget": {answer{slow, ran}, answer{usual, ran}, func(r *Relay, _ *call.Request) {
+			r.Control.Budget.Slack = func() float64 { return 0 }
+		}, reason.Ran, 2 * slow, 1},
+		"work is held back": {answer{slow, ran}, answer{usual, ran}, func(r *Relay, _ *call.Request) {
+			r.Control.Learned.Learn("k", "back", 0.1, time.Now())
+		}, reason.Ran, 2 * slow, 1},
+		"makes many calls": {answer{slow, ran}, answer{usual, ran}, func(r *Relay, q *call.Request) {
+			r.Control.learn(q, &call.Result{Fan: 4}, time.Now())
+		}, reason.Ran, 2 * slow, 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			r, _ := forwarding(10, nil)
+			r.Now = time.Now
+			var mu sync.Mutex
+			sent := make(map[ident.Address]int)
+			r.Send = func(ctx context.Context, addr ident.Address, _ *call.Request) call.Result {
+				mu.Lock()
+				a := tt.first
+				if len(sent) > 0 {
+					a = tt.second
+				}
+				sent[addr]++
+				mu.Unlock()
+				select {
+				case <-time.After(a.after):
+					return a.res
+				case <-ctx.Done():
+					return call.Doubt(reason.Cancelled)
+				}
+			}
+			for range 50 {
+				r.Control.usual("k").Add(usual)
+			}
+			began := time.Now()
+			req := &call.Request{Kind: "k", Service: "back", Idempotent: true, Attempts: 2, Born: began, Deadline: began.Add(left)}
+			if tt.change != nil {
+				tt.change(r, req)
+			}
+			ctx, cancel := context.WithDeadline(context.Background(), req.Deadline)
+			defer cancel()
+			res := r.Forward(ctx, req)
+			if took := time.Since(began); res.Outcome != tt.want || took > tt.most {
+				t.Errorf("result: got %v after %v, want %v within %v", res.Outcome, took, tt.want, tt.most)
+			}
+			if len(sent) != tt.sent {
+				t.Errorf("servers that got the request: got %v, want %d", sent, tt.sent)
+			}
+		})
+	}
+}
--- a/pkg/reason/reason.go
+++ b/pkg/reason/reason.go
@@ -101,10 +101,11 @@
 	RetryIdempotent                // the outcome is unknown and the kind is idempotent
 	RetryBrokenAnswer              // the answer was broken off and the kind is idempotent
 	RetryServerError               // the server answered with an error and the kind is idempotent
+	RetryOverdue                   // the answer takes unusually long and the kind is idempotent
 	retryCount
 )
 
-var retries = [...]string{"peerRefused", "serverShed", "unreachable", "neverRan", "idempotent", "brokenAnswer", "serverError"}
+var retries = [...]string{"peerRefused", "serverShed", "unreachable", "neverRan", "idempotent", "brokenAnswer", "serverError", "overdue"}
 
 // String returns the name used in logs and metrics.
 func (r Retry) String() string { return name(retries[:], int(r)) }
