--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -59,12 +59,12 @@
 		if !here && p == nil {
 			return s.final(res)
 		}
-		server := r.Self.Server
+		server, overdue := r.Self.Server, func(now time.Time) { r.ownErred(req.Service, true, now) }
 		if !here {
-			server = p.Member.Server
+			server, overdue = p.Member.Server, p.Overdue
 		}
 		s.avoid.Add(server)
-		res = s.hedged(ctx, s.avoid, func(ctx context.Context) call.Result {
+		res = s.hedged(ctx, overdue, func(ctx context.Context) call.Result {
 			var res call.Result
 			if here {
 				res = r.here(ctx, req)
@@ -87,13 +87,19 @@
 	res := r.local(ctx, req)
 	now := r.Now()
 	r.Control.learn(req, &res, now)
-	failed := erred(res) || failed(res) || overtaken(ctx)
-	r.own.Note(failed, func() int { return r.usualErrors(req.Service) }, now)
+	if !overtaken(ctx) {
+		r.ownErred(req.Service, erred(res) || failed(res), now)
+	}
 	return res
 }
 
-// overtaken reports whether a second attempt was answered before the one of this context, which says that its
-// server is slow or gone.
+// ownErred notes whether the own server failed a request that began here.
+func (r *Relay) ownErred(service ident.Service, failed bool, now time.Time) {
+	r.own.Note(failed, func() int { return r.usualErrors(service) }, now)
+}
+
+// overtaken reports whether a second attempt was answered before the one of this context. That the server takes
+// unusually long was counted when the second attempt was made.
 func overtaken(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errOvertaken) }
 
 // final returns what the last result means for the whole request: a server's answer, also an error, goes before
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -21,35 +21,41 @@
 	s      *spread
 	avoid  route.Avoid // the servers that were tried, with the one of the first attempt
 	first  context.CancelCauseFunc
-	timer  *time.Timer
-	cancel context.CancelFunc // of the second attempt
-	done   chan struct{}      // closed when the second attempt has ended or was not made
-	sent   bool               // it was made; read after done
-	res    call.Result        // read after done
+	wanted bool          // a second attempt is worth its load
+	done   chan struct{} // closed when the second attempt has ended or was not made
+	sent   bool          // it was made; read after done
+	res    call.Result   // read after done
 }
 
 // hedgeLeast is the shortest time after which a second attempt is made: the timing of a busy machine varies by
 // this much.
 const hedgeLeast = 20 * time.Millisecond
 
-// hedged makes an attempt at a server, and a second one elsewhere when the first takes unusually long.
-func (s *spread) hedged(ctx context.Context, avoid route.Avoid, attempt func(context.Context) call.Result) call.Result {
+// hedged makes an attempt at a server, and a second one elsewhere when the first takes unusually long; overdue is
+// told of that. A call that takes long speaks against its server long before it ends.
+func (s *spread) hedged(ctx context.Context, overdue func(time.Time), attempt func(context.Context) call.Result) call.Result {
 	usual := s.relay.Control.usual(s.req.Kind)
 	began := s.relay.Now()
 	after, ok := usual.After()
-	if !ok || !s.mayHedge() || 2*after > s.req.Left(began) {
+	if !ok || after >= s.req.Left(began) {
 		res := attempt(ctx)
 		s.time(usual, &res, began)
 		return res
 	}
 	first, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	h := &hedge{s: s, avoid: avoid, first: cancel, done: make(chan struct{})}
 	second, stop := context.WithCancel(ctx)
 	defer stop()
-	h.timer = time.AfterFunc(max(after, hedgeLeast), func() { h.run(second) })
+	h := &hedge{s: s, avoid: s.avoid, first: cancel, done: make(chan struct{}), wanted: s.mayHedge() && 2*after <= s.req.Left(began)}
+	timer := time.AfterFunc(max(after, hedgeLeast), func() {
+		defer close(h.done)
+		overdue(s.relay.Now())
+		if h.wanted {
+			h.run(second)
+		}
+	})
 	res := attempt(first)
-	if h.timer.Stop() {
+	if timer.Stop() {
 		s.time(usual, &res, began)
 		return res
 	}
@@ -72,7 +78,6 @@
 
 // run makes the second attempt, if a server with room is known and the budget of the fleet allows it.
 func (h *hedge) run(ctx context.Context) {
-	defer close(h.done)
 	r := h.s.relay
 	now := r.Now()
 	p := r.draw(h.s.req.Service, h.avoid, now)
--- a/pkg/route/errs.go
+++ b/pkg/route/errs.go
@@ -11,6 +11,7 @@
 const (
 	errorCalls = 32 // calls that are remembered
 	errorFew   = 6  // errors among them below which nothing is concluded
+	errorRow   = 3  // errors in a row from which on all the same is concluded: a server that is gone fails all
 	// errorFactor is by how much a server has to exceed the median of its siblings: when a service further down
 	// fails, all servers answer with errors and none is worse than another one.
 	errorFactor = 2
@@ -38,7 +39,9 @@
 		if next != old && !e.history.CompareAndSwap(old, next) {
 			continue
 		}
-		if n := bits.OnesCount32(next); failed && n >= errorFew && n > errorFactor*usual() {
+		n := bits.OnesCount32(next)
+		row := next&(1<<errorRow-1) == 1<<errorRow-1
+		if failed && (row || n >= errorFew) && n > errorFactor*usual() {
 			e.until.Store(now.Add(DoubtTime).UnixNano())
 		}
 		return
@@ -56,6 +59,11 @@
 	return t < until && until-t <= int64(DoubtTime)
 }
 
+// Overdue counts an error of the peer for a call that takes unusually long and has not ended.
+func (p *Peer) Overdue(now time.Time) {
+	p.state.errors.Note(true, func() int { return p.set.UsualErrors(p) }, now)
+}
+
 // Doubtful reports whether the peer stands out by its errors.
 func (p *Peer) Doubtful(now time.Time) bool { return p.state.errors.Doubtful(now) }
 
--- a/pkg/route/errs_test.go
+++ b/pkg/route/errs_test.go
@@ -59,6 +59,22 @@
 	}
 }
 
+// Replays a server that is gone without a word: calls to it do not end, and are only overdue. Guards against calls
+// that go on to it until the first ones reach their deadline.
+func TestOverdue(t *testing.T) {
+	s := smallSet(3)
+	now := start
+	for range errorRow {
+		s.Peers()[0].Overdue(now)
+	}
+	rnd := rand.New(rand.NewPCG(1, 2))
+	for range 200 {
+		if p, _ := s.Pick(now, Avoid{}, rnd.Uint64()); p == s.Peers()[0] {
+			t.Fatal("after calls that are overdue: got the server again, want the others")
+		}
+	}
+}
+
 // Guards against a server that stays in doubt once it answers again.
 func TestDoubtEnds(t *testing.T) {
 	var e Errors
--- a/pkg/route/peer.go
+++ b/pkg/route/peer.go
@@ -39,10 +39,11 @@
 
 // Feedback is what a caller learned from one finished call.
 type Feedback struct {
-	Failed  bool          // the peer or its server is at fault; a refusal as notRun for load is not a failure
-	Erred   bool          // the server answered with an error of its own, or failed the call in another way
-	Free    ident.Slots   // free slots on the answer, or NoReport
-	Latency time.Duration // 0 when the call says nothing about the time that work takes
+	Failed    bool          // the peer or its server is at fault; a refusal as notRun for load is not a failure
+	Erred     bool          // the server answered with an error of its own, or failed the call in another way
+	Overtaken bool          // another server was faster, which Overdue was told of
+	Free      ident.Slots   // free slots on the answer, or NoReport
+	Latency   time.Duration // 0 when the call says nothing about the time that work takes
 }
 
 // NoReport stands for free slots in a Feedback when no answer reported them.
@@ -106,7 +107,9 @@
 			s.reported.Store(t)
 		}
 	}
-	s.errors.Note(fb.Erred || fb.Failed, func() int { return p.set.UsualErrors(p) }, now)
+	if !fb.Overtaken {
+		s.errors.Note(fb.Erred || fb.Failed, func() int { return p.set.UsualErrors(p) }, now)
+	}
 	if s.beforeReturn(fb.Latency, t) {
 		return
 	}
