relay: draw another peer when the only near one is not connected

Cause: a service with one server in the own data centre. Each draw leaves out those before it now. TestForwardToConnected failed before.

--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -169,7 +169,10 @@
 		if r.Connected == nil || r.Connected(q.Member.Address) {
 			return q
 		}
-		p = q
+		if p == nil {
+			p = q
+		}
+		avoid.Add(q.Member.Server) // else the only peer in the own data centre would be drawn each time
 	}
 	return p
 }
--- a/internal/relay/forward_test.go
+++ b/internal/relay/forward_test.go
@@ -139,3 +139,36 @@
 		})
 	}
 }
+
+// Replays a service with one server in the own data centre whose machine is gone: the connection to it has ended and
+// a new one is not made. Guards against requests that wait for that while other servers are connected.
+func TestForwardToConnected(t *testing.T) {
+	tests := map[string]struct {
+		connected map[ident.Address]bool
+		want      ident.Address
+	}{
+		"near one is connected":     {map[ident.Address]bool{"near": true, "far": true}, "near"},
+		"near one is not connected": {map[ident.Address]bool{"far": true}, "far"},
+		"none is connected":         {map[ident.Address]bool{}, "near"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			r, sent := forwarding(0, func(int) call.Result { return call.Result{Outcome: reason.Ran, Status: 200, Fraction: 1} })
+			now := r.Now()
+			var state fleet.State
+			for _, m := range []fleet.Member{
+				{Server: "near", Service: "back", DataCentre: "z", Address: "near", Incarnation: 1, Slots: 64, Announced: now},
+				{Server: "far", Service: "back", DataCentre: "y", Address: "far", Incarnation: 1, Slots: 64, Announced: now},
+			} {
+				state.Apply(m, now)
+			}
+			set := route.Build(r.Self, state.Table(), "back", nil)
+			r.Routes = func(ident.Service) *route.Set { return set }
+			r.Connected = func(a ident.Address) bool { return tt.connected[a] }
+			r.Forward(context.Background(), &call.Request{Kind: "k", Service: "back", Attempts: 1, Born: now, Deadline: now.Add(time.Second)})
+			if len(*sent) != 1 || (*sent)[0] != tt.want {
+				t.Errorf("servers that got the request: got %v, want %s", *sent, tt.want)
+			}
+		})
+	}
+}
