retry, relay: let the nodes that make calls hold the budget of their repeats

Change: the servers of a service tell with each answer how many repeats there may be for an arrival: the ratio of the callers' requests, and the slack, over all arrivals. Calls that make no calls draw from that, 0.4 of the budget; all others keep 0.45 in place of 0.75.

--- a/internal/relay/control.go
+++ b/internal/relay/control.go
@@ -18,11 +18,13 @@
 type Control struct {
 	Own      *level.Controller // of the own server
 	Learned  *level.Table
-	Graph    *chain.Graph   // of the calls that the own server makes
-	Origins  *chain.Origins // of the requests that come to the own server
-	Budget   *retry.Budget
-	Ranks    func() int // ranks of the configuration
-	Services func() int // services of the configuration
+	Graph    *chain.Graph     // of the calls that the own server makes
+	Origins  *chain.Origins   // of the requests that come to the own server
+	Budget   *retry.Budget    // of callers' requests, and of calls that make calls
+	Purse    *retry.Purse     // of calls that make none
+	Allow    *retry.Allowance // of repeats to the own server
+	Ranks    func() int       // ranks of the configuration
+	Services func() int       // services of the configuration
 
 	kinds lazy.Map[ident.Kind, known]
 }
@@ -30,6 +32,7 @@
 // known is what answers told of a kind of work.
 type known struct {
 	inner atomic.Bool
+	leaf  atomic.Bool
 	fan   atomic.Int64 // thousandths
 	usual retry.Usual  // time of a request that began here
 }
@@ -54,10 +57,20 @@
 	return 1
 }
 
+// spend takes a repeat of a request from the budget of the fleet, and reports whether there was enough.
+func (c *Control) spend(req *call.Request, now time.Time) bool {
+	k := c.kinds.Of(req.Kind)
+	if k.inner.Load() && k.leaf.Load() {
+		return c.Purse.Spend(req.Service, now)
+	}
+	return c.Budget.Spend(c.fan(req.Kind), k.inner.Load(), now)
+}
+
 // came notes a request for the own server, of this node or of another one.
-func (c *Control) came(req *call.Request) {
+func (c *Control) came(req *call.Request, now time.Time) {
 	if c != nil {
 		c.Origins.Add(req.Kind, ident.Service(req.Caller))
+		c.Allow.Arrived(!c.Origins.Inner(req.Kind, c.Services()), now)
 	}
 }
 
@@ -86,6 +99,7 @@
 		res.Fan = max(res.Fan, below.Rate*c.fan(below.Kind))
 	}
 	res.Inner = c.Origins.Inner(req.Kind, c.Services())
+	res.Leaf, res.Repeats = c.Graph.Leaf(req.Kind), c.Allow.Rate(now)
 }
 
 // learn notes what an answer tells of its kind.
@@ -94,10 +108,14 @@
 		return
 	}
 	c.Learned.Learn(req.Kind, req.Service, res.Level, now)
+	c.Purse.Learn(req.Service, res.Repeats)
 	k := c.kinds.Of(req.Kind)
 	if k.inner.Load() != res.Inner {
 		k.inner.Store(res.Inner)
 	}
+	if k.leaf.Load() != res.Leaf {
+		k.leaf.Store(res.Leaf)
+	}
 	if fan := int64(res.Fan * fanUnit); fan != k.fan.Load() {
 		k.fan.Store(fan)
 	}
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -29,6 +29,7 @@
 	r.active.Add(1)
 	defer r.active.Add(-1)
 	c.Graph.Call(req.Kind)
+	c.Purse.Call(req.Service, r.Now())
 	req.Level = c.Graph.Level(req.Kind)
 	return r.spread(ctx, req)
 }
@@ -83,7 +84,7 @@
 
 // here runs a request that begins at this node on the own server.
 func (r *Relay) here(ctx context.Context, req *call.Request) call.Result {
-	r.Control.came(req)
+	r.Control.came(req, r.Now())
 	res := r.local(ctx, req)
 	now := r.Now()
 	r.Control.learn(req, &res, now)
@@ -191,8 +192,7 @@
 	}
 	if failed || reached(res) {
 		s.count(res)
-		c, kind := r.Control, s.req.Kind
-		if s.sent >= s.req.Attempts || !c.Budget.Spend(c.fan(kind), c.inner(kind), r.Now()) {
+		if s.sent >= s.req.Attempts || !r.Control.spend(s.req, r.Now()) {
 			return false
 		}
 	}
--- a/internal/relay/forward_test.go
+++ b/internal/relay/forward_test.go
@@ -40,8 +40,8 @@
 		},
 		Control: &Control{
 			Own: &level.Controller{}, Learned: &level.Table{}, Graph: &chain.Graph{}, Origins: &chain.Origins{},
-			Budget: &retry.Budget{Slack: func() float64 { return slack }},
-			Ranks:  func() int { return 1 }, Services: func() int { return 2 },
+			Budget: &retry.Budget{Slack: func() float64 { return slack }}, Purse: &retry.Purse{}, Allow: &retry.Allowance{},
+			Ranks: func() int { return 1 }, Services: func() int { return 2 },
 		},
 	}
 	return r, sent
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -84,8 +84,7 @@
 	if p == nil || p.Room(now) <= 0 || p.Doubtful(now) || r.Connected != nil && !r.Connected(p.Member.Address) {
 		return
 	}
-	c, kind := r.Control, h.s.req.Kind
-	if !c.Budget.Spend(c.fan(kind), c.inner(kind), now) {
+	if !r.Control.spend(h.s.req, now) {
 		return
 	}
 	r.Retried(reason.RetryOverdue)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -133,7 +133,7 @@
 	if req.Service != r.Self.Service {
 		return r.annotate(req, call.Refuse(reason.NoServer), req.Budget)
 	}
-	r.Control.came(req)
+	r.Control.came(req, r.Now())
 	if why := r.begin(req); why != reason.None {
 		return r.annotate(req, call.Refuse(why), req.Budget)
 	}
--- a/internal/side/build.go
+++ b/internal/side/build.go
@@ -127,9 +127,12 @@
 // maxCarried bounds the requests that a node carries at a time.
 const maxCarried = 4096
 
-// budgetShare is the part of the fleet's budget of repeats that its nodes use together: they count requests
-// and members a little differently from each other.
-const budgetShare = 0.75
+// The parts of the fleet's budget of repeats that its nodes use together. What is left makes up for nodes that
+// count requests and members a little differently from each other, and for windows that begin within a second.
+const (
+	budgetShare = 0.45 // callers' requests, and calls that make calls
+	purseShare  = 0.4  // calls that make none
+)
 
 // newControl returns the control of a node; the node sets what depends on its configuration.
 func newControl(s *setup.Sidecar, r *roster.Roster) *relay.Control {
@@ -138,6 +141,10 @@
 		Budget: &retry.Budget{Window: s.Retries.Window, Share: s.Retries.Ratio * budgetShare, Slack: func() float64 {
 			return s.Retries.Slack * budgetShare / float64(max(len(r.Table().All()), 1))
 		}},
+		Purse: &retry.Purse{Window: s.Retries.Window, Share: purseShare},
+		Allow: &retry.Allowance{Window: s.Retries.Window, Share: s.Retries.Ratio, Slack: func() float64 {
+			return s.Retries.Slack / float64(max(len(r.Table().Of(s.Service)), 1))
+		}},
 		Ranks: func() int { return 1 }, Services: func() int { return 0 },
 	}
 }
--- a/pkg/call/call.go
+++ b/pkg/call/call.go
@@ -61,6 +61,8 @@
 	Level      level.Level    // how far the kind is held back at and below the answering node
 	Inner      bool           // the kind is called by servers and not by callers
 	Fan        float64        // arrivals at one service that a repeat causes; 0 when not known
+	Leaf       bool           // the kind makes no calls
+	Repeats    float64        // repeats for each arrival that the fleet may send to the service
 	Served     ident.Server   // the server that answered; known at the node where the request began only
 	Shed       bool           // the node's own backend server shed the request, and not one further down; not told to other nodes
 }
--- a/pkg/chain/chain_test.go
+++ b/pkg/chain/chain_test.go
@@ -62,6 +62,11 @@
 	if got := g.Calls("sheet"); len(got) != 0 {
 		t.Errorf("calls of sheet: got %v, want none", got)
 	}
+	for kind, want := range map[ident.Kind]bool{"stock": false, "sheet": true, "never seen": false} {
+		if got := g.Leaf(kind); got != want {
+			t.Errorf("%s is known to make no calls: got %t, want %t", kind, got, want)
+		}
+	}
 }
 
 func poisson(rnd *rand.Rand, mean float64) (n int) {
--- a/pkg/chain/graph.go
+++ b/pkg/chain/graph.go
@@ -45,7 +45,7 @@
 	Changed func(kind ident.Kind, calls []Call) // told when a kind begins or ceases to make a call; may be nil; set before Tick
 
 	counts lazy.Map[ident.Kind, count]
-	view   atomic.Pointer[map[ident.Kind][]Call]
+	view   atomic.Pointer[map[ident.Kind][]Call] // has each kind with enough runs
 
 	// Owned by the goroutine that calls Tick.
 	at    time.Time
@@ -139,6 +139,16 @@
 	return nil
 }
 
+// Leaf reports whether a kind of work is known to make no calls.
+func (g *Graph) Leaf(k ident.Kind) bool {
+	v := g.view.Load()
+	if v == nil {
+		return false
+	}
+	calls, known := (*v)[k]
+	return known && len(calls) == 0
+}
+
 // Tick takes in what happened since the last one. Its period should be well below the time that a request
 // runs, since only what changes within that time tells the kinds apart.
 func (g *Graph) Tick(now time.Time) {
@@ -188,6 +198,11 @@
 	}
 	sums := g.sums()
 	view := make(map[ident.Kind][]Call)
+	for kind, total := range sums {
+		if total.runs >= fewRuns {
+			view[g.kinds[kind]] = nil
+		}
+	}
 	for call, total := range sums {
 		if total.calls == 0 {
 			continue
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -28,18 +28,9 @@
 	cost float64
 }
 
-// step returns the number of the step of the window that a time is in; a window has ratioSeconds of them.
-func (b *Budget) step(now time.Time) uint64 {
-	w := b.Window
-	if w <= 0 {
-		w = RatioWindow
-	}
-	return uint64(now.UnixNano()) / (uint64(w) / ratioSeconds)
-}
-
 // Request counts a caller's request to a service.
 func (b *Budget) Request(service ident.Service, now time.Time) {
-	b.services.Of(service).add(b.step(now))
+	b.services.Of(service).add(step(b.Window, now))
 }
 
 // callsShare is the part of the budget that repeats of servers' calls may use. When a service fails a part of
@@ -49,8 +40,8 @@
 // Spend draws the cost of a repeat, which is the number of arrivals that it causes at one service, and
 // reports whether there was enough; inner tells that it is a call of a server.
 func (b *Budget) Spend(cost float64, inner bool, now time.Time) bool {
-	step := b.step(now)
-	allowed := b.Share * float64(b.fewest(step))
+	n := step(b.Window, now)
+	allowed := b.Share * float64(b.fewest(n))
 	if b.Slack != nil {
 		allowed += b.Slack()
 	}
@@ -61,26 +52,26 @@
 	defer b.mu.Unlock()
 	sum := cost
 	for i := range b.spent {
-		if s := &b.spent[i]; step-s.step < ratioSeconds {
+		if s := &b.spent[i]; n-s.step < ratioSeconds {
 			sum += s.cost
 		}
 	}
 	if sum > allowed {
 		return false
 	}
-	s := &b.spent[step%ratioBuckets]
-	if s.step != step {
-		*s = spent{step: step}
+	s := &b.spent[n%ratioBuckets]
+	if s.step != n {
+		*s = spent{step: n}
 	}
 	s.cost += cost
 	return true
 }
 
-// fewest returns the requests in the window to the service that got the fewest.
-func (b *Budget) fewest(step uint64) (n uint64) {
+// fewest returns the requests in the window that ends with a step to the service that got the fewest.
+func (b *Budget) fewest(last uint64) (n uint64) {
 	first := true
 	b.services.Range(func(_ ident.Service, r *ring) {
-		if got := r.sum(step); got > 0 && (first || got < n) {
+		if got := r.sum(last); got > 0 && (first || got < n) {
 			n, first = got, false
 		}
 	})
