--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 GOFILES := $(shell git ls-files -co --exclude-standard '*.go' | grep -v '\.pb\.go$$')
 
-.PHONY: build lint test generate demo measure ablation bench capacity matrix fuzz
+.PHONY: build lint test generate demo measure ablation bench capacity matrix fuzz soak
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -48,3 +48,9 @@
 	$(GO) test ./pkg/rules -run '^$$' -fuzz FuzzDecode -fuzztime 20s
 	$(GO) test ./internal/setup -run '^$$' -fuzz FuzzDecode -fuzztime 20s
 	$(GO) test ./internal/record -run '^$$' -fuzz FuzzDecodeGroup -fuzztime 20s
+
+# Plays one run of the fault soak, or RUNS of them with one seed after the other; reports are in out/soak. See docs/soak.md.
+SEED ?= 1
+RUNS ?= 1
+soak: build
+	./bin/briarfake soak --seed $(SEED) --runs $(RUNS)
