--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -26,8 +26,8 @@
 	maxNews    = 64                     // batches of news that wait; the periodic exchange carries what is over
 	pullSpread = 100 * time.Millisecond // a newer configuration is asked for within this time
 
-	// fanOut is the number of connected nodes that news of others are passed on to. A rumour that each node
-	// passes on to six reaches all but one in 400 of a fleet; the periodic exchange reaches these.
+	// fanOut is the number of connected nodes that news of others are passed on to. News that each node passes
+	// on to six others reach all but one in 400 of a fleet; the periodic exchange reaches these.
 	fanOut = 6
 
 	// lonelyTries bounds what a node without connections tries in one period: when most of a fleet is gone,
--- a/internal/relay/control.go
+++ b/internal/relay/control.go
@@ -21,7 +21,7 @@
 	Graph    *chain.Graph     // of the calls that the own server makes
 	Origins  *chain.Origins   // of the requests that come to the own server
 	Budget   *retry.Budget    // of callers' requests, and of calls that make calls
-	Purse    *retry.Purse     // of calls that make none
+	Quota    *retry.Quota     // of calls that make none
 	Allow    *retry.Allowance // of repeats to the own server
 	Ranks    func() int       // ranks of the configuration
 	Services func() int       // services of the configuration
@@ -31,14 +31,14 @@
 
 // known is what answers told of a kind of work.
 type known struct {
-	inner atomic.Bool
-	leaf  atomic.Bool
-	fan   atomic.Int64 // thousandths
-	usual retry.Usual  // time of a request that began here
+	inner   atomic.Bool
+	leaf    atomic.Bool
+	fan     atomic.Int64  // thousandths
+	latency retry.Latency // time of a request that began here
 }
 
-// usual returns what is known of the time that requests of a kind take.
-func (c *Control) usual(kind ident.Kind) *retry.Usual { return &c.kinds.Of(kind).usual }
+// latency returns what is known of the time that requests of a kind take.
+func (c *Control) latency(kind ident.Kind) *retry.Latency { return &c.kinds.Of(kind).latency }
 
 // fanUnit is the unit in which a fan is kept.
 const fanUnit = 1000
@@ -61,7 +61,7 @@
 func (c *Control) spend(req *call.Request, now time.Time) bool {
 	k := c.kinds.Of(req.Kind)
 	if k.inner.Load() && k.leaf.Load() {
-		return c.Purse.Spend(req.Service, now)
+		return c.Quota.Spend(req.Service, now)
 	}
 	return c.Budget.Spend(c.fan(req.Kind), k.inner.Load(), now)
 }
@@ -108,7 +108,7 @@
 		return
 	}
 	c.Learned.Learn(req.Kind, req.Service, res.Level, now)
-	c.Purse.Learn(req.Service, res.Repeats)
+	c.Quota.Learn(req.Service, res.Repeats)
 	k := c.kinds.Of(req.Kind)
 	if k.inner.Load() != res.Inner {
 		k.inner.Store(res.Inner)
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -29,7 +29,7 @@
 	r.active.Add(1)
 	defer r.active.Add(-1)
 	c.Graph.Call(req.Kind)
-	c.Purse.Call(req.Service, r.Now())
+	c.Quota.Call(req.Service, r.Now())
 	req.Level = c.Graph.Level(req.Kind)
 	return r.spread(ctx, req)
 }
@@ -76,7 +76,7 @@
 			return res
 		})
 		if res.Outcome == reason.Ran || reached(res) {
-			s.made++
+			s.attempts++
 		}
 		if !s.again(ctx, res) {
 			break
@@ -109,7 +109,7 @@
 // final returns what the last result means for the whole request: a server's answer, also an error, goes before
 // a refusal, and a refusal proves nothing about an earlier server that may have run the request.
 func (s *spread) final(last call.Result) call.Result {
-	last.Retries = max(s.made-1, 0)
+	last.Retries = max(s.attempts-1, 0)
 	switch {
 	case last.Outcome == reason.Ran:
 	case s.failure != nil:
@@ -131,12 +131,12 @@
 
 // spread is the state of one request that is offered to several servers.
 type spread struct {
-	relay *Relay
-	req   *call.Request
-	avoid route.Avoid // servers that were tried
-	sent  int         // attempts that may have reached a server
-	doubt bool        // one of these may have run
-	made  int         // attempts that may have reached a server, the last one included
+	relay    *Relay
+	req      *call.Request
+	avoid    route.Avoid // servers that were tried
+	sent     int         // attempts that may have reached a server
+	doubt    bool        // one of these may have run
+	attempts int         // attempts that may have reached a server, the last one included
 
 	failure *call.Result // the error with which a server answered
 }
@@ -148,11 +148,11 @@
 	now := r.Now()
 	own := s.req.Service == r.Self.Service && !s.avoid.Has(r.Self.Server) && r.up() == reason.None
 	free := r.Gate.Free() > 0
-	if own && free && !r.own.Doubtful(now) {
+	if own && free && !r.own.Outlier(now) {
 		return true, nil
 	}
 	p = r.draw(s.req.Service, s.avoid, now)
-	if own && (p == nil || p.Room(now) <= 0 || free && p.Doubtful(now)) {
+	if own && (p == nil || p.Room(now) <= 0 || free && p.Outlier(now)) {
 		return true, nil
 	}
 	return false, p
--- a/internal/relay/forward_test.go
+++ b/internal/relay/forward_test.go
@@ -40,7 +40,7 @@
 		},
 		Control: &Control{
 			Own: &level.Controller{}, Learned: &level.Table{}, Graph: &chain.Graph{}, Origins: &chain.Origins{},
-			Budget: &retry.Budget{Slack: func() float64 { return slack }}, Purse: &retry.Purse{}, Allow: &retry.Allowance{},
+			Budget: &retry.Budget{Slack: func() float64 { return slack }}, Quota: &retry.Quota{}, Allow: &retry.Allowance{},
 			Ranks: func() int { return 1 }, Services: func() int { return 2 },
 		},
 	}
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -34,12 +34,12 @@
 // hedged makes an attempt at a server, and a second one elsewhere when the first takes unusually long; overdue is
 // told of that. A call that takes long speaks against its server long before it ends.
 func (s *spread) hedged(ctx context.Context, overdue func(time.Time), attempt func(context.Context) call.Result) call.Result {
-	usual := s.relay.Control.usual(s.req.Kind)
+	latency := s.relay.Control.latency(s.req.Kind)
 	began := s.relay.Now()
-	after, ok := usual.After()
+	after, ok := latency.Limit()
 	if !ok || after >= s.req.Left(began) {
 		res := attempt(ctx)
-		s.time(usual, &res, began)
+		s.time(latency, &res, began)
 		return res
 	}
 	first, cancel := context.WithCancelCause(ctx)
@@ -56,7 +56,7 @@
 	})
 	res := attempt(first)
 	if timer.Stop() {
-		s.time(usual, &res, began)
+		s.time(latency, &res, began)
 		return res
 	}
 	if good(&res) {
@@ -64,7 +64,7 @@
 	}
 	<-h.done
 	res = h.join(res)
-	s.time(usual, &res, began)
+	s.time(latency, &res, began)
 	return res
 }
 
@@ -81,7 +81,7 @@
 	r := h.s.relay
 	now := r.Now()
 	p := r.draw(h.s.req.Service, h.avoid, now)
-	if p == nil || p.Room(now) <= 0 || p.Doubtful(now) || r.Connected != nil && !r.Connected(p.Member.Address) {
+	if p == nil || p.Room(now) <= 0 || p.Outlier(now) || r.Connected != nil && !r.Connected(p.Member.Address) {
 		return
 	}
 	if !r.Control.spend(h.s.req, now) {
@@ -109,7 +109,7 @@
 		kept, other = h.res, first
 	}
 	h.s.count(other)
-	h.s.made++
+	h.s.attempts++
 	return kept
 }
 
@@ -119,8 +119,8 @@
 }
 
 // time takes in how long a request took that was answered, with a second attempt if one was made.
-func (s *spread) time(usual *retry.Usual, res *call.Result, began time.Time) {
+func (s *spread) time(latency *retry.Latency, res *call.Result, began time.Time) {
 	if good(res) {
-		usual.Add(s.relay.Now().Sub(began))
+		latency.Add(s.relay.Now().Sub(began))
 	}
 }
--- a/internal/relay/hedge_test.go
+++ b/internal/relay/hedge_test.go
@@ -71,7 +71,7 @@
 				}
 			}
 			for range 50 {
-				r.Control.usual("k").Add(usual)
+				r.Control.latency("k").Add(usual)
 			}
 			began := time.Now()
 			req := &call.Request{Kind: "k", Service: "back", Idempotent: true, Attempts: 2, Born: began, Deadline: began.Add(left)}
--- a/internal/side/build.go
+++ b/internal/side/build.go
@@ -131,7 +131,7 @@
 // count requests and members a little differently from each other, and for windows that begin within a second.
 const (
 	budgetShare = 0.45 // callers' requests, and calls that make calls
-	purseShare  = 0.4  // calls that make none
+	quotaShare  = 0.4  // calls that make none
 )
 
 // newControl returns the control of a node; the node sets what depends on its configuration.
@@ -141,7 +141,7 @@
 		Budget: &retry.Budget{Window: s.Retries.Window, Share: s.Retries.Ratio * budgetShare, Slack: func() float64 {
 			return s.Retries.Slack * budgetShare / float64(max(len(r.Table().All()), 1))
 		}},
-		Purse: &retry.Purse{Window: s.Retries.Window, Share: purseShare},
+		Quota: &retry.Quota{Window: s.Retries.Window, Share: quotaShare},
 		Allow: &retry.Allowance{Window: s.Retries.Window, Share: s.Retries.Ratio, Slack: func() float64 {
 			return s.Retries.Slack / float64(max(len(r.Table().Of(s.Service)), 1))
 		}},
--- a/internal/soak/steps.go
+++ b/internal/soak/steps.go
@@ -44,11 +44,11 @@
 	}
 	end := w.Ledger.Begin(s.Kind, m.n, time.Now())
 	defer func() { end(time.Now()) }()
-	w.strike(ctx, m, s)
+	w.inject(ctx, m, s)
 }
 
-// strike does what a step says and returns when it has ended.
-func (w *World) strike(ctx context.Context, m *machine, s Step) {
+// inject does what a step says and returns when it has ended.
+func (w *World) inject(ctx context.Context, m *machine, s Step) {
 	switch s.Kind {
 	case Stop:
 		w.restart(m, syscall.SIGTERM)
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -10,7 +10,7 @@
 
 // Budget is one node's part of the repeats that a whole fleet may make. A repeated request repeats the calls
 // that it makes, and each counts at the service it goes to; since a node does not know which services these
-// are, all repeats draw from one purse, sized by the service that gets the fewest requests. The exported
+// are, all repeats draw from one budget, sized by the service that gets the fewest requests. The exported
 // fields are set before first use; the zero value allows nothing.
 type Budget struct {
 	Window time.Duration  // over which requests and repeats are counted; 0 means RatioWindow
--- a/pkg/retry/usual_test.go
+++ b/pkg/retry/latency_test.go
@@ -8,7 +8,7 @@
 
 // Replays the times of a kind of call. Guards against a limit that calls reach in the usual course, which would
 // send many of them twice, and against one that calls at a silent server never reach in time.
-func TestUsual(t *testing.T) {
+func TestLatency(t *testing.T) {
 	const ms = time.Millisecond
 	tests := map[string]struct {
 		calls  int
@@ -32,16 +32,16 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			rnd := rand.New(rand.NewPCG(1, 2))
-			var u Usual
+			var l Latency
 			beyond := 0
 			for range tt.calls {
 				took := tt.time(rnd)
-				if after, known := u.After(); known && took > after {
+				if after, known := l.Limit(); known && took > after {
 					beyond++
 				}
-				u.Add(took)
+				l.Add(took)
 			}
-			got, known := u.After()
+			got, known := l.Limit()
 			if known != tt.known || known && (got < tt.least || got > tt.most) {
 				t.Errorf("limit: got %v, %t, want %v to %v, %t", got, known, tt.least, tt.most, tt.known)
 			}
--- a/pkg/retry/purse.go
+++ b/pkg/retry/quota.go
@@ -52,18 +52,18 @@
 	return min(allowed/float64(all), 1)
 }
 
-// Purse is one node's part of the repeats of calls that make no calls themselves. Each service's servers tell by
+// Quota is one node's part of the repeats of calls that make no calls themselves. Each service's servers tell by
 // their Allowance how many repeats there may be for an arrival, so that the nodes which make the calls hold the
 // budget for them, and not all nodes of the fleet alike. The exported fields are set before first use; the zero
 // value allows nothing before a rate is learned.
-type Purse struct {
+type Quota struct {
 	Window time.Duration // 0 means RatioWindow
 	Share  float64       // part of the allowed repeats that these calls may use
 
-	services lazy.Map[ident.Service, purse]
+	services lazy.Map[ident.Service, quota]
 }
 
-type purse struct {
+type quota struct {
 	calls, spent ring
 	rate         atomic.Uint64 // float64
 }
@@ -72,19 +72,19 @@
 const rateWeight = 0.1
 
 // Call counts a call to a service that is no repeat.
-func (p *Purse) Call(service ident.Service, now time.Time) {
+func (p *Quota) Call(service ident.Service, now time.Time) {
 	p.services.Of(service).calls.add(step(p.Window, now))
 }
 
 // Learn takes in the rate on an answer; one of two that come at once may be lost.
-func (p *Purse) Learn(service ident.Service, rate float64) {
+func (p *Quota) Learn(service ident.Service, rate float64) {
 	x := p.services.Of(service)
 	old := math.Float64frombits(x.rate.Load())
 	x.rate.Store(math.Float64bits(old + rateWeight*(rate-old)))
 }
 
 // Spend reports whether a call to a service may be repeated now, and counts it if so.
-func (p *Purse) Spend(service ident.Service, now time.Time) bool {
+func (p *Quota) Spend(service ident.Service, now time.Time) bool {
 	x := p.services.Of(service)
 	n := step(p.Window, now)
 	allowed := p.Share * math.Float64frombits(x.rate.Load()) * float64(x.calls.sum(n))
--- a/pkg/retry/purse_test.go
+++ b/pkg/retry/quota_test.go
@@ -7,7 +7,7 @@
 
 // Replays a service of some servers that few nodes call often, while callers' requests come by all nodes. Guards
 // against repeats over the fleet's bound, and against a bound that the nodes which need it cannot use.
-func TestPurse(t *testing.T) {
+func TestQuota(t *testing.T) {
 	const window, ratio, slack = 10, 0.2, 120.0 // s, repeats per request, repeats per window
 	tests := map[string]struct {
 		servers, callers int // servers of the service, nodes that make calls to it
@@ -27,9 +27,9 @@
 			for i := range servers {
 				servers[i] = &Allowance{Share: ratio, Slack: func() float64 { return slack / float64(tt.servers) }}
 			}
-			nodes := make([]*Purse, tt.callers)
+			nodes := make([]*Quota, tt.callers)
 			for i := range nodes {
-				nodes[i] = &Purse{Share: tt.share}
+				nodes[i] = &Quota{Share: tt.share}
 			}
 			spent := 0
 			const seconds = 30
--- a/pkg/route/errs.go
+++ b/pkg/route/errs.go
@@ -15,9 +15,9 @@
 	// errorFactor is by how much a server has to exceed the median of its siblings: when a service further down
 	// fails, all servers answer with errors and none is worse than another one.
 	errorFactor = 2
-	// DoubtTime is for how long a server that stands out gets calls only when the others have no room. After it
-	// the next error brings the doubt back, and successes end it.
-	DoubtTime = time.Second
+	// OutlierTime is for how long a server that stands out gets calls only when the others have no room. After it
+	// the next error makes it one again, and successes end that.
+	OutlierTime = time.Second
 )
 
 // Errors remembers which of the last calls a server failed by its own answer, as with an error or by turning a
@@ -25,7 +25,7 @@
 // checks are good. The zero value is ready, and all methods may be called at the same time.
 type Errors struct {
 	history atomic.Uint32 // the newest call in the lowest bit, 1 is an error
-	until   atomic.Int64  // end of the doubt, ns of Unix time
+	until   atomic.Int64  // end of its time as an outlier, ns of Unix time
 }
 
 // Note adds a call; usual is the median of the errors of the siblings, asked for only when it matters.
@@ -42,7 +42,7 @@
 		n := bits.OnesCount32(next)
 		row := next&(1<<errorRow-1) == 1<<errorRow-1
 		if failed && (row || n >= errorFew) && n > errorFactor*usual() {
-			e.until.Store(now.Add(DoubtTime).UnixNano())
+			e.until.Store(now.Add(OutlierTime).UnixNano())
 		}
 		return
 	}
@@ -51,12 +51,12 @@
 // Count returns the errors among the last calls.
 func (e *Errors) Count() int { return bits.OnesCount32(e.history.Load()) }
 
-// Doubtful reports whether the server stands out by its errors.
-func (e *Errors) Doubtful(now time.Time) bool { return e.doubtful(now.UnixNano()) }
+// Outlier reports whether the server stands out by its errors.
+func (e *Errors) Outlier(now time.Time) bool { return e.outlier(now.UnixNano()) }
 
-func (e *Errors) doubtful(t int64) bool {
+func (e *Errors) outlier(t int64) bool {
 	until := e.until.Load()
-	return t < until && until-t <= int64(DoubtTime)
+	return t < until && until-t <= int64(OutlierTime)
 }
 
 // Overdue counts an error of the peer for a call that takes unusually long and has not ended.
@@ -64,8 +64,8 @@
 	p.state.errors.Note(true, func() int { return p.set.UsualErrors(p) }, now)
 }
 
-// Doubtful reports whether the peer stands out by its errors.
-func (p *Peer) Doubtful(now time.Time) bool { return p.state.errors.Doubtful(now) }
+// Outlier reports whether the peer stands out by its errors.
+func (p *Peer) Outlier(now time.Time) bool { return p.state.errors.Outlier(now) }
 
 // UsualErrors returns the median of the errors of all peers but except, which may be nil; 0 when there are none.
 func (s *Set) UsualErrors(except *Peer) int {
--- a/pkg/route/errs_test.go
+++ b/pkg/route/errs_test.go
@@ -75,26 +75,26 @@
 	}
 }
 
-// Guards against a server that stays in doubt once it answers again.
-func TestDoubtEnds(t *testing.T) {
+// Guards against a server that stays an outlier once it answers again.
+func TestOutlierEnds(t *testing.T) {
 	var e Errors
 	now := start
 	none := func() int { return 0 }
 	for range errorCalls {
 		e.Note(true, none, now)
 	}
-	if !e.Doubtful(now) {
-		t.Error("after errors only: got no doubt, want one")
+	if !e.Outlier(now) {
+		t.Error("after errors only: got no outlier, want one")
 	}
-	now = now.Add(DoubtTime)
-	if e.Doubtful(now) {
-		t.Error("after its time: got a doubt, want none")
+	now = now.Add(OutlierTime)
+	if e.Outlier(now) {
+		t.Error("after its time: got an outlier, want none")
 	}
 	for range errorCalls {
 		e.Note(false, none, now)
 	}
 	e.Note(true, none, now)
-	if e.Doubtful(now) {
-		t.Error("one error among successes: got a doubt, want none")
+	if e.Outlier(now) {
+		t.Error("one error among successes: got an outlier, want none")
 	}
 }
--- a/pkg/route/set.go
+++ b/pkg/route/set.go
@@ -152,12 +152,12 @@
 // ready reports whether the peer may be used without regard to the others of its set, and has room.
 func (p *Peer) ready(t int64, avoid Avoid, rnd uint64) bool {
 	return !p.state.ejected(t) && !(avoid.n > 0 && avoid.Has(p.Member.Server)) &&
-		!p.state.heldBack(t, rnd) && !p.state.errors.doubtful(t) && p.state.roomAt(t) > 0
+		!p.state.heldBack(t, rnd) && !p.state.errors.outlier(t) && p.state.roomAt(t) > 0
 }
 
 // pickAny chooses among all peers by draw; rnd decides which ones are held back, as in pickNear.
 func (s *Set) pickAny(t int64, avoid Avoid, rnd, draw uint64) (*Peer, bool) {
-	var near, far, doubted, full, held choice
+	var near, far, outliers, full, held choice
 	ejected := 0
 	for i, p := range s.peers {
 		// More peers than allowed can be ejected when the set shrank or calls failed at once.
@@ -174,15 +174,15 @@
 			held.add(i, room, stale)
 		case room <= 0:
 			full.add(i, room, stale)
-		case p.state.errors.doubtful(t):
-			doubted.add(i, room, stale)
+		case p.state.errors.outlier(t):
+			outliers.add(i, room, stale)
 		case i < s.near:
 			near.add(i, room, stale)
 		default:
 			far.add(i, room, stale)
 		}
 	}
-	for _, c := range [...]*choice{&near, &far, &doubted, &full, &held} {
+	for _, c := range [...]*choice{&near, &far, &outliers, &full, &held} {
 		if c.n > 0 {
 			return s.peers[c.better(draw)], true
 		}
