--- a/cmd/briarfake/soak.go
+++ b/cmd/briarfake/soak.go
@@ -24,7 +24,7 @@
 	var verbose bool
 	c := &cobra.Command{
 		Use: "soak", Short: "Run real nodes over the emulated platform, inject faults from outside and check the promises",
-		Long: "Starts nodes as processes, strikes them, their connections and the store by a plan that is drawn from the\n" +
+		Long: "Starts nodes as processes, injects faults into them, their connections and the store by a plan that is drawn from the\n" +
 			"seed, and checks what callers and servers see. The report of a run is in its folder. Exits with a status\n" +
 			"other than 0 when a promise did not hold.",
 		Example: "  briarfake soak --seed 7 --runs 1 --for 10s --dir out/soak",
@@ -53,8 +53,8 @@
 	c.Flags().IntVar(&runs, "runs", 1, "runs, each with the next seed")
 	c.Flags().IntVar(&cfg.Nodes, "nodes", 0, "nodes; 0 means the default")
 	c.Flags().IntVar(&cfg.Callers, "callers", 0, "callers beside each node; 0 means the default")
-	c.Flags().DurationVar(&cfg.Span, "for", 0, "time in which faults strike; 0 means the default")
-	c.Flags().BoolVar(&verbose, "verbose", false, "print each fault as it strikes")
+	c.Flags().DurationVar(&cfg.Span, "for", 0, "time in which faults are injected; 0 means the default")
+	c.Flags().BoolVar(&verbose, "verbose", false, "print each fault as it begins")
 	return c
 }
 
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -32,11 +32,11 @@
 	return ln.Addr().String()
 }
 
-// Guards against a proxy that loses or changes bytes, or whose faults do not strike.
+// Guards against a proxy that loses or changes bytes, or whose faults have no effect.
 func TestProxy(t *testing.T) {
 	const short, long = 50 * time.Millisecond, 2 * time.Second
 	tests := map[string]struct {
-		strike func(*Proxy)
+		inject func(*Proxy)
 		within time.Duration
 		want   error // of a read; nil when the echo comes
 		mend   func(*Proxy)
@@ -66,7 +66,7 @@
 			if _, err = io.ReadFull(c, buf); err != nil {
 				t.Fatal(err)
 			}
-			tt.strike(&p)
+			tt.inject(&p)
 			_, _ = io.WriteString(c, "after")
 			_ = c.SetReadDeadline(time.Now().Add(tt.within))
 			_, err = io.ReadFull(c, buf)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -9,7 +9,7 @@
 // Kind is a kind of fault.
 type Kind uint8
 
-// Kinds of faults. Those up to ResetServer strike one node, the others the store or a server.
+// Kinds of faults. Those up to ResetServer affect one node, the others the store or a server.
 const (
 	Stop        Kind = iota // SIGTERM; the process is started again once it has ended
 	Kill                    // SIGKILL; the process is started again
@@ -60,10 +60,10 @@
 	return true
 }
 
-// ofStore reports whether a fault strikes the store, and so all nodes.
+// ofStore reports whether a fault affects the store, and so all nodes.
 func (k Kind) ofStore() bool { return k >= StoreDown && k <= StoreForget }
 
-// ofServer reports whether a fault strikes a server and leaves its node as it is.
+// ofServer reports whether a fault affects a server and leaves its node as it is.
 func (k Kind) ofServer() bool { return k >= Replace && k <= Slow }
 
 // Step is one fault of a plan.
@@ -71,7 +71,7 @@
 	At   time.Duration // after the start of the load
 	For  time.Duration // 0 for a fault that does not last
 	Kind Kind
-	Node int // which one it strikes; of no meaning for the store
+	Node int // which one it affects; of no meaning for the store
 }
 
 // String returns the step as a line of a timeline.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -55,7 +55,7 @@
 
 // Result is what a run has shown.
 type Result struct {
-	Sent, Served int     // while faults struck
+	Sent, Served int     // while faults were injected
 	Recovered    float64 // part that was served once they were over
 	Statuses     map[int]int
 	Breaches     []Breach
--- a/internal/soak/steps.go
+++ b/internal/soak/steps.go
@@ -147,7 +147,7 @@
 	}
 }
 
-// stopped reports whether a pause struck a node lately, so that its stop could not go on.
+// stopped reports whether a node was paused lately, so that its stop could not go on.
 func (w *World) stopped(m *machine) bool {
 	w.Ledger.mu.Lock()
 	defer w.Ledger.mu.Unlock()
