--- a/cmd/briarfake/soak.go
+++ b/cmd/briarfake/soak.go
@@ -9,7 +9,7 @@
 
 	"github.com/spf13/cobra"
 
-	"briarworks.example/briarworks/internal/soak"
+	"briarworks.example/briarworks/platform/soak"
 )
 
 // runLimit bounds one run beyond the time of its faults.
