--- a/internal/peer/delay_test.go
+++ b/internal/peer/delay_test.go
@@ -11,6 +11,17 @@
 	"briarworks.example/briarworks/pkg/reason"
 )
 
+// behind returns a proxy before the called book.
+func (p *pair) behind(t *testing.T) *proxy.Proxy {
+	t.Helper()
+	way := &proxy.Proxy{}
+	if err := way.Start("127.0.0.1:0", string(p.addr())); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(way.Close)
+	return way
+}
+
 // Guards against a call that was held up on its way and is run with the time that it had left when it was sent:
 // its caller has gone by then. Found by the soak with seeds 3 to 8 and 102 to 104.
 func TestHeldUpCall(t *testing.T) {
@@ -30,11 +41,7 @@
 				left <- req.Left(time.Now())
 				return call.Result{Outcome: reason.Ran, Status: 200, Fraction: 1}
 			})
-			var way proxy.Proxy
-			if err := way.Start("127.0.0.1:0", string(p.addr())); err != nil {
-				t.Fatal(err)
-			}
-			defer way.Close()
+			way := p.behind(t)
 			ask := func() {
 				req := &call.Request{Kind: "k", Deadline: time.Now().Add(deadline), Born: time.Now()}
 				p.a.Call(t.Context(), ident.Address(way.Addr()), req)
@@ -62,11 +69,7 @@
 		left <- req.Left(time.Now())
 		return call.Result{Outcome: reason.Ran, Status: 200, Fraction: 1}
 	})
-	var way proxy.Proxy
-	if err := way.Start("127.0.0.1:0", string(p.addr())); err != nil {
-		t.Fatal(err)
-	}
-	defer way.Close()
+	way := p.behind(t)
 	way.Mute(true, false)
 	time.AfterFunc(held, func() { way.Mute(false, false) })
 	ctx, cancel := context.WithTimeout(t.Context(), hangLimit)
