--- a/internal/peer/delay_test.go
+++ b/internal/peer/delay_test.go
@@ -61,7 +61,7 @@
 }
 
 // Guards against a session whose first message was delayed: a later message with the same delay then counts as on
-// time, if no faster one came in between. Seen in the soak with seed 317; see KNOWN-RED.txt.
+// time, if no faster one came in between. Seen in the soak with seed 317.
 func TestHeldUpGreeting(t *testing.T) {
 	const deadline, held = 3 * time.Second, 600 * time.Millisecond
 	remaining := make(chan time.Duration, 1)
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -202,8 +202,36 @@
 	return s, nil
 }
 
-// handshake exchanges Hello messages and stores the identity of the peer.
+// slowHello is the round trip from which a Hello counts as delayed on its way. The peer takes the delay of the fastest
+// message as usual, so a session that begins with a delayed Hello would hide the same delay of a call.
+const slowHello = 100 * time.Millisecond
+
+// maxHellos bounds the Hellos of one session; on a link that is always slow, more of them measure nothing new.
+const maxHellos = 3
+
+// handshake exchanges Hello messages until one has not been delayed, at most maxHellos, and stores the identity of the
+// peer. A later Hello that fails is no error, as the peer is known by then.
 func (tr *Transport) handshake(ctx context.Context, s *session, hello *wirepb.Hello) (err error) {
+	for n := range maxHellos {
+		sent := tr.Now()
+		if n > 0 {
+			hello = tr.helloMessage() // with the present time
+		}
+		if err = tr.exchangeHello(ctx, s, hello); err != nil {
+			if n > 0 && !s.IsClosed() {
+				return nil
+			}
+			return err
+		}
+		if s.oneShot || tr.Now().Sub(sent) < slowHello {
+			return nil
+		}
+	}
+	return nil
+}
+
+// exchangeHello exchanges one pair of Hello messages and stores the identity of the peer.
+func (tr *Transport) exchangeHello(ctx context.Context, s *session, hello *wirepb.Hello) (err error) {
 	st, err := s.OpenStream()
 	if err != nil {
 		return err
