--- a/internal/relay/hedge_test.go
+++ b/internal/relay/hedge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"time"
@@ -54,6 +55,12 @@
 			r, _ := forwarding(10, nil)
 			r.Now = time.Now
 			var mu sync.Mutex
+			source := rand.New(rand.NewPCG(1, 2)) // the first draw admits at every level that the cases set
+			r.Rand = func() uint64 {
+				mu.Lock()
+				defer mu.Unlock()
+				return source.Uint64()
+			}
 			sent := make(map[ident.Address]int)
 			r.Send = func(ctx context.Context, addr ident.Address, _ *call.Request) call.Result {
 				mu.Lock()
