--- a/internal/node/fault_test.go
+++ b/internal/node/fault_test.go
@@ -468,7 +468,11 @@
 	all := a.node.mergedTo.Load()
 	b := syncNode("b")
 	b.Settings = &setup.Settings{Seeds: []ident.Address{"127.0.0.1:1", a.settings.Listen.Peers}}
-	b.Log, b.client, b.Transport = zap.NewNop(), a.node.client, &peer.Transport{Server: "b", Incarnation: 1, Now: time.Now, OnEvent: func(peer.Event) {}, Dial: a.node.Transport.Dial}
+	b.Log, b.client, b.Transport = zap.NewNop(), a.node.client, &peer.Transport{
+		Server: "b", Incarnation: 1, Now: time.Now, OnEvent: func(peer.Event) {}, Dial: a.node.Transport.Dial,
+		// The other node may send its own periodic Sync on the connection that b opens.
+		OnSync: func(ident.Server, *wirepb.Sync) *wirepb.SyncReply { return nil },
+	}
 	defer b.Transport.Close()
 	if got := int64(b.membersStartOffset(f.Context())); got != all {
 		f.Errorf("begin behind a peer: got %d, want %d", got, all)
