--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -139,6 +139,13 @@
 		n.Roster.Leave(s, inc, time.Now())
 	}
 	p.Roster.Changed = n.queueNews
+	var rejects roster.Rejects
+	p.Roster.Rejected = func(m fleet.Member, err error) {
+		n.Stats.CountEvent("entryRejected")
+		if rejects.First(string(m.Server)) {
+			n.Log.Warn("entryRejected", zap.String("key", string(m.Server)), zap.Error(err))
+		}
+	}
 	p.Policy.OnChange = n.onConfig
 	members := applog.NewTail(p.Client, applog.Members, n.onMember)
 	members.PollDelay = memberReadInterval
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -20,9 +20,10 @@
 // Roster is the membership list of one node. Set the exported fields before first use.
 type Roster struct {
 	Self            fleet.Member
-	Retention       time.Duration        // of the log; members not announced for longer are removed
-	AddressesReused bool                 // by the platform: a newer member ends older members at its address
-	Changed         func([]fleet.Member) // called without the lock, with the members that changed; may be nil
+	Retention       time.Duration             // of the log; members not announced for longer are removed
+	AddressesReused bool                      // by the platform: a newer member ends older members at its address
+	Changed         func([]fleet.Member)      // called without the lock, with the members that changed; may be nil
+	Rejected        func(fleet.Member, error) // called with the lock, with a member whose fields are out of bounds; may be nil
 
 	mu       sync.Mutex // held by writers
 	state    fleet.State
@@ -37,13 +38,20 @@
 	}
 }
 
-// Merge merges members read from the log and returns the ones that changed. It does not call Changed:
+// Merge merges members read from the log and returns the ones that changed. A member whose fields are out of bounds is
+// passed to Rejected and ignored, so that it does not spread to other nodes. Merge does not call Changed:
 // the peers read the same log, and forwarding every start of a fleet that starts all at once would
 // take hundreds of kilobytes a second at each node.
 func (r *Roster) Merge(now time.Time, members ...fleet.Member) (changed []fleet.Member) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, m := range members {
+		if err := m.Check(now); err != nil {
+			if r.Rejected != nil {
+				r.Rejected(m, err)
+			}
+			continue
+		}
 		if r.mergeMember(m, now) {
 			changed = append(changed, m)
 			if r.AddressesReused {
--- a/internal/side/node.go
+++ b/internal/side/node.go
@@ -67,6 +67,7 @@
 	self          fleet.Member
 	leaving       bool        // set by Leave
 	loggedLevel   level.Level // last logged level; used by the goroutine of tick only
+	rejects       roster.Rejects
 	membersLoaded atomic.Bool // members were read from the store, or membersTimeout is over
 	stopping      atomic.Bool
 	listener      net.Listener // for other nodes
@@ -128,6 +129,7 @@
 		}
 		return 0
 	}
+	n.Roster.Rejected = func(m fleet.Member, err error) { n.RejectEntry(string(m.Server), err) }
 	n.Transport.OnCall = n.Relay.ServePeer
 	n.Transport.OnSync = n.Gossip.HandleSync
 	n.Transport.OnLeave = func(s ident.Server, inc ident.Incarnation) { n.Roster.Leave(s, inc, time.Now()) }
@@ -321,6 +323,14 @@
 	}
 }
 
+// RejectEntry counts an entry of a server that cannot be used, and logs it when it is the first one with its key.
+func (n *Node) RejectEntry(key string, err error) {
+	n.Stats.CountEvent("entryRejected")
+	if n.rejects.First(key) {
+		n.Log.Warn("entryRejected", zap.String("key", key), zap.Error(err))
+	}
+}
+
 // refute announces the entry of the local server with a higher incarnation when members holds a conflicting one:
 // that of an earlier process, or one that others marked as left because the node was silent.
 func (n *Node) refute(members []fleet.Member, now time.Time) {
