--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -112,11 +112,13 @@
 		Gate: p.Gate, Fractions: p.Fractions, Transport: p.Transport, Backend: p.Backend, Ledger: p.Ledger,
 		refusalLog: withSampling(p.Log), client: p.Client, lostPeers: make(chan lostPeer, maxLostPeers), newsQueue: make(chan []fleet.Member, newsQueueSize),
 	}
+	await := func(ctx context.Context) { n.monitor.Await(ctx, time.Now()) }
+	p.Backend.BeforeSend, p.Transport.BeforeSend = await, await
 	n.keepers = &keepers{node: n, wake: make(chan struct{}, 1)}
 	n.Relay = &relay.Relay{
 		Self: p.Self, Now: time.Now, Rand: mrand.Uint64, NewToken: func() flight.Token { return flight.Token(randomID()) },
 		Rules: p.Policy.Rules, Routes: p.Roster.PeerSet, Run: p.Backend.Run, Send: p.Transport.Call,
-		RefusalSeq: p.Ledger.Seq, OnRetry: p.Stats.Retried, Gate: p.Gate, Fractions: p.Fractions, Flights: &flight.Table{}, MaxInflight: maxInflight,
+		RefusalSeq: p.Ledger.Seq, Stalled: n.monitor.StalledSince, OnRetry: p.Stats.Retried, Gate: p.Gate, Fractions: p.Fractions, Flights: &flight.Table{}, MaxInflight: maxInflight,
 		Once: n.keepers.do, Homes: n.homes,
 	}
 	n.Front = &front.Front{
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,6 +27,7 @@
 	"briarworks.example/briarworks/internal/roster"
 	"briarworks.example/briarworks/internal/server"
 	"briarworks.example/briarworks/internal/setup"
+	"briarworks.example/briarworks/internal/stall"
 	"briarworks.example/briarworks/internal/stats"
 	"briarworks.example/briarworks/pkg/admit"
 	"briarworks.example/briarworks/pkg/audit"
@@ -58,6 +59,7 @@
 	refusalWriter  *applog.Writer
 	flusher        *flush.Flusher
 	stopFlusher    func() // flushes the refusal record
+	monitor        stall.Monitor
 	keepers        *keepers
 	rates          rates
 	startColdOnce  sync.Once // starts the gate with a cold limit at the first configuration
@@ -195,9 +197,12 @@
 	return err
 }
 
-// tick drives the timers of the gate until ctx ends.
+// tick drives the timers of the gate, and records that the process runs, until ctx ends.
 func (n *Node) tick(ctx context.Context) {
-	pause.Every(ctx, tickInterval, func(now time.Time) { n.Gate.Tick(now) })
+	pause.Every(ctx, tickInterval, func(now time.Time) {
+		n.monitor.Beat(now)
+		n.Gate.Tick(now)
+	})
 }
 
 // randomID returns 128 random bits in hexadecimal.
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -36,6 +36,13 @@
 		}
 		return notRunResult(req, why)
 	}
+	if tr.BeforeSend != nil {
+		tr.BeforeSend(ctx)
+	}
+	if ctx.Err() != nil {
+		st.release()
+		return notRunResult(req, contextResult(ctx).Reason)
+	}
 	id := ident.CallID(tr.lastCallID.Add(1))
 	ans, err := tr.exchangeCall(ctx, s, st, id, req)
 	if err == nil {
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -12,6 +12,7 @@
 
 	"github.com/hashicorp/yamux"
 
+	"briarworks.example/briarworks/internal/pause"
 	"briarworks.example/briarworks/internal/wire"
 	"briarworks.example/briarworks/internal/wire/wirepb"
 	"briarworks.example/briarworks/pkg/delay"
@@ -109,6 +110,13 @@
 	}
 }
 
+// A call that was held up on its way, as when its sender was stopped while it wrote, may have been cancelled meanwhile.
+// It is held until what follows it on the connection has been read.
+const (
+	lateCall     = 150 * time.Millisecond // delay from which on a call is held
+	lateCallHold = 30 * time.Millisecond
+)
+
 // handleCall runs a call once and answers on its stream. The answer is retained for Settle until the caller
 // closes the stream or begins the next call on it, either of which confirms that the caller has received the
 // answer. handleCall reports whether a next call has begun.
@@ -120,7 +128,8 @@
 		tr.reportRefused(s, EventMalformed, fmt.Sprintf("call %d arrived before Hello, is a duplicate, or was already settled", m.GetCallId()))
 		return false
 	}
-	req := wire.ToRequest(m, now, s.delays.Delay(delay.Stamp(m.GetSentNs()), tr.clock.stamp(now)))
+	delayed := s.delays.Delay(delay.Stamp(m.GetSentNs()), tr.clock.stamp(now))
+	req := wire.ToRequest(m, now, delayed)
 	ctx, cancel := context.WithDeadline(context.Background(), req.Deadline)
 	defer cancel()
 	closed := make(chan error, 1)
@@ -134,6 +143,9 @@
 		}
 	}()
 	tr.unansweredCalls.Add(1)
+	if delayed > lateCall {
+		pause.For(ctx, lateCallHold)
+	}
 	res := tr.OnCall(ctx, req)
 	ans := wire.FromResult(id.call, &res)
 	tr.calls.complete(id, ans, tr.Now())
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -56,6 +56,7 @@
 	NewestVersion wire.Version // newest protocol version to use; wire.NewestVersion when 0
 	Dial          func(ctx context.Context, addr string) (net.Conn, error)
 	Now           func() time.Time
+	BeforeSend    func(ctx context.Context)                                     // called before a call is sent; may wait until input that could cancel it has been read; may be nil
 	OnEvent       func(Event)                                                   // must not block
 	OnRefused     func(e Event, s ident.Server, remote, what string)            // reports a refused peer or message; may be nil
 	OnCall        func(ctx context.Context, req *call.Request) call.Result      // runs a call of a peer
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -52,7 +52,11 @@
 	}
 	timer := time.AfterFunc(max(after, minHedgeDelay), func() {
 		defer close(h.done)
-		overdue(d.relay.Now())
+		now := d.relay.Now()
+		if stalled := d.relay.Stalled; stalled != nil && stalled(began, now) {
+			return // the delay is that of this process, not of the server
+		}
+		overdue(now)
 		if h.allowed {
 			h.run(second)
 		}
--- a/internal/relay/hedge_test.go
+++ b/internal/relay/hedge_test.go
@@ -46,6 +46,9 @@
 		"overload reported": {answer{slow, ran}, answer{usual, ran}, func(r *Relay, _ *call.Request) {
 			r.Control.RemoteLevels.Learn("k", "back", 0.1, time.Now()) // any level above 0 excludes a second attempt
 		}, reason.Ran, 2 * slow, 1},
+		"this process was stopped": {answer{slow, ran}, answer{usual, ran}, func(r *Relay, _ *call.Request) {
+			r.Stalled = func(since, now time.Time) bool { return now.After(since) }
+		}, reason.Ran, 2 * slow, 1},
 		"large fan-out": {answer{slow, ran}, answer{usual, ran}, func(r *Relay, q *call.Request) {
 			r.Control.learn(q, &call.Result{FanOut: 4}, time.Now())
 		}, reason.Ran, 2 * slow, 1},
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -46,6 +46,8 @@
 	Unavailable func() reason.Refusal
 	// OnRefused is called for each request that is refused before it reaches the local server; may be nil.
 	OnRefused func(req *call.Request, why reason.Refusal)
+	// Stalled reports whether this process did not run for a while between two times; nil if that is not known.
+	Stalled func(since, now time.Time) bool
 	// Connected reports whether a connection to a node is open, and starts one otherwise; may be nil.
 	Connected func(ident.Address) bool
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -49,9 +49,10 @@
 type Client struct {
 	Addr         ident.Address
 	Dial         func(ctx context.Context, network, addr string) (net.Conn, error)
-	Now          func() time.Time // defaults to time.Now
-	OnExtraBytes func()           // called when a connection is closed because the server sent data after a response; may be nil
-	HeaderFormat HeaderFormat     // header format of requests and responses; New sets the Briar-* headers
+	Now          func() time.Time          // defaults to time.Now
+	OnExtraBytes func()                    // called when a connection is closed because the server sent data after a response; may be nil
+	HeaderFormat HeaderFormat              // header format of requests and responses; New sets the Briar-* headers
+	BeforeSend   func(ctx context.Context) // called before a request is sent; may wait until input that could cancel it has been read; may be nil
 	maxConns     atomic.Int32
 	pool         atomic.Pointer[pool]
 }
@@ -127,13 +128,19 @@
 	return c.Now()
 }
 
-// send sends a request on a connection unless its deadline has passed. The deadline is checked again here because
+// send sends a request on a connection unless its deadline or its lease has passed. Both are checked again here because
 // waiting for a connection takes time, and because a process that was suspended may get here before its timers
 // have cancelled the context.
 func (c *Client) send(ctx context.Context, cn *conn, req *call.Request, token flight.Token) (res call.Result, reusable bool) {
+	if c.BeforeSend != nil {
+		c.BeforeSend(ctx)
+	}
 	now := c.now()
-	if req.Remaining(now) <= 0 {
+	switch {
+	case req.Remaining(now) <= 0:
 		return call.Refuse(reason.DeadlinePassed), true
+	case !req.StartBy.IsZero() && !now.Before(req.StartBy):
+		return call.Refuse(reason.LeaseLapsed), true
 	}
 	hr, err := c.newRequest(ctx, req, token, now)
 	if err != nil {
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -418,7 +418,8 @@
 }
 
 // Guards against a request that is sent after its deadline, or with an outdated remaining time, because the process
-// was suspended or waited for a connection between the first deadline check and the send. First seen on
+// was suspended or waited for a connection between the first check and the send; the same for the lease of an
+// at-most-once request, after which another node may run it. First seen on
 // tokachi-hanger trouble-2 --seed 987212269418 as requests sent after their clients had disconnected.
 func TestTimeBeforeSend(t *testing.T) {
 	tests := map[string]struct {
@@ -426,11 +427,14 @@
 		wantReason reason.Refusal
 		wantMin    time.Duration // of the remaining time sent to the server
 		wantMax    time.Duration
+		lease      time.Duration // in which the request may be sent; 0 for no lease
 	}{
-		"at once":              {0, reason.None, 900 * time.Millisecond, time.Second},
-		"most of the time":     {700 * time.Millisecond, reason.None, 200 * time.Millisecond, 300 * time.Millisecond},
-		"beyond the deadline":  {1600 * time.Millisecond, reason.DeadlinePassed, 0, 0},
-		"just at the deadline": {time.Second, reason.DeadlinePassed, 0, 0},
+		"at once":              {0, reason.None, 900 * time.Millisecond, time.Second, 0},
+		"most of the time":     {700 * time.Millisecond, reason.None, 200 * time.Millisecond, 300 * time.Millisecond, 0},
+		"beyond the deadline":  {1600 * time.Millisecond, reason.DeadlinePassed, 0, 0, 0},
+		"just at the deadline": {time.Second, reason.DeadlinePassed, 0, 0, 0},
+		"within the lease":     {100 * time.Millisecond, reason.None, 800 * time.Millisecond, time.Second, 200 * time.Millisecond},
+		"beyond the lease":     {300 * time.Millisecond, reason.LeaseLapsed, 0, 0, 200 * time.Millisecond},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -439,6 +443,9 @@
 			defer c.Close()
 			req, now := request(time.Second)
 			c.Now = func() time.Time { return now.Add(tt.delay) }
+			if tt.lease > 0 {
+				req.StartBy = now.Add(tt.lease)
+			}
 			res := c.Run(t.Context(), req, "token", now)
 			if res.Reason != tt.wantReason || (res.Outcome == reason.NotRun) != (tt.wantReason != reason.None) {
 				t.Errorf("result: got %v %v, want %v", res.Outcome, res.Reason, tt.wantReason)
--- a/internal/side/build.go
+++ b/internal/side/build.go
@@ -15,6 +15,7 @@
 	"briarworks.example/briarworks/internal/roster"
 	"briarworks.example/briarworks/internal/server"
 	"briarworks.example/briarworks/internal/setup"
+	"briarworks.example/briarworks/internal/stall"
 	"briarworks.example/briarworks/internal/stats"
 	"briarworks.example/briarworks/pkg/admit"
 	"briarworks.example/briarworks/pkg/audit"
@@ -42,7 +43,7 @@
 
 // Module provides a Node and its components to fx. It needs a *setup.Sidecar and a *zap.Logger.
 var Module = fx.Module("side",
-	fx.Provide(newSelf, newStats, newFractions, newRoster, newGate, newBackend, newTransport, newGossip, newLedger, newControl, newRelay, New),
+	fx.Provide(newSelf, newMonitor, newStats, newFractions, newRoster, newGate, newBackend, newTransport, newGossip, newLedger, newControl, newRelay, New),
 )
 
 func newSelf(s *setup.Sidecar) fleet.Member {
@@ -52,6 +53,8 @@
 	}
 }
 
+func newMonitor() *stall.Monitor { return &stall.Monitor{} }
+
 func newStats(s *setup.Sidecar) *stats.Stats { return stats.New(s.Server, s.Service) }
 
 func newFractions() *share.Fractions { return &share.Fractions{} }
@@ -67,15 +70,20 @@
 // maxQueueLen bounds the requests that are queued for the local server. Each of them also has a wait limit of its own.
 const maxQueueLen = 512
 
-func newBackend(s *setup.Sidecar) *server.Client { return server.New(s.Backend, defaultConns) }
+func newBackend(s *setup.Sidecar, m *stall.Monitor) *server.Client {
+	c := server.New(s.Backend, defaultConns)
+	c.BeforeSend = func(ctx context.Context) { m.Await(ctx, time.Now()) }
+	return c
+}
 
-func newTransport(self fleet.Member, st *stats.Stats, log *zap.Logger) *peer.Transport {
+func newTransport(self fleet.Member, st *stats.Stats, m *stall.Monitor, log *zap.Logger) *peer.Transport {
 	d := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 2,
 	}}
 	return &peer.Transport{
 		Server: self.Server, Incarnation: self.Incarnation, Now: time.Now,
-		Dial: func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) },
+		BeforeSend: func(ctx context.Context) { m.Await(ctx, time.Now()) },
+		Dial:       func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) },
 		OnEvent: func(e peer.Event) {
 			st.CountEvent(e.String())
 			if e == peer.EventSilent || e == peer.EventLost {
@@ -120,9 +128,10 @@
 	return all
 }
 
-func newRelay(self fleet.Member, r *roster.Roster, t *peer.Transport, c *server.Client, g *admit.Gate, fractions *share.Fractions, ctl *relay.Control, st *stats.Stats, l *audit.Ledger) *relay.Relay {
+func newRelay(self fleet.Member, r *roster.Roster, t *peer.Transport, c *server.Client, g *admit.Gate, fractions *share.Fractions, ctl *relay.Control, st *stats.Stats, l *audit.Ledger, m *stall.Monitor) *relay.Relay {
 	return &relay.Relay{
-		Self: self, Now: time.Now, Rand: mrand.Uint64,
+		Stalled: m.StalledSince,
+		Self:    self, Now: time.Now, Rand: mrand.Uint64,
 		Routes: r.PeerSet, Run: c.Run, Send: t.Call, Connected: t.Connected, RefusalSeq: l.Seq,
 		OnRetry: st.Retried, Gate: g, Fractions: fractions, MaxInflight: maxInflight, Control: ctl,
 	}
--- a/internal/side/node.go
+++ b/internal/side/node.go
@@ -19,6 +19,7 @@
 	"briarworks.example/briarworks/internal/roster"
 	"briarworks.example/briarworks/internal/server"
 	"briarworks.example/briarworks/internal/setup"
+	"briarworks.example/briarworks/internal/stall"
 	"briarworks.example/briarworks/internal/stats"
 	"briarworks.example/briarworks/pkg/admit"
 	"briarworks.example/briarworks/pkg/audit"
@@ -68,6 +69,7 @@
 	leaving       bool        // set by Leave
 	loggedLevel   level.Level // last logged level; used by the goroutine of tick only
 	rejects       roster.Rejects
+	monitor       *stall.Monitor
 	membersLoaded atomic.Bool // members were read from the store, or membersTimeout is over
 	stopping      atomic.Bool
 	listener      net.Listener // for other nodes
@@ -96,6 +98,7 @@
 	Backend   *server.Client
 	Gossip    *gossip.Gossip
 	Ledger    *audit.Ledger
+	Monitor   *stall.Monitor
 }
 
 // New returns a Node and connects its components by their callbacks.
@@ -103,7 +106,7 @@
 	n := &Node{
 		Settings: p.Settings, Log: p.Log, Stats: p.Stats, Roster: p.Roster, Gate: p.Gate, Relay: p.Relay,
 		Transport: p.Transport, Backend: p.Backend, Gossip: p.Gossip, self: p.Self,
-		Publish: func(fleet.Member) {}, Ledger: p.Ledger,
+		Publish: func(fleet.Member) {}, Ledger: p.Ledger, monitor: p.Monitor,
 	}
 	n.Flusher = &flush.Flusher{Ledger: p.Ledger, Lazy: true, StartSpread: firstAppendJitter, StopTimeout: stopAppendTimeout, Failed: func(err error) {
 		n.Stats.CountEvent("refusalsNotWritten")
@@ -206,9 +209,10 @@
 		zap.Int("turnedAway", w.Dropped), zap.Duration("wait", w.Wait), zap.Int32("limit", int32(n.Gate.Limit())))
 }
 
-// tick advances the windows of the gate and of the call graph until ctx ends.
+// tick advances the windows of the gate and of the call graph, and records that the process runs, until ctx ends.
 func (n *Node) tick(ctx context.Context) {
 	pause.Every(ctx, tickInterval, func(now time.Time) {
+		n.monitor.Beat(now)
 		n.Relay.Control.Graph.Tick(now)
 		n.Gate.Tick(now)
 	})
