--- a/internal/fakes/backend.go
+++ b/internal/fakes/backend.go
@@ -165,6 +165,7 @@
 }
 
 func (b *Backend) serveRequest(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(headerToken, r.Header.Get(headerToken))
 	started := b.Now()
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
--- a/internal/server/pool.go
+++ b/internal/server/pool.go
@@ -25,6 +25,7 @@
 	w         *bufio.Writer
 	readLimit int64 // bytes that may still be read; limits the size of response headers
 	keepAlive *atomic.Int64
+	reused    bool // carried a request before
 }
 
 // updateKeepAlive derives the idle timeout from the Keep-Alive header of a response. The node closes an idle
@@ -167,6 +168,7 @@
 }
 
 func (p *pool) putIdle(c *conn, now time.Time) bool {
+	c.reused = true
 	if !p.idle.Put(c, now) {
 		return false
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -25,7 +25,7 @@
 
 // Headers between a node and its backend server.
 const (
-	HeaderToken    = "Briar-Token"       // to the server, which copies it to its downstream calls
+	HeaderToken    = "Briar-Token"       // to the server, which copies it to its response and to its downstream calls
 	HeaderDeadline = "Briar-Deadline-Ms" // to the server: remaining time in milliseconds
 	HeaderNotRun   = "Briar-Not-Run"     // from the server: "true" if it did not run the request
 	HeaderOutcome  = "Briar-Outcome"     // from the server: "unknown" if it does not know whether the request ran
@@ -59,16 +59,26 @@
 
 // HeaderFormat is the header format between a node and its backend server on a platform.
 type HeaderFormat struct {
-	Encode     func(hr *http.Request, req *call.Request, token flight.Token, now time.Time) // adds the headers of a request
-	Decode     func(resp *http.Response, req *call.Request, body []byte) call.Result        // interprets a response
-	Mismatched func(resp *http.Response, req *call.Request) bool                            // reports that a response belongs to another request
+	Encode func(hr *http.Request, req *call.Request, token flight.Token, now time.Time) // adds the headers of a request
+	Decode func(resp *http.Response, req *call.Request, body []byte) call.Result        // interprets a response
+	Owner  func(resp *http.Response, req *call.Request, token flight.Token) Owner       // tells whether a response belongs to the request
 }
 
+// Owner tells to which request a response belongs.
+type Owner uint8
+
+// Values of Owner. A server may send a second copy of a response late, on a connection that carries the next request.
+const (
+	OwnerProven   Owner = iota // the response names the request
+	OwnerUnproven              // the response names no request: accepted as the first one of a connection, which is then closed
+	OwnerOther                 // the response names another request
+)
+
 // New returns a client that opens at most maxConns connections to the server.
 func New(addr ident.Address, maxConns ident.Conns) *Client {
 	d := &net.Dialer{Timeout: dialTimeout}
 	c := &Client{Addr: addr, Dial: d.DialContext, HeaderFormat: HeaderFormat{
-		Encode: encode, Decode: decode, Mismatched: func(*http.Response, *call.Request) bool { return false },
+		Encode: encode, Decode: decode, Owner: ownerByToken,
 	}}
 	c.Resize(maxConns)
 	return c
@@ -116,8 +126,10 @@
 		return transportFailure(ctx, err, false)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
-	res, reusable := c.send(ctx, cn, req, token)
-	p.put(cn, stop() && reusable, c.now())
+	reusable := false
+	defer func() { p.put(cn, stop() && reusable, c.now()) }() // also after a panic, which must not cost a connection slot
+	var res call.Result
+	res, reusable = c.send(ctx, cn, req, token)
 	return res
 }
 
@@ -146,12 +158,12 @@
 	if err != nil {
 		return call.Refuse(reason.BadRequest), true
 	}
-	return c.roundTrip(ctx, cn, hr, req)
+	return c.roundTrip(ctx, cn, hr, req, token)
 }
 
 // roundTrip writes a request, reads its response and reports whether the connection is reusable. Once writing has
 // started, a failure leaves the outcome unknown.
-func (c *Client) roundTrip(ctx context.Context, cn *conn, hr *http.Request, req *call.Request) (res call.Result, reusable bool) {
+func (c *Client) roundTrip(ctx context.Context, cn *conn, hr *http.Request, req *call.Request, token flight.Token) (res call.Result, reusable bool) {
 	if ctx.Err() != nil {
 		return transportFailure(ctx, ctx.Err(), false), false
 	}
@@ -170,10 +182,11 @@
 			return failure, false
 		}
 		cn.updateKeepAlive(resp)
-		if c.HeaderFormat.Mismatched(resp, req) {
+		owner := c.HeaderFormat.Owner(resp, req, token)
+		if owner == OwnerOther || owner == OwnerUnproven && cn.reused {
 			continue // a late duplicate response to an earlier request
 		}
-		return c.HeaderFormat.Decode(resp, req, body), writeErr == nil && !resp.Close
+		return c.HeaderFormat.Decode(resp, req, body), writeErr == nil && !resp.Close && owner == OwnerProven
 	}
 	return call.UnknownOutcome(reason.ServerFailed), false
 }
@@ -242,6 +255,15 @@
 	hr.Header.Set(HeaderCaller, string(req.Caller))
 }
 
+// ownerByToken compares the token that a response repeats with that of the request. On a new connection, one with
+// another token is accepted: it cannot be a copy of an earlier response, and the server may set the header itself.
+func ownerByToken(resp *http.Response, _ *call.Request, token flight.Token) Owner {
+	if resp.Header.Get(HeaderToken) == string(token) {
+		return OwnerProven
+	}
+	return OwnerUnproven
+}
+
 // transportFailure returns the result of a transport error: not run if nothing was sent or the connection was
 // refused, otherwise unknown.
 func transportFailure(ctx context.Context, err error, sent bool) call.Result {
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -17,6 +17,7 @@
 
 	"go.uber.org/goleak"
 
+	"briarworks.example/briarworks/internal/flight"
 	"briarworks.example/briarworks/internal/probe"
 	"briarworks.example/briarworks/pkg/call"
 	"briarworks.example/briarworks/pkg/ident"
@@ -209,7 +210,7 @@
 // Guards against hop-by-hop headers and headers of the inner protocol that are forwarded from the server to the
 // caller, and against caller headers that override those of the node.
 func TestRunHeaders(t *testing.T) {
-	srv := newScriptedServer(t, respond("HTTP/1.1 200 OK\r\nBriar-Token: t\r\nBriar-Outcome: notRun\r\nBriar-Anything: x\r\nIdempotency-Key: k\r\n"+
+	srv := newScriptedServer(t, respond("HTTP/1.1 200 OK\r\nBriar-Token: token\r\nBriar-Outcome: notRun\r\nBriar-Anything: x\r\nIdempotency-Key: k\r\n"+
 		"Connection: X-Hop\r\nX-Hop: 1\r\nKeep-Alive: 5\r\nTrailer: X-Late\r\nX-Kept: yes\r\nTransfer-Encoding: chunked\r\n\r\n"+
 		"2\r\nok\r\n0\r\nX-Late: 1\r\nBriar-Late: 1\r\n\r\n"))
 	c := New(srv.addr, 4)
@@ -252,7 +253,8 @@
 				t.Fatal(err)
 			}
 			var served atomic.Int64
-			srv := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set(HeaderToken, r.Header.Get(HeaderToken))
 				body, _ := io.ReadAll(r.Body)
 				if r.Method != tt.method || string(body) != tt.body || r.ContentLength != tt.length {
 					t.Errorf("request: got %s %q, length %d, want %s %q, length %d", r.Method, body, r.ContentLength, tt.method, tt.body, tt.length)
@@ -291,8 +293,8 @@
 }
 
 // Guards against data that follows a response on a reused connection and becomes the response to the next request,
-// possibly of another caller. Data that arrives after the next request was sent cannot be distinguished from
-// its response, so the second write completes before the next request starts.
+// possibly of another caller. The second write completes before the next request starts, so that it is found before
+// the request is sent; TestLateCopy has data that arrives later.
 func TestExtraAnswer(t *testing.T) {
 	const calls, conns, extra = 400, 4, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra"
 	tests := map[string]struct {
@@ -315,7 +317,7 @@
 					return
 				}
 				defer func() { _ = c.Close() }()
-				head := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(r.URL.Path), r.URL.Path)
+				head := fmt.Sprintf("HTTP/1.1 200 OK\r\nBriar-Token: %s\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get(HeaderToken), len(r.URL.Path), r.URL.Path)
 				if tt.secondWrite {
 					_, _ = io.WriteString(c, head)
 					_, _ = io.WriteString(c, extra)
@@ -411,7 +413,7 @@
 		return
 	}
 	_, _ = io.Copy(io.Discard, req.Body)
-	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nBriar-Token: token\r\nContent-Length: 2\r\n\r\nok")
 	if _, err = r.ReadByte(); err == nil {
 		_ = c.(*net.TCPConn).SetLinger(0)
 	}
@@ -463,3 +465,86 @@
 		})
 	}
 }
+
+// Guards against a panic while a response is interpreted that keeps a connection slot.
+func TestPanicFreesConnection(t *testing.T) {
+	srv := newScriptedServer(t, respond("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+	c := New(srv.addr, 1)
+	defer c.Close()
+	c.HeaderFormat.Decode = func(*http.Response, *call.Request, []byte) call.Result { panic("test") }
+	run := func() (res call.Result) {
+		defer func() { _ = recover() }()
+		req, now := request(longTimeout)
+		return c.Run(t.Context(), req, "token", now)
+	}
+	run()
+	c.HeaderFormat.Decode = decode
+	if got := run(); got.Outcome != reason.Ran {
+		t.Errorf("next request: got %v %v, want ran", got.Outcome, got.Reason)
+	}
+}
+
+// Guards against a second copy of a response that arrives after the next request was sent on the connection and becomes
+// the response to that request, possibly of another caller.
+func TestLateCopy(t *testing.T) {
+	tests := map[string]struct {
+		echo  bool // the server repeats the token in its responses
+		conns int  // connections opened for all requests
+	}{
+		"server repeats the token": {true, 1},
+		"server does not":          {false, 20},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			var conns atomic.Int64
+			var wg sync.WaitGroup
+			wg.Go(func() {
+				for {
+					c, err := ln.Accept()
+					if err != nil {
+						return
+					}
+					conns.Add(1)
+					wg.Go(func() { respondTwice(c, tt.echo) })
+				}
+			})
+			client := New(ident.Address(ln.Addr().String()), 1)
+			for i := range 20 {
+				req, now := request(longTimeout)
+				req.Path = fmt.Sprint("/", i)
+				if res := client.Run(t.Context(), req, flight.Token(fmt.Sprint("t", i)), now); res.Outcome != reason.Ran || string(res.Body) != req.Path {
+					t.Errorf("request %d: got %v %q, want its own response", i, res.Outcome, res.Body)
+				}
+			}
+			if got, want := int(conns.Load()), tt.conns; got != want {
+				t.Errorf("connections: got %d, want %d", got, want)
+			}
+			client.Close()
+			_ = ln.Close()
+			wg.Wait()
+		})
+	}
+}
+
+// respondTwice responds to each request of a connection, after a second copy of the response to the request before it.
+func respondTwice(c net.Conn, echo bool) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for last := ""; ; {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		token := ""
+		if echo {
+			token = "Briar-Token: " + req.Header.Get(HeaderToken) + "\r\n"
+		}
+		text := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", token, len(req.URL.Path), req.URL.Path)
+		_, _ = io.WriteString(c, last+text)
+		last = text
+	}
+}
