--- a/internal/applog/tail.go
+++ b/internal/applog/tail.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"briarworks.example/briarworks/internal/guard"
 	"briarworks.example/briarworks/internal/pause"
 	"briarworks.example/briarworks/internal/record"
 	"briarworks.example/briarworks/internal/record/recpb"
@@ -53,6 +54,9 @@
 	// CaughtUp is called with the next offset after each read that reached the end of the stream, when all records
 	// before that offset have been handled; it may be nil.
 	CaughtUp func(next ident.Offset)
+	// Guard reports panics of Handle. A Tail without one does not contain them: a reader whose state must follow every
+	// record, such as that of at-most-once keys, must not go on without one.
+	Guard *guard.Guard
 	// Skipped is called with the offset of each append that cannot be decoded; it may be nil.
 	Skipped func(at ident.Offset)
 	// Now returns the current time; time.Now when nil.
@@ -173,6 +177,14 @@
 	}
 }
 
+// handle handles one record, and contains a panic if there is a Guard.
+func (t *Tail) handle(e Entry) {
+	if t.Guard != nil {
+		defer t.Guard.Recover("record", nil)
+	}
+	t.Handle(e)
+}
+
 // handleGroup decodes one append and handles the records whose ids are new.
 func (t *Tail) handleGroup(raw RawAppend) {
 	recs, err := record.DecodeGroup(raw.Data)
@@ -185,7 +197,7 @@
 	at := time.Unix(0, raw.AtUnixNs)
 	for i, r := range recs {
 		if t.seen.add(r.GetId()) {
-			t.Handle(Entry{Offset: raw.Offset, Index: i, At: at, Record: r})
+			t.handle(Entry{Offset: raw.Offset, Index: i, At: at, Record: r})
 		}
 	}
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -14,6 +14,7 @@
 	"github.com/gin-gonic/gin"
 
 	"briarworks.example/briarworks/internal/flight"
+	"briarworks.example/briarworks/internal/guard"
 	"briarworks.example/briarworks/internal/relay"
 	"briarworks.example/briarworks/internal/server"
 	"briarworks.example/briarworks/pkg/call"
@@ -56,15 +57,18 @@
 	heldBytes atomic.Int64 // buffered request bodies of outside callers
 }
 
-// Engine returns a gin engine that runs handle for every method and path, and recovers from its panics.
-func Engine(handle gin.HandlerFunc) http.Handler {
+// Engine returns a gin engine that runs handle for every method and path. A panic of handle is reported to g and
+// answered as an unknown outcome.
+func Engine(handle gin.HandlerFunc, g *guard.Guard) http.Handler {
 	gin.SetMode(gin.ReleaseMode)
 	e := gin.New()
-	e.Use(gin.CustomRecoveryWithWriter(io.Discard, func(c *gin.Context, _ any) {
-		res := call.UnknownOutcome(reason.Internal)
-		writeResult(c, &res)
-	}))
-	e.NoRoute(handle)
+	e.NoRoute(func(c *gin.Context) {
+		defer g.Recover("caller", func() {
+			res := call.UnknownOutcome(reason.Internal)
+			writeResult(c, &res)
+		})
+		handle(c)
+	})
 	return e
 }
 
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -115,13 +115,13 @@
 		NewKey:    func() ident.Key { return ident.Key(token()) },
 		OnFailure: func(event FailureEvent) { r.refusals <- event }, OnServed: func(ident.Kind, time.Duration) {},
 	}
-	r.port = NewPort(Engine(r.front.ServeCaller), 64, r.front.ReportMalformed)
+	r.port = NewPort(Engine(r.front.ServeCaller, nil), 64, r.front.ReportMalformed)
 	r.callers = serveListener(t, r.port.Server, r.port.Serve)
-	brief := NewPort(Engine(r.front.ServeCaller), 64, r.front.ReportMalformed)
+	brief := NewPort(Engine(r.front.ServeCaller, nil), 64, r.front.ReportMalformed)
 	brief.Server.ReadTimeout = shortRead
 	brief.Server.ReadHeaderTimeout = waitLimit
 	r.briefCallers = serveListener(t, brief.Server, brief.Serve)
-	local := NewPort(Engine(r.front.ServeLocal), 64, r.front.ReportMalformed)
+	local := NewPort(Engine(r.front.ServeLocal, nil), 64, r.front.ReportMalformed)
 	r.local = serveListener(t, local.Server, local.Serve)
 	return r
 }
@@ -339,7 +339,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			r := newTestNode(t, http.HandlerFunc(echoHandler))
-			p := NewPort(Engine(r.front.ServeCaller), 64, r.front.ReportMalformed)
+			p := NewPort(Engine(r.front.ServeCaller, nil), 64, r.front.ReportMalformed)
 			p.Server.ReadHeaderTimeout = shortHeader
 			ready := make(chan struct{}) // closed when the bytes were sent, so that the port accepts then
 			addr := serveListener(t, p.Server, func(ln net.Listener) error {
@@ -567,7 +567,7 @@
 		in.Add(-1)
 		c.Header("Connection", "close")
 		c.String(http.StatusOK, "ok")
-	}), bound, nil)
+	}, nil), bound, nil)
 	addr := serveListener(t, p.Server, p.Serve)
 	var conns []net.Conn
 	for range callers {
--- a/internal/front/path_test.go
+++ b/internal/front/path_test.go
@@ -143,7 +143,7 @@
 	near, far = newPathNode(b, "shop", snap), newPathNode(b, "stock", snap)
 	near.roster.Apply(time.Now(), far.member)
 	ln := listenLocal(b)
-	port := NewPort(Engine(handle(near)), 64, nil)
+	port := NewPort(Engine(handle(near), nil), 64, nil)
 	go func() { _ = port.Serve(ln) }()
 	b.Cleanup(func() { _ = port.Server.Close() })
 	return near, far, "http://" + ln.Addr().String() + "/stock/work"
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"briarworks.example/briarworks/internal/guard"
 	"briarworks.example/briarworks/internal/pause"
 	"briarworks.example/briarworks/internal/peer"
 	"briarworks.example/briarworks/internal/roster"
@@ -49,6 +50,7 @@
 	Seeds     []ident.Address // tried while there is no connection
 	Config    func() Config   // returns the one in force; version 0 if there is none
 	Adopt     func(Config)    // receives a configuration from another node
+	Guard     *guard.Guard    // reports panics of single exchanges; may be nil
 
 	newsQueue      chan []fleet.Member
 	versionChanged chan struct{}      // signals a new configuration version
@@ -187,11 +189,16 @@
 		if !pause.For(ctx, time.Duration(mrand.Int64N(int64(pullMaxDelay)))) {
 			return
 		}
-		syncCtx, cancel := context.WithTimeout(ctx, syncTimeout)
-		if _, reply, err := g.Transport.SyncTo(syncCtx, addr, g.summary()); err == nil {
-			g.merge(reply.GetMembers(), reply.GetConfig())
-		}
-		cancel()
+		g.Guard.Run("pull", func() { g.pull(ctx, addr) })
+	}
+}
+
+// pull requests the state of another node.
+func (g *Gossip) pull(ctx context.Context, addr ident.Address) {
+	syncCtx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	if _, reply, err := g.Transport.SyncTo(syncCtx, addr, g.summary()); err == nil {
+		g.merge(reply.GetMembers(), reply.GetConfig())
 	}
 }
 
@@ -214,11 +221,11 @@
 		case <-ctx.Done():
 			return
 		case members := <-g.newsQueue:
-			g.broadcastNews(ctx, members)
+			g.Guard.Run("news", func() { g.broadcastNews(ctx, members) })
 		case <-g.versionChanged:
-			g.broadcastNews(ctx, nil)
+			g.Guard.Run("news", func() { g.broadcastNews(ctx, nil) })
 		case <-timer.C:
-			g.syncOnce(ctx)
+			g.Guard.Run("sync", func() { g.syncOnce(ctx) })
 			timer.Reset(g.nextSyncDelay())
 		}
 	}
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -15,6 +15,7 @@
 	"briarworks.example/briarworks/internal/flight"
 	"briarworks.example/briarworks/internal/flush"
 	"briarworks.example/briarworks/internal/front"
+	"briarworks.example/briarworks/internal/guard"
 	"briarworks.example/briarworks/internal/peer"
 	"briarworks.example/briarworks/internal/policy"
 	"briarworks.example/briarworks/internal/relay"
@@ -112,13 +113,15 @@
 		Gate: p.Gate, Fractions: p.Fractions, Transport: p.Transport, Backend: p.Backend, Ledger: p.Ledger,
 		refusalLog: withSampling(p.Log), client: p.Client, lostPeers: make(chan lostPeer, maxLostPeers), newsQueue: make(chan []fleet.Member, newsQueueSize),
 	}
+	n.Guard = &guard.Guard{OnPanic: n.reportPanic}
+	p.Transport.Guard = n.Guard
 	await := func(ctx context.Context) { n.monitor.Await(ctx, time.Now()) }
 	p.Backend.BeforeSend, p.Transport.BeforeSend = await, await
 	n.keepers = &keepers{node: n, wake: make(chan struct{}, 1)}
 	n.Relay = &relay.Relay{
 		Self: p.Self, Now: time.Now, Rand: mrand.Uint64, NewToken: func() flight.Token { return flight.Token(randomID()) },
 		Rules: p.Policy.Rules, Routes: p.Roster.PeerSet, Run: p.Backend.Run, Send: p.Transport.Call,
-		RefusalSeq: p.Ledger.Seq, Stalled: n.monitor.StalledSince, OnRetry: p.Stats.Retried, Gate: p.Gate, Fractions: p.Fractions, Flights: &flight.Table{}, MaxInflight: maxInflight,
+		RefusalSeq: p.Ledger.Seq, Stalled: n.monitor.StalledSince, Guard: n.Guard, OnRetry: p.Stats.Retried, Gate: p.Gate, Fractions: p.Fractions, Flights: &flight.Table{}, MaxInflight: maxInflight,
 		Once: n.keepers.do, Homes: n.homes,
 	}
 	n.Front = &front.Front{
@@ -150,7 +153,7 @@
 	}
 	p.Policy.OnChange = n.onConfig
 	members := applog.NewTail(p.Client, applog.Members, n.onMember)
-	members.PollDelay = memberReadInterval
+	members.PollDelay, members.Guard = memberReadInterval, n.Guard
 	members.CaughtUp = func(next ident.Offset) {
 		n.mergePending()
 		n.mergedTo.Store(int64(next))
@@ -159,6 +162,7 @@
 	n.members.startOffset = n.membersStartOffset
 	feed := &config.Feed{Start: p.Policy.Start, Next: p.Policy.Next, Apply: p.Policy.Apply}
 	configs := config.NewTail(p.Client, feed)
+	configs.Guard = n.Guard
 	configs.PageSize = configPage
 	n.config = newStream(p.Client, applog.Config, configs, p.Policy.Activate)
 	n.config.startOffset = func(ctx context.Context) ident.Offset {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"briarworks.example/briarworks/internal/applog"
 	"briarworks.example/briarworks/internal/flush"
 	"briarworks.example/briarworks/internal/front"
+	"briarworks.example/briarworks/internal/guard"
 	"briarworks.example/briarworks/internal/peer"
 	"briarworks.example/briarworks/internal/policy"
 	"briarworks.example/briarworks/internal/relay"
@@ -51,6 +52,7 @@
 	Transport *peer.Transport
 	Backend   *server.Client
 	Ledger    *audit.Ledger
+	Guard     *guard.Guard // reports panics of single requests and exchanges
 
 	refusalLog     *zap.Logger // sampled
 	client         *applog.Client
@@ -113,6 +115,14 @@
 	return nil
 }
 
+// reportPanic counts and logs a panic that was contained.
+func (n *Node) reportPanic(where string, value any, stack []byte) {
+	n.Stats.CountEvent("panicContained")
+	if stack != nil {
+		n.Log.Error("panicContained", zap.String("where", where), zap.Any("value", value), zap.ByteString("stack", stack))
+	}
+}
+
 // spawn runs f in a goroutine that Stop waits for.
 func (n *Node) spawn(f func()) { n.wg.Go(f) }
 
@@ -132,9 +142,9 @@
 		addr ident.Address
 		*front.Port
 	}{
-		{listen.Local, front.NewPort(front.Engine(n.Front.ServeLocal), maxConns, n.Front.ReportMalformed)},
+		{listen.Local, front.NewPort(front.Engine(n.Front.ServeLocal, n.Guard), maxConns, n.Front.ReportMalformed)},
 		{listen.Operator, front.NewPort(admin.Handler(n.Stats.Handler, n.status, n.inForce), maxOperatorConns, nil)},
-		{listen.Callers, front.NewPort(front.Engine(n.Front.ServeCaller), maxConns, n.Front.ReportMalformed)},
+		{listen.Callers, front.NewPort(front.Engine(n.Front.ServeCaller, n.Guard), maxConns, n.Front.ReportMalformed)},
 	}
 	for _, p := range ports {
 		ln, err := net.Listen("tcp", string(p.addr))
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -163,25 +163,30 @@
 func (n *Node) runSync(ctx context.Context) {
 	n.joinBySeeds(ctx)
 	pause.Every(ctx, syncInterval, func(now time.Time) {
-		n.Roster.Expire(now)
-		n.Transport.PruneLinks(n.activeAddresses())
-		syncCtx, cancel := context.WithTimeout(ctx, syncTimeout)
-		defer cancel()
-		from, reply := n.Transport.Sync(syncCtx, n.summary())
-		if n.Transport.SessionCount() == 0 {
-			from, reply = n.reconnect(syncCtx)
-		}
-		if reply == nil {
-			return
-		}
-		if addr, ok := n.activeAddress(from); ok {
-			n.sendMissing(syncCtx, addr, from, reply)
-			return
-		}
-		n.onReply(from, reply)
+		n.Guard.Run("sync", func() { n.syncOnce(ctx, now) })
 	})
 }
 
+// syncOnce compares state with one connected peer, or without connections with the first member that replies.
+func (n *Node) syncOnce(ctx context.Context, now time.Time) {
+	n.Roster.Expire(now)
+	n.Transport.PruneLinks(n.activeAddresses())
+	syncCtx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	from, reply := n.Transport.Sync(syncCtx, n.summary())
+	if n.Transport.SessionCount() == 0 {
+		from, reply = n.reconnect(syncCtx)
+	}
+	if reply == nil {
+		return
+	}
+	if addr, ok := n.activeAddress(from); ok {
+		n.sendMissing(syncCtx, addr, from, reply)
+		return
+	}
+	n.onReply(from, reply)
+}
+
 // reconnect syncs with the first of a few random members that replies. An idle node opens no connections for
 // requests, and without a connection it would miss all updates while it cannot reach the log.
 func (n *Node) reconnect(ctx context.Context) (from ident.Server, reply *wirepb.SyncReply) {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -11,6 +11,7 @@
 
 	"github.com/samber/oops"
 
+	"briarworks.example/briarworks/internal/guard"
 	"briarworks.example/briarworks/internal/wire"
 	"briarworks.example/briarworks/internal/wire/wirepb"
 	"briarworks.example/briarworks/pkg/ident"
@@ -105,7 +106,7 @@
 	defer tr.wg.Done()
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	s, err := tr.dial(ctx, l.addr)
+	s, err := guard.Call(tr.Guard, "dial", func() (*session, error) { return tr.dial(ctx, l.addr) })
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	live := l.liveSession()
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -545,3 +545,22 @@
 	_ = p.lastValve().Close()
 	waitUntil(t, "the loss is told on both sides", func() bool { return lost.Load() == 2 })
 }
+
+// Guards against a panic of one call that ends the process or other calls of the session, or that leaves its caller
+// waiting.
+func TestPanicEndsOneCall(t *testing.T) {
+	p := newPair(t, func(_ context.Context, req *call.Request) call.Result {
+		if req.Path == "/panic" {
+			panic("test")
+		}
+		return call.Result{Outcome: reason.Ran, Status: 200, AdmittedFraction: 1}
+	})
+	bad := newRequest(hangTimeout)
+	bad.Path = "/panic"
+	if got := p.caller.Call(t.Context(), p.calledAddr(), bad); got.Outcome != reason.Unknown || got.Reason != reason.Internal {
+		t.Errorf("panic: got %v %v, want unknown, internal", got.Outcome, got.Reason)
+	}
+	if got := p.caller.Call(t.Context(), p.calledAddr(), newRequest(hangTimeout)); got.Outcome != reason.Ran {
+		t.Errorf("next call: got %v, want ran", got.Outcome)
+	}
+}
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -15,8 +15,10 @@
 	"briarworks.example/briarworks/internal/pause"
 	"briarworks.example/briarworks/internal/wire"
 	"briarworks.example/briarworks/internal/wire/wirepb"
+	"briarworks.example/briarworks/pkg/call"
 	"briarworks.example/briarworks/pkg/delay"
 	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/reason"
 )
 
 // errUnexpectedMessage reports a message that the protocol does not allow at this point.
@@ -44,6 +46,7 @@
 
 // serveStream handles one stream: a request of the peer and its reply, and further calls if the stream is reused.
 func (tr *Transport) serveStream(s *session, st *yamux.Stream) {
+	defer tr.Guard.Recover("stream", nil)
 	defer func() { _ = st.Close() }()
 	r := wire.NewReader(st)
 	defer wire.FreeReader(r)
@@ -146,7 +149,7 @@
 	if delayed > lateCall {
 		pause.For(ctx, lateCallHold)
 	}
-	res := tr.OnCall(ctx, req)
+	res := tr.runCall(ctx, req)
 	ans := wire.FromResult(id.call, &res)
 	tr.calls.complete(id, ans, tr.Now())
 	tr.writeReply(st, &wirepb.Envelope{Body: &wirepb.Envelope_Answer{Answer: ans}})
@@ -166,6 +169,12 @@
 	return more
 }
 
+// runCall runs a call of a peer. A panic ends the call, whose outcome is then unknown.
+func (tr *Transport) runCall(ctx context.Context, req *call.Request) (res call.Result) {
+	defer tr.Guard.Recover("call", func() { res = call.UnknownOutcome(reason.Internal) })
+	return tr.OnCall(ctx, req)
+}
+
 // handleSettle replies with the state of calls, after waiting for those that still run. A call that is not
 // known is barred from running later.
 func (tr *Transport) handleSettle(s *session, st *yamux.Stream, r *bufio.Reader, m *wirepb.Settle) {
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -11,6 +11,7 @@
 
 	"github.com/samber/oops"
 
+	"briarworks.example/briarworks/internal/guard"
 	"briarworks.example/briarworks/internal/pause"
 	"briarworks.example/briarworks/internal/wire"
 	"briarworks.example/briarworks/internal/wire/wirepb"
@@ -63,6 +64,7 @@
 	OnLeave       func(server ident.Server, inc ident.Incarnation)              // reports that a peer is leaving
 	OnSync        func(from ident.Server, m *wirepb.Sync) *wirepb.SyncReply     // answers a Sync message of a peer; no reply is sent for nil
 	OnLost        func(server ident.Server, inc ident.Incarnation, silent bool) // reports that a session with a peer ended; may be nil
+	Guard         *guard.Guard                                                  // reports panics of single calls and exchanges; may be nil
 
 	clock           clock
 	lastCallID      atomic.Uint64
@@ -318,11 +320,13 @@
 	var wg sync.WaitGroup
 	for _, s := range all {
 		wg.Go(func() {
-			from, r := tr.syncWith(ctx, s, m)
-			if r == nil {
-				from, _ = s.peer()
-			}
-			take(from, r)
+			tr.Guard.Run("reply", func() {
+				from, r := tr.syncWith(ctx, s, m)
+				if r == nil {
+					from, _ = s.peer()
+				}
+				take(from, r)
+			})
 		})
 	}
 	wg.Wait()
--- a/internal/pipe/conn.go
+++ b/internal/pipe/conn.go
@@ -288,8 +288,12 @@
 func (c *conn) handle(x *exchange) {
 	defer c.handlers.Done()
 	defer close(x.done)
+	defer c.server.heldBytes.Add(-x.bodySize)
+	defer c.server.Guard.Recover("caller", func() {
+		// The handler may have run the request, so the answer promises nothing.
+		x.reply = reply{status: http.StatusBadGateway}
+	})
 	c.server.Handler.ServeHTTP(&x.reply, x.req)
-	c.server.heldBytes.Add(-x.bodySize)
 }
 
 // writeLoop writes the responses in the order of the requests.
--- a/internal/pipe/pipe_test.go
+++ b/internal/pipe/pipe_test.go
@@ -209,3 +209,25 @@
 		t.Errorf("buffered bytes after the last response: got %d, want 0", got)
 	}
 }
+
+// Guards against a panic of one request that ends the process, holds up the requests behind it on its connection, or
+// promises that its request has not run.
+func TestPanicEndsOneRequest(t *testing.T) {
+	s, addr := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/panic" {
+			panic("test")
+		}
+		_, _ = io.WriteString(w, "answer")
+	})
+	c, r := dialServer(t, addr)
+	writeString(t, c, "POST /panic HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody"+"GET /x HTTP/1.1\r\nHost: a\r\n\r\n")
+	if resp, _ := readResponse(t, r); resp.StatusCode != http.StatusBadGateway {
+		t.Errorf("status of the panic: got %d, want %d", resp.StatusCode, http.StatusBadGateway)
+	}
+	if resp, body := readResponse(t, r); resp.StatusCode != http.StatusOK || body != "answer" {
+		t.Errorf("next response: got %d %q, want 200 with its answer", resp.StatusCode, body)
+	}
+	if got := s.heldBytes.Load(); got != 0 {
+		t.Errorf("bytes held: got %d, want 0", got)
+	}
+}
--- a/internal/pipe/server.go
+++ b/internal/pipe/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/samber/oops"
 
+	"briarworks.example/briarworks/internal/guard"
 	"briarworks.example/briarworks/internal/pause"
 	"briarworks.example/briarworks/pkg/ident"
 )
@@ -40,6 +41,7 @@
 	Limits    func() Limits                   // called for each request
 	MaxConns  int                             // maximum number of open connections; further ones wait to be accepted
 	OnRefused func(remote string, status int) // called when a request could not be read, with its HTTP status; may be nil
+	Guard     *guard.Guard                    // reports panics of single requests; may be nil
 
 	heldBytes atomic.Int64 // buffered request bodies
 	draining  atomic.Bool
--- a/internal/relay/lease_test.go
+++ b/internal/relay/lease_test.go
@@ -102,3 +102,17 @@
 		}
 	}
 }
+
+// Guards against a panic while a request runs that keeps its place at the gate, after which the server would seem full.
+func TestPanicFreesSlot(t *testing.T) {
+	r := newRelay(func(context.Context, *call.Request) call.Result { panic("test") })
+	for range 20 {
+		res := r.admitAndRun(t.Context(), request("k", func(*call.Request) {}))
+		if res.Outcome != reason.Unknown || res.Reason != reason.Internal {
+			t.Fatalf("result: got %v %v, want unknown, internal", res.Outcome, res.Reason)
+		}
+	}
+	if got := r.Gate.Inflight(); got != 0 {
+		t.Errorf("running: got %d, want 0", got)
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"briarworks.example/briarworks/internal/flight"
+	"briarworks.example/briarworks/internal/guard"
 	"briarworks.example/briarworks/pkg/admit"
 	"briarworks.example/briarworks/pkg/call"
 	"briarworks.example/briarworks/pkg/fleet"
@@ -51,6 +52,7 @@
 	// Connected reports whether a connection to a node is open, and starts one otherwise; may be nil.
 	Connected func(ident.Address) bool
 
+	Guard       *guard.Guard // reports panics of single requests; may be nil
 	Gate        *admit.Gate
 	Fractions   *share.Fractions
 	Flights     *flight.Table
@@ -286,7 +288,7 @@
 	r.Control.recordStart(req)
 	res := call.Refuse(reason.LeaseLapsed)
 	if req.StartBy.IsZero() || start.Before(req.StartBy) {
-		res = r.Run(ctx, req, f.Token, start)
+		res = r.runContained(ctx, req, f.Token, start)
 	}
 	if r.NewToken != nil {
 		r.Flights.Remove(f)
@@ -304,6 +306,13 @@
 	return r.annotate(req, res, f.RetryPool.Left())
 }
 
+// runContained sends a request to the local backend server. A panic ends the request, whose outcome is then unknown, and
+// leaves its place at the gate to be freed.
+func (r *Relay) runContained(ctx context.Context, req *call.Request, token flight.Token, now time.Time) (res call.Result) {
+	defer r.Guard.Recover("run", func() { res = call.UnknownOutcome(reason.Internal) })
+	return r.Run(ctx, req, token, now)
+}
+
 // annotate adds the feedback for the calling node to a result.
 func (r *Relay) annotate(req *call.Request, res call.Result, left ident.Tokens) call.Result {
 	now := r.Now()
--- a/internal/side/node.go
+++ b/internal/side/node.go
@@ -13,6 +13,7 @@
 
 	"briarworks.example/briarworks/internal/flush"
 	"briarworks.example/briarworks/internal/gossip"
+	"briarworks.example/briarworks/internal/guard"
 	"briarworks.example/briarworks/internal/pause"
 	"briarworks.example/briarworks/internal/peer"
 	"briarworks.example/briarworks/internal/relay"
@@ -55,6 +56,7 @@
 	Backend   *server.Client
 	Gossip    *gossip.Gossip
 
+	Guard   *guard.Guard                            // reports panics of single requests and exchanges
 	Decode  func(text []byte) (*match.Table, error) // decodes a configuration in the platform's format
 	Publish func(fleet.Member)                      // writes the member entry of the local server to the store; must not block
 
@@ -112,6 +114,8 @@
 		n.Stats.CountEvent("refusalsNotWritten")
 		n.Log.Warn("refusalsNotWritten", zap.Error(err))
 	}}
+	n.Guard = &guard.Guard{OnPanic: n.reportPanic}
+	n.Relay.Guard, n.Transport.Guard, n.Gossip.Guard = n.Guard, n.Guard, n.Guard
 	n.self.Left = true // until the local server reports that it is ready
 	n.serverState.Store(&life.State{})
 	n.Relay.Unavailable = n.unavailable
@@ -152,6 +156,14 @@
 	return n
 }
 
+// reportPanic counts and logs a panic that was contained.
+func (n *Node) reportPanic(where string, value any, stack []byte) {
+	n.Stats.CountEvent("panicContained")
+	if stack != nil {
+		n.Log.Error("panicContained", zap.String("where", where), zap.Any("value", value), zap.ByteString("stack", stack))
+	}
+}
+
 // Start listens for other nodes and starts the goroutines of the node. It fails when the port cannot be opened.
 func (n *Node) Start(context.Context) (err error) {
 	defer func() { err = oops.Wrapf(err, "side: start") }()
@@ -321,7 +333,7 @@
 	n.Gossip.QueueNews(members)
 	for _, m := range members {
 		if m.Server == n.Settings.Server {
-			go n.refute(members, time.Now()) // the caller may hold n.mu
+			go n.Guard.Run("refute", func() { n.refute(members, time.Now()) }) // the caller may hold n.mu
 			return
 		}
 	}
