--- a/Makefile
+++ b/Makefile
@@ -43,11 +43,16 @@
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem -cpu 1,10 ./pkg/...
 
-# Looks for inputs that break a decoder, 20 s each; the committed corpus is replayed by make test.
+# Looks for inputs that break a decoder of bytes from outside the process, FUZZTIME each; the committed corpora are
+# replayed by make test.
+FUZZTIME ?= 20s
+FUZZ := pkg/rules:FuzzDecode internal/setup:FuzzDecode internal/record:FuzzDecodeGroup \
+	internal/pipe:FuzzConn internal/server:FuzzResponse internal/peer:FuzzSession internal/wire:FuzzRead \
+	platform:FuzzDecodeNewest platform:FuzzDecodePage platform:FuzzDecodeMember platform:FuzzDecodeConfig platform:FuzzReport
 fuzz:
-	$(GO) test ./pkg/rules -run '^$$' -fuzz FuzzDecode -fuzztime 20s
-	$(GO) test ./internal/setup -run '^$$' -fuzz FuzzDecode -fuzztime 20s
-	$(GO) test ./internal/record -run '^$$' -fuzz FuzzDecodeGroup -fuzztime 20s
+	set -e; for f in $(FUZZ); do \
+		$(GO) test ./$${f%:*} -run '^$$' -fuzz "^$${f#*:}$$" -fuzztime $(FUZZTIME); \
+	done
 
 # Plays one run of the fault soak, or RUNS of them with one seed after the other; reports are in out/soak. See docs/soak.md.
 SEED ?= 1
--- a/internal/pipe/pipe_test.go
+++ b/internal/pipe/pipe_test.go
@@ -231,3 +231,49 @@
 		t.Errorf("bytes held: got %d, want 0", got)
 	}
 }
+
+// Guards against bytes without end from a caller that fill the memory, reach the handler, or are read for long after the
+// request was rejected.
+func TestEndlessCaller(t *testing.T) {
+	text := strings.Repeat("x", 16<<10)
+	const post = "POST / HTTP/1.1\r\nHost: h\r\n"
+	tests := map[string]struct {
+		head, text string
+		want       int // status; 0 for a connection that is closed without one
+	}{
+		"request line":    {"GET /", text, http.StatusRequestHeaderFieldsTooLarge},
+		"head":            {"GET / HTTP/1.1\r\nHost: h\r\n", "X: " + text + "\r\n", http.StatusRequestHeaderFieldsTooLarge},
+		"no request":      {"", strings.Repeat("\x00", 16<<10), http.StatusRequestHeaderFieldsTooLarge},
+		"chunks":          {post + "Transfer-Encoding: chunked\r\n\r\n", "4000\r\n" + text + "\r\n", http.StatusRequestEntityTooLarge},
+		"chunk extension": {post + "Transfer-Encoding: chunked\r\n\r\n3;", text, http.StatusBadRequest},
+		"trailer":         {post + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X: " + text + "\r\n", http.StatusBadRequest},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, addr := startServer(t, func(http.ResponseWriter, *http.Request) { t.Error("handler: got a request, want none") })
+			c, r := dialServer(t, addr)
+			writeString(t, c, tt.head)
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				for {
+					if _, err := io.WriteString(c, tt.text); err != nil {
+						return
+					}
+				}
+			}()
+			if resp, err := http.ReadResponse(r, nil); err != nil || resp.StatusCode != tt.want {
+				t.Errorf("response: got %v %v, want status %d", resp, err, tt.want)
+			}
+			select {
+			case <-ended:
+			case <-time.After(4 * lingerTimeout):
+				t.Errorf("connection: got it open %v after the response, want it closed", 4*lingerTimeout)
+			}
+			if got := s.heldBytes.Load(); got != 0 {
+				t.Errorf("bytes held: got %d, want 0", got)
+			}
+		})
+	}
+}
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -60,6 +60,26 @@
 	}
 }
 
+// respondAndReset returns a script that writes text and resets the connection.
+func respondAndReset(text string) func(net.Conn) {
+	return func(c net.Conn) {
+		_, _ = io.WriteString(c, text)
+		time.Sleep(20 * time.Millisecond) // a reset discards what the client has not received yet
+		_ = c.(*net.TCPConn).SetLinger(0)
+	}
+}
+
+// drip returns a script that writes head and then repeats text slowly, until the client closes the connection.
+func drip(head, text string) func(net.Conn) {
+	return func(c net.Conn) {
+		_, err := io.WriteString(c, head)
+		for err == nil {
+			time.Sleep(5 * time.Millisecond)
+			_, err = io.WriteString(c, text)
+		}
+	}
+}
+
 func newScriptedServer(t *testing.T, script func(net.Conn)) *scriptedServer {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -134,6 +154,17 @@
 		"announced over the bound":   {script: respondAndHold(ok + "Content-Length: 999999999\r\n\r\nabc"), wantOutcome: reason.Unknown, wantReason: reason.AnswerTooLarge},
 		"endless chunks":             {script: respondForever(ok+"Transfer-Encoding: chunked\r\n\r\n", chunk), wantOutcome: reason.Unknown, wantReason: reason.AnswerTooLarge},
 		"endless without a length":   {script: respondForever(ok+"\r\n", chunk), wantOutcome: reason.Unknown, wantReason: reason.AnswerTooLarge},
+		"endless status line":        {script: respondForever("HTTP/1.1 200 ", strings.Repeat("x", 1<<10)), wantOutcome: reason.Unknown, wantReason: reason.ServerFailed},
+		"endless bytes, no answer":   {script: respondForever("", strings.Repeat("\x00", 1<<10)), wantOutcome: reason.Unknown, wantReason: reason.ServerFailed},
+		"endless chunk extension":    {script: respondForever(ok+"Transfer-Encoding: chunked\r\n\r\n3;", strings.Repeat("x", 1<<10)), wantOutcome: reason.Unknown, wantReason: reason.ServerFailed},
+		"endless trailer":            {script: respondForever(ok+"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n", "X: "+strings.Repeat("x", 1<<10)+"\r\n"), wantOutcome: reason.Unknown, wantReason: reason.ServerFailed},
+		"endless empty chunk lines":  {script: respondForever(ok+"Transfer-Encoding: chunked\r\n\r\n", "1;"+strings.Repeat("x", 1000)+"\r\na\r\n"), wantOutcome: reason.Unknown, wantReason: reason.ServerFailed},
+		"cut in a trailer":           {script: respond(ok + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX: y\r\n"), wantOutcome: reason.Unknown, wantReason: reason.ServerFailed},
+		"no length, reset":           {script: respondAndReset(ok + "\r\nabc"), wantOutcome: reason.Unknown, wantReason: reason.ServerFailed},
+		"no length, closed":          {script: respond(ok + "\r\nabc"), wantStatus: 200, wantBody: "abc"},
+		"endless after the answer":   {script: respondForever(ok+"Content-Length: 3\r\n\r\nabc", strings.Repeat("x", 1<<10)), wantStatus: 200, wantBody: "abc"},
+		"drips a head":               {script: drip(ok+"X: ", "x"), timeout: shortTimeout, wantOutcome: reason.Unknown, wantReason: reason.DeadlinePassed},
+		"drips a body":               {script: drip(ok+"\r\n", "x"), timeout: shortTimeout, wantOutcome: reason.Unknown, wantReason: reason.DeadlinePassed},
 		"never answers":              {script: respondAndHold(""), timeout: shortTimeout, wantOutcome: reason.Unknown, wantReason: reason.DeadlinePassed},
 		"stalls within the headers":  {script: respondAndHold(ok + "X: y\r\n"), timeout: shortTimeout, wantOutcome: reason.Unknown, wantReason: reason.DeadlinePassed},
 		"stalls within the answer":   {script: respondAndHold(ok + "Content-Length: 10\r\n\r\nabc"), timeout: shortTimeout, wantOutcome: reason.Unknown, wantReason: reason.DeadlinePassed},
