--- a/cmd/briarfake/main.go
+++ b/cmd/briarfake/main.go
@@ -25,7 +25,7 @@
 		Use: "briarfake", Short: "Run fakes of the log, a backend server and callers",
 		SilenceUsage: true,
 	}
-	root.AddCommand(logCommand(), serverCommand(), callerCommand(), waitCommand(), reportCommand(), platformCommand(), soakCommand())
+	root.AddCommand(logCommand(), serverCommand(), callerCommand(), waitCommand(), reportCommand(), platformCommand(), soakCommand(), costCommand())
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	if err := root.ExecuteContext(ctx); err != nil {
