--- a/pkg/chain/graph.go
+++ b/pkg/chain/graph.go
@@ -57,13 +57,18 @@
 	snapshots    []snapshot
 	history      [historySize]observation
 	observations int // observations made since the start, of which history keeps the last
-	// rates holds, by index of the called and of the calling kind, the calls per second of a running request. The
-	// rate of externalCalls is in calls per second.
-	rates map[int]map[int]float64
+	rates        map[int]*callRates // by index of the called kind
+	attributed   []float64          // by index of the calling kind; scratch space of iterate
 }
 
-// externalCalls is the index that stands for calls not made by a running request.
-const externalCalls = -1
+// callRates are the rates of one kind of call.
+type callRates struct {
+	external float64   // calls per second that are not made by a running request
+	byKind   []float64 // by index of the calling kind, the calls per second of a running request; noRate if it has not run
+}
+
+// noRate marks a kind without an estimate.
+const noRate = -1
 
 // snapshot is a copy of the counters of a kind.
 type snapshot struct {
@@ -160,7 +165,7 @@
 func (g *Graph) Tick(now time.Time) {
 	if g.lastTick.IsZero() {
 		g.lastTick, g.lastPublish = now, now
-		g.index, g.rates = make(map[ident.Kind]int), make(map[int]map[int]float64)
+		g.index, g.rates = make(map[ident.Kind]int), make(map[int]*callRates)
 	}
 	seconds := now.Sub(g.lastTick).Seconds()
 	g.lastTick = now
@@ -174,7 +179,6 @@
 	}
 }
 
-// observe appends an observation of the last seconds to the history.
 // observe adds an observation of the given number of seconds to the history.
 func (g *Graph) observe(seconds float64) {
 	g.counts.Range(func(k ident.Kind, _ *counters) {
@@ -218,8 +222,8 @@
 		for range emIterations {
 			g.iterate(call, totals)
 		}
-		for kind, rate := range g.rates[call] {
-			if kind == externalCalls || totals[kind].runs < minRuns {
+		for kind, rate := range g.rates[call].byKind {
+			if rate == noRate || totals[kind].runs < minRuns {
 				continue
 			}
 			if perRun := rate * totals[kind].running / totals[kind].runs; perRun >= minCallsPerRun {
@@ -246,26 +250,30 @@
 
 // iterate runs one iteration of expectation maximization on the rates of one kind of call.
 func (g *Graph) iterate(call int, totals []kindObservation) {
-	old := g.rates[call]
-	if old == nil {
-		old = map[int]float64{externalCalls: initialRate}
+	rates := g.rates[call]
+	if rates == nil {
+		rates = &callRates{external: initialRate}
+		g.rates[call] = rates
 	}
 	for kind := range totals {
-		if _, ok := old[kind]; !ok && totals[kind].runs > 0 {
-			old[kind] = initialRate
+		if kind == len(rates.byKind) {
+			rates.byKind = append(rates.byKind, noRate)
+		}
+		if rates.byKind[kind] == noRate && totals[kind].runs > 0 {
+			rates.byKind[kind] = initialRate
 		}
 	}
-	attributed := make(map[int]float64, len(old)) // calls attributed to each calling kind
-	seconds := 0.0
+	g.attributed = append(g.attributed[:0], make([]float64, len(rates.byKind))...) // calls attributed to each calling kind
+	external, seconds := 0.0, 0.0
 	for i := range min(g.observations, historySize) {
 		o := &g.history[i]
 		seconds += o.seconds
 		if call >= len(o.perKind) || o.perKind[call].calls == 0 {
 			continue
 		}
-		expected := old[externalCalls]
-		for kind, rate := range old {
-			if kind != externalCalls && kind < len(o.perKind) {
+		expected := rates.external
+		for kind := range o.perKind {
+			if rate := rates.byKind[kind]; rate != noRate {
 				expected += rate * o.perKind[kind].running
 			}
 		}
@@ -273,20 +281,23 @@
 			continue
 		}
 		ratio := o.perKind[call].calls / expected
-		attributed[externalCalls] += ratio * old[externalCalls]
-		for kind, rate := range old {
-			if kind != externalCalls && kind < len(o.perKind) {
-				attributed[kind] += ratio * rate * o.perKind[kind].running
+		external += ratio * rates.external
+		for kind := range o.perKind {
+			if rate := rates.byKind[kind]; rate != noRate {
+				g.attributed[kind] += ratio * rate * o.perKind[kind].running
 			}
 		}
 	}
-	next := map[int]float64{externalCalls: attributed[externalCalls] / seconds}
-	for kind := range old {
-		if kind != externalCalls && totals[kind].running > 0 {
-			next[kind] = attributed[kind] / totals[kind].running
+	rates.external = external / seconds
+	for kind, rate := range rates.byKind {
+		if rate == noRate {
+			continue
+		}
+		rates.byKind[kind] = noRate
+		if totals[kind].running > 0 {
+			rates.byKind[kind] = g.attributed[kind] / totals[kind].running
 		}
 	}
-	g.rates[call] = next
 }
 
 // publish replaces the published calls and reports the kinds whose number of calls changed.
