--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -38,7 +38,10 @@
 			break
 		}
 		wg.Add(1)
-		tr.workers.submit(tr, job{s, st, &wg})
+		tr.workers.submit(func() {
+			defer wg.Done()
+			tr.serveStream(s, st)
+		})
 	}
 	tr.removeSession(s)
 	wg.Wait()
@@ -135,34 +138,36 @@
 	req := wire.ToRequest(m, now, delayed)
 	ctx, cancel := context.WithDeadline(context.Background(), req.Deadline)
 	defer cancel()
-	closed := make(chan error, 1)
-	go func() {
-		_, err := r.Peek(1)
-		closed <- err
-		// The end of the stream cancels the call. A broken session does not, since the caller settles
-		// the call over a new session and may still need its answer.
-		if errors.Is(err, io.EOF) && !s.IsClosed() {
-			cancel()
-		}
-	}()
 	tr.unansweredCalls.Add(1)
-	if delayed > lateCall {
-		pause.For(ctx, lateCallHold)
-	}
-	res := tr.runCall(ctx, req)
-	ans := wire.FromResult(id.call, &res)
-	tr.calls.complete(id, ans, tr.Now())
-	tr.writeReply(st, &wirepb.Envelope{Body: &wirepb.Envelope_Answer{Answer: ans}})
-	tr.unansweredCalls.Add(-1)
-	reuse := s.reusesStreams()
-	if reuse {
-		idle.Store(tr.Now().UnixNano()) // a read deadline would cost a timer for each call
-		defer idle.Store(0)
-	} else {
-		_ = st.SetReadDeadline(tr.Now().Add(answerRetention))
+	answered := make(chan struct{})
+	tr.workers.submit(func() {
+		defer close(answered)
+		defer tr.unansweredCalls.Add(-1)
+		defer tr.Guard.Recover("answer", nil)
+		if delayed > lateCall {
+			pause.For(ctx, lateCallHold)
+		}
+		res := tr.runCall(ctx, req)
+		ans := wire.FromResult(id.call, &res)
+		tr.calls.complete(id, ans, tr.Now())
+		reuse := s.reusesStreams()
+		if reuse {
+			idle.Store(tr.Now().UnixNano()) // a read deadline would cost a timer for each call
+		}
+		tr.writeReply(st, &wirepb.Envelope{Body: &wirepb.Envelope_Answer{Answer: ans}})
+		if !reuse {
+			_ = st.SetReadDeadline(tr.Now().Add(answerRetention))
+		}
+	})
+	_, err := r.Peek(1)
+	// The end of the stream cancels the call. A broken session does not, since the caller settles the call over a new
+	// session and may still need its answer.
+	if errors.Is(err, io.EOF) && !s.IsClosed() {
+		cancel()
 	}
-	err := <-closed
-	more = err == nil && reuse
+	<-answered
+	idle.Store(0)
+	more = err == nil && s.reusesStreams()
 	if more || errors.Is(err, io.EOF) && !s.IsClosed() {
 		tr.calls.remove(id)
 	}
--- a/internal/peer/worker.go
+++ b/internal/peer/worker.go
@@ -2,56 +2,46 @@
 
 import (
 	"sync"
-
-	"github.com/hashicorp/yamux"
 )
 
 // maxIdleWorkers bounds the workers that wait for a job. Each of them holds a stack that has grown to the size that
 // a call needs.
-const maxIdleWorkers = 32
+const maxIdleWorkers = 64
 
-// workerPool serves streams on reused goroutines. A new goroutine starts with a small stack, which is copied
-// several times while it decodes its first message.
+// workerPool runs jobs on reused goroutines. A new goroutine starts with a small stack, which is copied several times
+// while it decodes its first message or runs its first call.
 type workerPool struct {
-	jobs     chan job
+	jobs     chan func()
 	idle     chan struct{} // one element for each idle worker
 	quit     chan struct{}
 	stopOnce sync.Once // Close may be called more than once
 	wg       sync.WaitGroup
 }
 
-// job is a stream to serve; done is decremented when it has ended.
-type job struct {
-	session *session
-	stream  *yamux.Stream
-	done    *sync.WaitGroup
-}
-
 func newWorkerPool() *workerPool {
-	return &workerPool{jobs: make(chan job), idle: make(chan struct{}, maxIdleWorkers), quit: make(chan struct{})}
+	return &workerPool{jobs: make(chan func()), idle: make(chan struct{}, maxIdleWorkers), quit: make(chan struct{})}
 }
 
-// submit passes a job to an idle worker, or to a new one if none is idle.
-func (w *workerPool) submit(tr *Transport, j job) {
+// submit passes a job to an idle worker, or to a new one if none is idle. It does not wait for the job.
+func (w *workerPool) submit(job func()) {
 	select {
-	case w.jobs <- j:
+	case w.jobs <- job:
 	default:
-		w.wg.Go(func() { w.run(tr, j) })
+		w.wg.Go(func() { w.run(job) })
 	}
 }
 
-// run serves jobs until the pool stops or already has maxIdleWorkers idle workers.
-func (w *workerPool) run(tr *Transport, j job) {
+// run runs jobs until the pool stops or already has maxIdleWorkers idle workers.
+func (w *workerPool) run(job func()) {
 	for {
-		tr.serveStream(j.session, j.stream)
-		j.done.Done()
+		job()
 		select {
 		case w.idle <- struct{}{}:
 		default:
 			return
 		}
 		select {
-		case j = <-w.jobs:
+		case job = <-w.jobs:
 			<-w.idle
 		case <-w.quit:
 			return
@@ -59,7 +49,7 @@
 	}
 }
 
-// stop ends the idle workers and waits for the others. No job may be submitted afterwards.
+// stop ends the idle workers and waits for the others. No job may be submitted afterwards, except by a running job.
 func (w *workerPool) stop() {
 	w.stopOnce.Do(func() { close(w.quit) })
 	w.wg.Wait()
--- a/internal/pipe/conn.go
+++ b/internal/pipe/conn.go
@@ -37,7 +37,7 @@
 type exchange struct {
 	req        *http.Request
 	reply      reply
-	done       chan struct{} // closed when the reply is complete
+	done       chan struct{} // closed when the reply is complete; nil if the write loop runs the handler itself
 	closeAfter bool          // the connection is closed after this response
 	bodySize   int64         // size of the request body in bytes
 }
@@ -61,7 +61,7 @@
 	return n, err
 }
 
-// readLoop reads requests and starts their handlers until the caller closes the connection or sends a request that is
+// readLoop reads requests and passes them on until the caller closes the connection or sends a request that is
 // rejected, or until the last response of the connection is known. It cancels running requests when the caller
 // disconnects.
 func (c *conn) readLoop(ctx context.Context) {
@@ -76,10 +76,14 @@
 			c.cancel()
 			return
 		}
-		x := &exchange{done: make(chan struct{}), closeAfter: status != 0}
-		if !c.beginExchange(x.closeAfter || req.Close) {
+		x := &exchange{closeAfter: status != 0}
+		first, ok := c.beginExchange(x.closeAfter || req.Close)
+		if !ok {
 			return
 		}
+		if !first || status != 0 {
+			x.done = make(chan struct{})
+		}
 		if status != 0 {
 			c.reject(x, status)
 			c.exchanges <- x
@@ -91,8 +95,9 @@
 		}
 		x.req, x.closeAfter = req.WithContext(ctx), req.Close
 		x.bodySize = int64(bodyLen(req))
-		c.handlers.Add(1)
-		go c.handle(x)
+		if x.done != nil {
+			c.handlers.Go(func() { c.handle(x) })
+		}
 		c.exchanges <- x
 		if req.Close {
 			c.awaitClose()
@@ -242,16 +247,17 @@
 	return c.outstanding == 0
 }
 
-// beginExchange counts a new exchange. It returns false if the connection is closed after an earlier response.
-func (c *conn) beginExchange(closing bool) bool {
+// beginExchange counts a new exchange and reports whether it is the only outstanding one. It returns false if the
+// connection is closed after an earlier response.
+func (c *conn) beginExchange(closing bool) (first, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closing {
-		return false
+		return false, false
 	}
 	c.closing = closing
 	c.outstanding++
-	return true
+	return c.outstanding == 1, true
 }
 
 // closesAfter reports whether the connection is closed after the response to x. While the server drains, that is the
@@ -286,8 +292,9 @@
 
 // handle runs the handler for one exchange.
 func (c *conn) handle(x *exchange) {
-	defer c.handlers.Done()
-	defer close(x.done)
+	if x.done != nil {
+		defer close(x.done)
+	}
 	defer c.server.heldBytes.Add(-x.bodySize)
 	defer c.server.Guard.Recover("caller", func() {
 		// The handler may have run the request, so the answer promises nothing.
@@ -296,12 +303,17 @@
 	c.server.Handler.ServeHTTP(&x.reply, x.req)
 }
 
-// writeLoop writes the responses in the order of the requests.
+// writeLoop writes the responses in the order of the requests. It runs the handler of a request that was read while no
+// other was outstanding, which saves a goroutine for each request; the handlers of requests read behind one run beside it.
 func (c *conn) writeLoop() {
 	var buf bytes.Buffer
 	broken := false
 	for x := range c.exchanges {
-		<-x.done
+		if x.done == nil {
+			c.handle(x)
+		} else {
+			<-x.done
+		}
 		closeAfter := c.closesAfter(x)
 		if !broken {
 			buf.Reset()
