--- a/internal/outlog/outlog.go
+++ b/internal/outlog/outlog.go
@@ -16,6 +16,7 @@
 	queueLen      = 2048                   // lines
 	maxBatchBytes = 16 << 10               // no more lines are added to a batch of this size
 	closeTimeout  = 500 * time.Millisecond // lets a process exit although nobody reads its log
+	batchDelay    = 50 * time.Millisecond  // from the first line of a batch to its write; each write wakes a thread
 )
 
 // Writer is a zap write sink that never blocks.
@@ -63,7 +64,11 @@
 	for {
 		select {
 		case p := <-w.queue:
+			w.waitBatch()
 			buf = w.flush(append(buf[:0], p...))
+			for len(w.queue) > 0 {
+				buf = w.flush(buf[:0])
+			}
 		case <-w.stop:
 			for len(w.queue) > 0 {
 				buf = w.flush(buf[:0])
@@ -74,6 +79,19 @@
 	}
 }
 
+// waitBatch waits for further lines, unless many are queued already or the Writer is being closed.
+func (w *Writer) waitBatch() {
+	if len(w.queue) > queueLen/2 {
+		return
+	}
+	t := time.NewTimer(batchDelay)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-w.stop:
+	}
+}
+
 // flush writes buf, the queued lines that fit the batch and the count of dropped lines. It returns the buffer for reuse.
 func (w *Writer) flush(buf []byte) []byte {
 	for more := true; more && len(buf) < maxBatchBytes; {
