--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,9 @@
 
 generate:
 	$(GO) build -o bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
+	$(GO) build -o bin/protoc-gen-go-vtproto github.com/planetscale/vtprotobuf/cmd/protoc-gen-go-vtproto
 	PATH="$(CURDIR)/bin:$$PATH" protoc --go_out=. --go_opt=paths=source_relative internal/wire/wirepb/wire.proto internal/record/recpb/record.proto
+	PATH="$(CURDIR)/bin:$$PATH" protoc --go-vtproto_out=. --go-vtproto_opt=paths=source_relative,features=marshal+unmarshal_unsafe+size internal/wire/wirepb/wire.proto
 
 demo: build
 	./scripts/demo
--- a/internal/wire/convert.go
+++ b/internal/wire/convert.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"strings"
 	"time"
 
 	"briarworks.example/briarworks/internal/wire/wirepb"
@@ -32,7 +33,8 @@
 // deadline. Values out of range are clamped.
 func ToRequest(m *wirepb.Call, now time.Time, delayed time.Duration) *call.Request {
 	return &call.Request{
-		Key: ident.Key(m.Key), Kind: ident.Kind(m.Kind), Caller: ident.Caller(m.Caller),
+		// The kind and the caller outlive the call as keys of tables, and must not keep its frame in memory.
+		Key: ident.Key(m.Key), Kind: ident.Kind(strings.Clone(m.Kind)), Caller: ident.Caller(strings.Clone(m.Caller)),
 		Rank: ident.Rank(min(m.Rank, 255)), Protected: m.Protected, Idempotent: m.Idempotent, AtMostOnce: m.Once,
 		Service: ident.Service(m.Service), AcceptedAt: acceptedAt(m, now), Deadline: now.Add(clampDuration(m.LeftNs) - delayed),
 		RetryBudget: ident.Tokens(min(max(m.Budget, 0), maxRetryBudget)), AdmittedFraction: validFraction(m.Passed), Hop: ident.Hop(min(m.Hop, 255)),
@@ -132,11 +134,11 @@
 	}
 }
 
-// ToMember returns the member that a message describes.
+// ToMember returns the member that a message describes, with strings of its own.
 func ToMember(m *wirepb.Member) fleet.Member {
 	return fleet.Member{
-		Server: ident.Server(m.Server), Service: ident.Service(m.Service), DataCentre: ident.DataCentre(m.DataCentre),
-		Address: ident.Address(m.Address), Incarnation: ident.Incarnation(m.Incarnation), Slots: ident.Slots(m.Slots),
+		Server: ident.Server(strings.Clone(m.Server)), Service: ident.Service(strings.Clone(m.Service)),
+		DataCentre: ident.DataCentre(strings.Clone(m.DataCentre)), Address: ident.Address(strings.Clone(m.Address)), Incarnation: ident.Incarnation(m.Incarnation), Slots: ident.Slots(m.Slots),
 		Conns: ident.Conns(m.Connections), Left: m.Left, Announced: time.Unix(0, m.AnnouncedUnixNs),
 	}
 }
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -3,12 +3,11 @@
 import (
 	"bufio"
 	"encoding/binary"
+	"errors"
 	"io"
 	"sync"
 
 	"github.com/samber/oops"
-	"google.golang.org/protobuf/encoding/protodelim"
-	"google.golang.org/protobuf/proto"
 
 	"briarworks.example/briarworks/internal/wire/wirepb"
 	"briarworks.example/briarworks/pkg/ident"
@@ -29,25 +28,51 @@
 // MaxFrame is the largest size of a message on a stream. It has room for a whole answer with its headers.
 const MaxFrame ident.Bytes = 8 << 20
 
+// message is a message with generated methods for its encoding, which are several times faster than reflection.
+type message interface {
+	SizeVT() int
+	MarshalToSizedBufferVT(b []byte) (int, error)
+	UnmarshalVTUnsafe(b []byte) error
+}
+
 // Write encodes m as one frame and writes it to w. It returns errors of the encoding and of w.
-func Write[M proto.Message](w io.Writer, m M) (err error) {
+func Write[M message](w io.Writer, m M) (err error) {
 	defer func() { err = oops.Wrapf(err, "wire: write frame") }()
 	// The length and the message are written in one call, since yamux makes a frame of each call of Write.
-	size := proto.Size(m)
+	size := m.SizeVT()
 	frame := make([]byte, 0, binary.MaxVarintLen64+size)
 	frame = binary.AppendUvarint(frame, uint64(size))
-	if frame, err = (proto.MarshalOptions{UseCachedSize: true}).MarshalAppend(frame, m); err != nil {
+	head := len(frame)
+	frame = frame[:head+size]
+	if _, err = m.MarshalToSizedBufferVT(frame[head:]); err != nil {
 		return err
 	}
 	_, err = w.Write(frame)
 	return err
 }
 
-// Read reads one frame from r into m. It fails if the frame is larger than MaxFrame or does not decode.
-func Read[M proto.Message](r *bufio.Reader, m M) (err error) {
+// errFrameTooLarge reports a frame that is larger than MaxFrame.
+var errFrameTooLarge = oops.Errorf("wire: frame is larger than %d bytes", MaxFrame)
+
+// Read reads one frame from r into m, whose strings and bytes share the memory of the frame. It fails with io.EOF if r
+// has ended, and with another error if the frame is larger than MaxFrame or does not decode.
+func Read[M message](r *bufio.Reader, m M) (err error) {
 	defer func() { err = oops.Wrapf(err, "wire: read frame") }()
-	opts := protodelim.UnmarshalOptions{MaxSize: int64(MaxFrame)}
-	return opts.UnmarshalFrom(r, m)
+	size, err := binary.ReadUvarint(r)
+	if err != nil {
+		return err
+	}
+	if size > uint64(MaxFrame) {
+		return errFrameTooLarge
+	}
+	frame := make([]byte, size)
+	if _, err = io.ReadFull(r, frame); err != nil {
+		if errors.Is(err, io.EOF) {
+			err = io.ErrUnexpectedEOF // the frame has begun
+		}
+		return err
+	}
+	return m.UnmarshalVTUnsafe(frame)
 }
 
 // Exchange sends a request on a stream and returns the reply. It returns errors of the stream and of the decoding.
