--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -22,7 +22,6 @@
 	d           *dispatch
 	tried       route.Avoid // includes the server of the first attempt
 	cancelFirst context.CancelCauseFunc
-	allowed     bool
 	done        chan struct{} // closed when the second attempt has ended or was not made
 	made        bool          // a second attempt was made; read after done
 	res         call.Result   // read after done
@@ -42,22 +41,31 @@
 		d.recordLatency(latency, &res, began)
 		return res
 	}
+	after = max(after, minHedgeDelay)
+	// reportOverdue reports whether the delay is that of the server.
+	reportOverdue := func() bool {
+		now := d.relay.Now()
+		if stalled := d.relay.Stalled; stalled != nil && stalled(began, now) {
+			return false // the delay is that of this process
+		}
+		overdue(now)
+		return true
+	}
+	if !d.hedgeAllowed() || 2*after > d.req.Remaining(began) {
+		timer := time.AfterFunc(after, func() { reportOverdue() })
+		res := try(ctx)
+		timer.Stop()
+		d.recordLatency(latency, &res, began)
+		return res
+	}
 	first, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	second, stop := context.WithCancel(ctx)
 	defer stop()
-	h := &hedge{
-		d: d, tried: d.tried, cancelFirst: cancel, done: make(chan struct{}),
-		allowed: d.hedgeAllowed() && 2*after <= d.req.Remaining(began),
-	}
-	timer := time.AfterFunc(max(after, minHedgeDelay), func() {
+	h := &hedge{d: d, tried: d.tried, cancelFirst: cancel, done: make(chan struct{})}
+	timer := time.AfterFunc(after, func() {
 		defer close(h.done)
-		now := d.relay.Now()
-		if stalled := d.relay.Stalled; stalled != nil && stalled(began, now) {
-			return // the delay is that of this process, not of the server
-		}
-		overdue(now)
-		if h.allowed {
+		if reportOverdue() {
 			h.run(second)
 		}
 	})
