--- a/cmd/briarworks/sidecar.go
+++ b/cmd/briarworks/sidecar.go
@@ -24,10 +24,6 @@
 // more often.
 const memoryLimitShare = 0.6
 
-// gcPercent lets the heap grow to four times the live objects between two collections. A node has a few MB of them, and
-// collections at the default of 100 took several percent of its processor time. The memory limit holds nevertheless.
-const gcPercent = 300
-
 // Log sampling: in each second, the first sampleFirst lines of an event are written and then every
 // sampleThereafter-th.
 const (
@@ -54,7 +50,6 @@
 		return err
 	}
 	debug.SetMemoryLimit(int64(float64(settings.Memory<<20) * memoryLimitShare))
-	debug.SetGCPercent(gcPercent)
 	logOutput := outlog.New(out)
 	defer logOutput.Close()
 	log := sidecarLogger(logOutput).With(zap.String("server", string(settings.Server)))
--- a/internal/side/node.go
+++ b/internal/side/node.go
@@ -35,8 +35,12 @@
 	"briarworks.example/briarworks/pkg/share"
 )
 
-// tickInterval is the interval at which the gate ends expired waits and completes its windows.
-const tickInterval = 20 * time.Millisecond
+// Intervals at which the gate ends expired waits and completes its windows. A server with many free slots has no waits to
+// end, and each tick wakes the process.
+const (
+	tickInterval      = 20 * time.Millisecond
+	quietTickInterval = 40 * time.Millisecond
+)
 
 // activeConfig is the configuration in force, decoded and as the text that other nodes get.
 type activeConfig struct {
@@ -223,11 +227,20 @@
 
 // tick advances the windows of the gate and of the call graph, and records that the process runs, until ctx ends.
 func (n *Node) tick(ctx context.Context) {
-	pause.Every(ctx, tickInterval, func(now time.Time) {
+	for pause.For(ctx, n.tickInterval()) {
+		now := time.Now()
 		n.monitor.Beat(now)
 		n.Relay.Control.Graph.Tick(now)
 		n.Gate.Tick(now)
-	})
+	}
+}
+
+// tickInterval returns the time until the next tick.
+func (n *Node) tickInterval() time.Duration {
+	if n.Gate.Queued() == 0 && 2*n.Gate.Inflight() < n.Gate.Limit() {
+		return quietTickInterval
+	}
+	return tickInterval
 }
 
 // RecordRefusal adds a response that the node generated itself to the refusal ledger and the metrics.
