--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -147,12 +147,12 @@
 	return miss != 0 && l.(*Link).liveSession() == nil && now.UnixNano()-miss < int64(unreachablePeriod)
 }
 
-// Connected reports whether a session to the address is open. If there is none, it starts a dial in the background
-// unless one failed recently.
+// Connected reports whether a session to the address is open and its peer has left no ping unanswered. If there is no
+// session, it starts a dial in the background unless one failed recently.
 func (tr *Transport) Connected(addr ident.Address) bool {
 	l := tr.Link(addr)
-	if l.liveSession() != nil {
-		return true
+	if s := l.liveSession(); s != nil {
+		return !s.suspect(tr.Now())
 	}
 	if miss := l.lastDialFailure.Load(); miss == 0 || tr.Now().UnixNano()-miss > int64(redialDelay) {
 		_, _ = l.joinDial(tr)
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -126,6 +126,16 @@
 	return alive
 }
 
+// suspectDelay is the time without an answer to a ping after which a peer is avoided while others can be used. Links
+// between nodes take a few milliseconds.
+const suspectDelay = 100 * time.Millisecond
+
+// suspect reports whether the peer has left a ping unanswered for suspectDelay.
+func (s *session) suspect(now time.Time) bool {
+	queued := s.pendingPing.Load()
+	return queued != 0 && s.lastRead.Load() < queued && now.UnixNano()-s.pingStart(queued) > int64(suspectDelay)
+}
+
 // pingStart returns the time from which the timeout of the ping that was queued at queued counts. While the ping
 // is queued behind frames that are still being written, the peer cannot have received it.
 func (s *session) pingStart(queued int64) int64 {
