--- a/internal/side/node.go
+++ b/internal/side/node.go
@@ -64,6 +64,8 @@
 	Decode  func(text []byte) (*match.Table, error) // decodes a configuration in the platform's format
 	Publish func(fleet.Member)                      // writes the member entry of the local server to the store; must not block
 
+	Watchers int // number of watchers of each data centre
+
 	Ledger  *audit.Ledger
 	Flusher *flush.Flusher // appends the ledger to the store; the adapter sets Append
 
@@ -291,10 +293,10 @@
 // maxGossipAge is how long after the last gossip exchange a node still relies on the watchers of its data centre.
 const maxGossipAge = 5 * time.Second
 
-// IsWatcher reports whether this node polls the store frequently: it is one of up to most watchers of its data
-// centre, or has exchanged nothing with another node for 5 s.
-func (n *Node) IsWatcher(most int, now time.Time) bool {
-	return now.Sub(n.Gossip.LastExchange()) > maxGossipAge || n.Roster.Table().IsWatcher(n.Roster.Self, most)
+// IsWatcher reports whether this node polls the store frequently: it is one of the watchers of its data centre, or has
+// exchanged nothing with another node for 5 s.
+func (n *Node) IsWatcher(now time.Time) bool {
+	return now.Sub(n.Gossip.LastExchange()) > maxGossipAge || n.Roster.Table().IsWatcher(n.Roster.Self, n.Watchers)
 }
 
 // ServerState returns the reported state of the local server.
@@ -334,10 +336,18 @@
 	n.Publish(m)
 }
 
-// MergeMembers merges members that were read from the store.
+// maxForwarded is the number of changed members up to which a watcher forwards what it read. When a whole fleet starts,
+// every node reads the members itself, and forwarding them all would load the links.
+const maxForwarded = 8
+
+// MergeMembers merges members that were read from the store. A watcher forwards a few changes, since other nodes do not
+// follow the store.
 func (n *Node) MergeMembers(now time.Time, members ...fleet.Member) {
 	changed := n.Roster.Merge(now, members...)
 	n.membersLoaded.Store(true)
+	if len(changed) > 0 && len(changed) <= maxForwarded && n.IsWatcher(now) {
+		n.Gossip.QueueNews(changed)
+	}
 	n.refute(changed, now)
 }
 
