--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -21,7 +21,7 @@
 const (
 	dialWaitTimeout = time.Second            // a caller stops waiting for a dial of this age and tries another server
 	dialTimeout     = 5 * time.Second        // a dial goes on for later callers, so that a slow peer can be connected at all
-	activePingDelay = 500 * time.Millisecond // time without a read, with calls outstanding, after which a ping is sent
+	activePingDelay = 300 * time.Millisecond // time without a read, with calls outstanding, after which a ping is sent
 	idlePingDelay   = 5 * time.Second        // the same with no calls outstanding
 	pingTimeout     = time.Second            // a connection whose ping is unanswered for longer is closed as silent
 	scanInterval    = 100 * time.Millisecond // time between two checks of the sessions
--- a/internal/peer/session_test.go
+++ b/internal/peer/session_test.go
@@ -90,8 +90,8 @@
 		calls, last, pinged, pingOut, wrote int // times in ms; pinged 0: no ping
 		want                                liveness
 	}{
-		"call outstanding, heard of lately":    {calls: 1, last: 9600, want: alive},
-		"call outstanding, quiet":              {calls: 1, last: 9400, want: pingDue},
+		"call outstanding, heard of lately":    {calls: 1, last: 9800, want: alive},
+		"call outstanding, quiet":              {calls: 1, last: 9600, want: pingDue},
 		"idle, quiet":                          {last: 5100, want: alive},
 		"idle, quiet for long":                 {last: 4900, want: pingDue},
 		"ping answered":                        {calls: 1, last: 8600, pinged: 8500, pingOut: 8500, want: alive},
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -60,12 +60,15 @@
 		if !local && p == nil {
 			return d.finalResult(res)
 		}
-		server, overdue := r.Self.Server, func(now time.Time) { r.recordLocalErr(req.Service, true, now) }
+		server, t := r.Self.Server, target{overdue: func(now time.Time) { r.recordLocalErr(req.Service, true, now) }}
 		if !local {
-			server, overdue = p.Member.Server, p.Overdue
+			server, t = p.Member.Server, target{overdue: p.Overdue}
+			if r.Connected != nil {
+				t.silent = func() bool { return !r.Connected(p.Member.Address) }
+			}
 		}
 		d.tried.Add(server)
-		res = d.attempt(ctx, overdue, func(ctx context.Context) call.Result {
+		res = d.attempt(ctx, t, func(ctx context.Context) call.Result {
 			var res call.Result
 			if local {
 				res = r.runLocal(ctx, req)
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
+	"briarworks.example/briarworks/internal/pause"
 	"briarworks.example/briarworks/pkg/call"
 	"briarworks.example/briarworks/pkg/reason"
 	"briarworks.example/briarworks/pkg/retry"
@@ -15,6 +17,12 @@
 // errSuperseded cancels the first attempt when the hedged attempt succeeds before it.
 var errSuperseded = errors.New("relay: another attempt was answered first")
 
+// target is the server of an attempt, as far as a second attempt depends on it.
+type target struct {
+	overdue func(time.Time) // reports that the server takes unusually long
+	silent  func() bool     // reports whether its node answers no more; nil for the local server
+}
+
 // hedge is a second attempt at a request whose first attempt takes unusually long. It covers servers that hang, have
 // become slow, or have disappeared without closing the connection, for which calls would otherwise wait until their
 // deadline.
@@ -22,39 +30,50 @@
 	d           *dispatch
 	tried       route.Avoid // includes the server of the first attempt
 	cancelFirst context.CancelCauseFunc
+	started     atomic.Bool
 	done        chan struct{} // closed when the second attempt has ended or was not made
 	made        bool          // a second attempt was made; read after done
 	res         call.Result   // read after done
 }
 
-// minHedgeDelay is the shortest delay before a second attempt; latencies on a busy machine vary by this much.
-const minHedgeDelay = 20 * time.Millisecond
+const (
+	// minHedgeDelay is the shortest delay before a second attempt; latencies on a busy machine vary by this much.
+	minHedgeDelay = 20 * time.Millisecond
+	// silentCheckDelay is the time after which a node that has lost its power has left a ping unanswered for long
+	// enough to count as not connected.
+	silentCheckDelay = 550 * time.Millisecond
+	// minSilentRest is the least time that must remain after silentCheckDelay for a second attempt.
+	minSilentRest = 200 * time.Millisecond
+)
 
 // attempt makes an attempt at a server through try, and a second one elsewhere when the first takes unusually long. It
-// reports that through overdue, so that the delay counts against the server long before the call ends.
-func (d *dispatch) attempt(ctx context.Context, overdue func(time.Time), try func(context.Context) call.Result) call.Result {
+// reports that through t.overdue, so that the delay counts against the server long before the call ends.
+func (d *dispatch) attempt(ctx context.Context, t target, try func(context.Context) call.Result) call.Result {
 	latency := d.relay.Control.latency(d.req.Kind)
 	began := d.relay.Now()
-	after, ok := latency.Limit()
-	if !ok || after >= d.req.Remaining(began) {
-		res := try(ctx)
-		d.recordLatency(latency, &res, began)
-		return res
-	}
+	remaining := d.req.Remaining(began)
+	after, known := latency.Limit()
 	after = max(after, minHedgeDelay)
+	known = known && after < remaining
 	// reportOverdue reports whether the delay is that of the server.
 	reportOverdue := func() bool {
 		now := d.relay.Now()
 		if stalled := d.relay.Stalled; stalled != nil && stalled(began, now) {
 			return false // the delay is that of this process
 		}
-		overdue(now)
+		t.overdue(now)
 		return true
 	}
-	if !d.hedgeAllowed() || 2*after > d.req.Remaining(began) {
-		timer := time.AfterFunc(after, func() { reportOverdue() })
+	delay, onlyIfSilent, ok := d.secondAttempt(t, after, known, remaining)
+	if !ok {
+		var timer *time.Timer
+		if known {
+			timer = time.AfterFunc(after, func() { reportOverdue() })
+		}
 		res := try(ctx)
-		timer.Stop()
+		if timer != nil {
+			timer.Stop()
+		}
 		d.recordLatency(latency, &res, began)
 		return res
 	}
@@ -63,10 +82,22 @@
 	second, stop := context.WithCancel(ctx)
 	defer stop()
 	h := &hedge{d: d, tried: d.tried, cancelFirst: cancel, done: make(chan struct{})}
-	timer := time.AfterFunc(after, func() {
+	wait := delay
+	if known {
+		wait = min(wait, after)
+	}
+	timer := time.AfterFunc(wait, func() {
 		defer close(h.done)
-		if reportOverdue() {
+		if known && after <= delay && (!reportOverdue() || !pause.For(second, delay-after)) {
+			return
+		}
+		if !onlyIfSilent || t.silent() {
+			h.started.Store(true)
 			h.run(second)
+			return
+		}
+		if known && after > delay && pause.For(second, after-delay) {
+			reportOverdue()
 		}
 	})
 	res := try(first)
@@ -74,7 +105,7 @@
 		d.recordLatency(latency, &res, began)
 		return res
 	}
-	if succeeded(&res) {
+	if succeeded(&res) || !h.started.Load() {
 		stop()
 	}
 	<-h.done
@@ -83,16 +114,26 @@
 	return res
 }
 
-// hedgeAllowed reports whether a second attempt is worth its load: the request is idempotent, a retry causes at most
-// one request at any service, no earlier attempt was counted, and the service refuses no requests for overload.
-func (d *dispatch) hedgeAllowed() bool {
+// secondAttempt returns the delay after which a second attempt at the request is made, and whether only if the node of the
+// first has fallen silent; ok is false if none is made. A second attempt is worth its load if it causes at most one
+// request at any service and the service refuses no requests for overload. One that costs more is made only instead of
+// a first that most likely does not run.
+func (d *dispatch) secondAttempt(t target, after time.Duration, known bool, remaining time.Duration) (delay time.Duration, onlyIfSilent, ok bool) {
 	c := d.relay.Control
-	return d.req.Idempotent && d.counted == 0 && d.req.MaxAttempts > 1 && c.fanOut(d.req.Kind) <= 1 &&
-		c.RemoteLevels.Level(d.req.Kind, d.req.Service, d.relay.Now()) <= 0
+	switch {
+	case !d.req.Idempotent || d.counted > 0 || d.req.MaxAttempts <= 1:
+		return 0, false, false
+	case known && 2*after <= remaining && c.fanOut(d.req.Kind) <= 1 && c.RemoteLevels.Level(d.req.Kind, d.req.Service, d.relay.Now()) <= 0:
+		return after, false, true
+	}
+	return silentCheckDelay, true, t.silent != nil && silentCheckDelay+minSilentRest <= remaining
 }
 
 // run makes the second attempt if a connected server with free slots is known and the retry budget allows it.
 func (h *hedge) run(ctx context.Context) {
+	if ctx.Err() != nil {
+		return
+	}
 	r := h.d.relay
 	now := r.Now()
 	p := r.pickConnected(h.d.req.Service, h.tried, now)
--- a/internal/relay/hedge_test.go
+++ b/internal/relay/hedge_test.go
@@ -46,6 +46,23 @@
 		"overload reported": {answer{slow, ran}, answer{usual, ran}, func(r *Relay, _ *call.Request) {
 			r.Control.RemoteLevels.Learn("k", "back", 0.1, time.Now()) // any level above 0 excludes a second attempt
 		}, reason.Ran, 2 * slow, 1},
+		"node silent, large fan-out": {answer{2 * left, ran}, answer{usual, ran}, func(r *Relay, q *call.Request) {
+			r.Control.learn(q, &call.Result{FanOut: 4}, time.Now())
+			send := r.Send
+			var tried sync.Map
+			r.Send = func(ctx context.Context, addr ident.Address, q *call.Request) call.Result {
+				tried.Store(addr, true)
+				return send(ctx, addr, q)
+			}
+			r.Connected = func(addr ident.Address) bool {
+				_, silent := tried.Load(addr)
+				return !silent
+			}
+		}, reason.Ran, silentCheckDelay + minSilentRest, 2},
+		"node answers, large fan-out": {answer{2 * left, ran}, answer{usual, ran}, func(r *Relay, q *call.Request) {
+			r.Control.learn(q, &call.Result{FanOut: 4}, time.Now())
+			r.Connected = func(ident.Address) bool { return true }
+		}, reason.Unknown, 2 * left, 1},
 		"this process was stopped": {answer{slow, ran}, answer{usual, ran}, func(r *Relay, _ *call.Request) {
 			r.Stalled = func(since, now time.Time) bool { return now.After(since) }
 		}, reason.Ran, 2 * slow, 1},
