--- a/pkg/chain/graph.go
+++ b/pkg/chain/graph.go
@@ -56,7 +56,7 @@
 	index        map[ident.Kind]int
 	snapshots    []snapshot
 	history      [historySize]observation
-	observations int // observations made since the start, of which history keeps the last
+	observations int                // observations made since the start, of which history keeps the last
 	rates        map[int]*callRates // by index of the called kind
 	attributed   []float64          // by index of the calling kind; scratch space of iterate
 }
