--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -1,11 +1,13 @@
 package guard
 
 import (
+	"fmt"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
 
 	"github.com/samber/oops"
+	"go.uber.org/zap"
 )
 
 // stackInterval is the least time between two reported stacks; a message that causes a panic may be repeated quickly.
@@ -21,6 +23,16 @@
 	lastStack atomic.Int64 // Unix time in ns
 }
 
+// New returns a Guard that counts each panic as the event panicContained and logs those with a stack.
+func New(count func(event string), log *zap.Logger) *Guard {
+	return &Guard{OnPanic: func(where string, value any, stack []byte) {
+		count("panicContained")
+		if stack != nil {
+			log.Error("panicContained", zap.String("where", where), zap.String("value", fmt.Sprint(value)), zap.String("stack", string(stack)))
+		}
+	}}
+}
+
 // Recover stops a panic of the calling function, reports it with the place, and calls then, which may be nil, if there
 // was one. It must be deferred directly.
 func (g *Guard) Recover(where string, then func()) {
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -113,7 +113,7 @@
 		Gate: p.Gate, Fractions: p.Fractions, Transport: p.Transport, Backend: p.Backend, Ledger: p.Ledger,
 		refusalLog: withSampling(p.Log), client: p.Client, lostPeers: make(chan lostPeer, maxLostPeers), newsQueue: make(chan []fleet.Member, newsQueueSize),
 	}
-	n.Guard = &guard.Guard{OnPanic: n.reportPanic}
+	n.Guard = guard.New(n.Stats.CountEvent, n.Log)
 	p.Transport.Guard = n.Guard
 	await := func(ctx context.Context) { n.monitor.Await(ctx, time.Now()) }
 	p.Backend.BeforeSend, p.Transport.BeforeSend = await, await
@@ -144,13 +144,8 @@
 		n.Roster.Leave(s, inc, time.Now())
 	}
 	p.Roster.Changed = n.queueNews
-	var rejects roster.Rejects
-	p.Roster.Rejected = func(m fleet.Member, err error) {
-		n.Stats.CountEvent("entryRejected")
-		if rejects.First(string(m.Server)) {
-			n.Log.Warn("entryRejected", zap.String("key", string(m.Server)), zap.Error(err))
-		}
-	}
+	rejects := &roster.Rejects{Count: n.Stats.CountEvent, Log: n.Log}
+	p.Roster.Rejected = func(m fleet.Member, err error) { rejects.Report(string(m.Server), err) }
 	p.Policy.OnChange = n.onConfig
 	members := applog.NewTail(p.Client, applog.Members, n.onMember)
 	members.PollDelay, members.Guard = memberReadInterval, n.Guard
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -115,14 +115,6 @@
 	return nil
 }
 
-// reportPanic counts and logs a panic that was contained.
-func (n *Node) reportPanic(where string, value any, stack []byte) {
-	n.Stats.CountEvent("panicContained")
-	if stack != nil {
-		n.Log.Error("panicContained", zap.String("where", where), zap.Any("value", value), zap.ByteString("stack", stack))
-	}
-}
-
 // spawn runs f in a goroutine that Stop waits for.
 func (n *Node) spawn(f func()) { n.wg.Go(f) }
 
--- a/internal/side/node.go
+++ b/internal/side/node.go
@@ -60,6 +60,7 @@
 	Backend   *server.Client
 	Gossip    *gossip.Gossip
 
+	Rejects *roster.Rejects                         // reports entries of servers that cannot be used
 	Guard   *guard.Guard                            // reports panics of single requests and exchanges
 	Decode  func(text []byte) (*match.Table, error) // decodes a configuration in the platform's format
 	Publish func(fleet.Member)                      // writes the member entry of the local server to the store; must not block
@@ -76,7 +77,6 @@
 	self          fleet.Member
 	leaving       bool        // set by Leave
 	loggedLevel   level.Level // last logged level; used by the goroutine of tick only
-	rejects       roster.Rejects
 	monitor       *stall.Monitor
 	membersLoaded atomic.Bool // members were read from the store, or membersTimeout is over
 	stopping      atomic.Bool
@@ -120,7 +120,7 @@
 		n.Stats.CountEvent("refusalsNotWritten")
 		n.Log.Warn("refusalsNotWritten", zap.Error(err))
 	}}
-	n.Guard = &guard.Guard{OnPanic: n.reportPanic}
+	n.Guard = guard.New(n.Stats.CountEvent, n.Log)
 	n.Relay.Guard, n.Transport.Guard, n.Gossip.Guard = n.Guard, n.Guard, n.Guard
 	n.self.Left = true // until the local server reports that it is ready
 	n.serverState.Store(&life.State{})
@@ -142,7 +142,8 @@
 		}
 		return 0
 	}
-	n.Roster.Rejected = func(m fleet.Member, err error) { n.RejectEntry(string(m.Server), err) }
+	n.Rejects = &roster.Rejects{Count: n.Stats.CountEvent, Log: n.Log}
+	n.Roster.Rejected = func(m fleet.Member, err error) { n.Rejects.Report(string(m.Server), err) }
 	n.Transport.OnCall = n.Relay.ServePeer
 	n.Transport.OnSync = n.Gossip.HandleSync
 	n.Transport.OnLeave = func(s ident.Server, inc ident.Incarnation) { n.Roster.Leave(s, inc, time.Now()) }
@@ -162,14 +163,6 @@
 	return n
 }
 
-// reportPanic counts and logs a panic that was contained.
-func (n *Node) reportPanic(where string, value any, stack []byte) {
-	n.Stats.CountEvent("panicContained")
-	if stack != nil {
-		n.Log.Error("panicContained", zap.String("where", where), zap.Any("value", value), zap.ByteString("stack", stack))
-	}
-}
-
 // Start listens for other nodes and starts the goroutines of the node. It fails when the port cannot be opened.
 func (n *Node) Start(context.Context) (err error) {
 	defer func() { err = oops.Wrapf(err, "side: start") }()
@@ -362,14 +355,6 @@
 	}
 }
 
-// RejectEntry counts an entry of a server that cannot be used, and logs it when it is the first one with its key.
-func (n *Node) RejectEntry(key string, err error) {
-	n.Stats.CountEvent("entryRejected")
-	if n.rejects.First(key) {
-		n.Log.Warn("entryRejected", zap.String("key", key), zap.Error(err))
-	}
-}
-
 // refute announces the entry of the local server with a higher incarnation when members holds a conflicting one:
 // that of an earlier process, or one that others marked as left because the node was silent.
 func (n *Node) refute(members []fleet.Member, now time.Time) {
