--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -48,82 +48,98 @@
 
 // attempt makes an attempt at a server through try, and a second one elsewhere when the first takes unusually long. It
 // reports that through t.overdue, so that the delay counts against the server long before the call ends.
-func (d *dispatch) attempt(ctx context.Context, t target, try func(context.Context) call.Result) call.Result {
+func (d *dispatch) attempt(ctx context.Context, t target, try func(context.Context) call.Result) (res call.Result) {
 	latency := d.relay.Control.latency(d.req.Kind)
 	began := d.relay.Now()
+	defer func() { d.recordLatency(latency, &res, began) }()
 	remaining := d.req.Remaining(began)
+	w := overdueWatch{target: t, relay: d.relay, began: began}
 	after, known := latency.Limit()
-	after = max(after, minHedgeDelay)
-	known = known && after < remaining
-	// reportOverdue reports whether the delay is that of the server.
-	reportOverdue := func() bool {
-		now := d.relay.Now()
-		if stalled := d.relay.Stalled; stalled != nil && stalled(began, now) {
-			return false // the delay is that of this process
-		}
-		t.overdue(now)
-		return true
+	if after = max(after, minHedgeDelay); known && after < remaining {
+		w.after = after
 	}
-	delay, onlyIfSilent, ok := d.secondAttempt(t, after, known, remaining)
+	delay, onlyIfSilent, ok := d.secondAttempt(t, w.after, remaining)
 	if !ok {
-		var timer *time.Timer
-		if known {
-			timer = time.AfterFunc(after, func() { reportOverdue() })
-		}
-		res := try(ctx)
-		if timer != nil {
-			timer.Stop()
+		if w.after > 0 {
+			timer := time.AfterFunc(w.after, func() { w.report() })
+			defer timer.Stop()
 		}
-		d.recordLatency(latency, &res, began)
-		return res
+		return try(ctx)
 	}
 	first, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	second, stop := context.WithCancel(ctx)
 	defer stop()
 	h := &hedge{d: d, tried: d.tried, cancelFirst: cancel, done: make(chan struct{})}
-	wait := delay
-	if known {
-		wait = min(wait, after)
-	}
-	timer := time.AfterFunc(wait, func() {
+	timer := time.AfterFunc(w.firstWait(delay), func() {
 		defer close(h.done)
-		if known && after <= delay && (!reportOverdue() || !pause.For(second, delay-after)) {
-			return
-		}
-		if !onlyIfSilent || t.silent() {
+		if w.allows(second, delay, onlyIfSilent) {
 			h.started.Store(true)
 			h.run(second)
-			return
-		}
-		if known && after > delay && pause.For(second, after-delay) {
-			reportOverdue()
 		}
 	})
-	res := try(first)
+	res = try(first)
 	if timer.Stop() {
-		d.recordLatency(latency, &res, began)
 		return res
 	}
 	if succeeded(&res) || !h.started.Load() {
 		stop()
 	}
 	<-h.done
-	res = h.merge(res)
-	d.recordLatency(latency, &res, began)
-	return res
+	return h.merge(res)
+}
+
+// overdueWatch observes one attempt at a target.
+type overdueWatch struct {
+	target
+	relay *Relay
+	began time.Time
+	after time.Duration // from began until the target is overdue; 0 if it never is
+}
+
+// report reports that the target is overdue, and returns false if the delay is that of this process.
+func (w *overdueWatch) report() bool {
+	now := w.relay.Now()
+	if w.relay.Stalled != nil && w.relay.Stalled(w.began, now) {
+		return false
+	}
+	w.overdue(now)
+	return true
+}
+
+// firstWait returns the time until the target is overdue or a second attempt is due, whichever comes first.
+func (w *overdueWatch) firstWait(delay time.Duration) time.Duration {
+	if w.after > 0 {
+		return min(w.after, delay)
+	}
+	return delay
+}
+
+// allows is called after firstWait. It waits until a second attempt is due, reports whether it may be made, and reports
+// the target when that is overdue. It returns early when ctx ends.
+func (w *overdueWatch) allows(ctx context.Context, delay time.Duration, onlyIfSilent bool) bool {
+	if w.after > 0 && w.after <= delay && (!w.report() || !pause.For(ctx, delay-w.after)) {
+		return false
+	}
+	if !onlyIfSilent || w.silent() {
+		return true
+	}
+	if w.after > delay && pause.For(ctx, w.after-delay) {
+		w.report()
+	}
+	return false
 }
 
 // secondAttempt returns the delay after which a second attempt at the request is made, and whether only if the node of the
-// first has fallen silent; ok is false if none is made. A second attempt is worth its load if it causes at most one
+// first has fallen silent; ok is false if none is made. The first is overdue after the given time, or never if that is 0. A second attempt is worth its load if it causes at most one
 // request at any service and the service refuses no requests for overload. One that costs more is made only instead of
 // a first that most likely does not run.
-func (d *dispatch) secondAttempt(t target, after time.Duration, known bool, remaining time.Duration) (delay time.Duration, onlyIfSilent, ok bool) {
+func (d *dispatch) secondAttempt(t target, after, remaining time.Duration) (delay time.Duration, onlyIfSilent, ok bool) {
 	c := d.relay.Control
 	switch {
 	case !d.req.Idempotent || d.counted > 0 || d.req.MaxAttempts <= 1:
 		return 0, false, false
-	case known && 2*after <= remaining && c.fanOut(d.req.Kind) <= 1 && c.RemoteLevels.Level(d.req.Kind, d.req.Service, d.relay.Now()) <= 0:
+	case after > 0 && 2*after <= remaining && c.fanOut(d.req.Kind) <= 1 && c.RemoteLevels.Level(d.req.Kind, d.req.Service, d.relay.Now()) <= 0:
 		return after, false, true
 	}
 	return silentCheckDelay, true, t.silent != nil && silentCheckDelay+minSilentRest <= remaining
