--- a/internal/node/fault_test.go
+++ b/internal/node/fault_test.go
@@ -668,7 +668,7 @@
 				f.leaveUnder(x, deep[0], entry, middle)
 			}
 			if x.flood {
-				f.runUnderFlood(x, entry[0], steps)
+				f.runUnderFlood(x, entry, steps)
 			} else {
 				steps()
 			}
@@ -677,14 +677,20 @@
 	}
 }
 
-// runUnderFlood runs steps while callers overload a node. Fails if the gate admits all requests.
-func (f *testFleet) runUnderFlood(x faultCase, at *member, steps func()) {
+// runUnderFlood runs steps while callers of the first entry node overload the entry service: three times as many as its
+// servers have slots together. A server without work time would take what the first one cannot. Fails if the gates admit
+// all requests.
+func (f *testFleet) runUnderFlood(x faultCase, entry []*member, steps func()) {
 	f.Helper()
-	at.backend.SetBehaviour(fakes.Behaviour{Work: fakes.Duration(100 * time.Millisecond)})
+	const slots = 16 // of each entry server, as in document
+	for _, m := range entry {
+		m.backend.SetBehaviour(fakes.Behaviour{Work: fakes.Duration(100 * time.Millisecond)})
+	}
+	at := entry[0]
 	var complete, refused atomic.Int64
 	var wg sync.WaitGroup
 	end := make(chan struct{})
-	for i := range 48 {
+	for i := range 3 * slots * len(entry) {
 		wg.Go(func() {
 			for n := 0; n < 10_000; n++ {
 				select {
@@ -712,8 +718,10 @@
 	if complete.Load() == 0 || refused.Load() == 0 {
 		f.Errorf("flood: got %d complete responses and %d refused, want some of both", complete.Load(), refused.Load())
 	}
-	if got, want := at.backend.Stats(false).MaxRunning, int64(16); got > want {
-		f.Errorf("requests at a time at the server: got %d, want at most its %d slots", got, want)
+	for _, m := range entry {
+		if got, want := m.backend.Stats(false).MaxRunning, int64(slots); got > want {
+			f.Errorf("requests at a time at server %s: got %d, want at most its %d slots", m.settings.Server, got, want)
+		}
 	}
 }
 
