--- a/Makefile
+++ b/Makefile
@@ -48,7 +48,7 @@
 # Looks for inputs that break a decoder of bytes from outside the process, FUZZTIME each; the committed corpora are
 # replayed by make test.
 FUZZTIME ?= 20s
-FUZZ := pkg/rules:FuzzDecode internal/setup:FuzzDecode internal/record:FuzzDecodeGroup \
+FUZZ := pkg/rules:FuzzDecode internal/setup:FuzzDecode internal/setup:FuzzDecodeSidecar internal/record:FuzzDecodeGroup \
 	internal/pipe:FuzzConn internal/server:FuzzResponse internal/peer:FuzzSession internal/wire:FuzzRead \
 	platform:FuzzDecodeNewest platform:FuzzDecodePage platform:FuzzDecodeMember platform:FuzzDecodeConfig platform:FuzzReport
 fuzz:
--- a/internal/setup/setup_test.go
+++ b/internal/setup/setup_test.go
@@ -120,21 +120,36 @@
 	f.Add([]byte(valid))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		_, err := Decode("f", text)
-		if err == nil {
-			return
-		}
-		var problems Problems
-		if !errors.As(err, &problems) {
-			t.Fatalf("error: got %T, want Problems", err)
-		}
-		for _, p := range problems {
-			if p.Line < 1 || p.Column < 1 || p.Message == "" {
-				t.Fatalf("problem: got %+v, want a position and a message", p)
-			}
-		}
+		checkProblems(t, err)
+	})
+}
+
+// FuzzDecodeSidecar is FuzzDecode for the settings of a sidecar node.
+func FuzzDecodeSidecar(f *testing.F) {
+	f.Add([]byte(validSidecar))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		_, err := DecodeSidecar("f", text)
+		checkProblems(t, err)
 	})
 }
 
+// checkProblems fails unless err is nil or lists problems that have a position and a message.
+func checkProblems(t *testing.T, err error) {
+	t.Helper()
+	if err == nil {
+		return
+	}
+	var problems Problems
+	if !errors.As(err, &problems) {
+		t.Fatalf("error: got %T, want Problems", err)
+	}
+	for _, p := range problems {
+		if p.Line < 1 || p.Column < 1 || p.Message == "" {
+			t.Fatalf("problem: got %+v, want a position and a message", p)
+		}
+	}
+}
+
 const validSidecar = `server: sidecar-a-1
 service: front
 dataCentre: a
