--- /dev/null
+++ b/internal/matrix/report/doc.go
@@ -0,0 +1,2 @@
+// Command report runs the tests that the fault matrix names and prints the matrix.
+package main
--- a/internal/matrix/report/main.go
+++ b/internal/matrix/report/main.go
@@ -1,4 +1,3 @@
-// Command report runs the tests that the fault matrix names and prints the matrix.
 package main
 
 import (
--- /dev/null
+++ b/internal/pause/doc.go
@@ -0,0 +1,2 @@
+// Package pause provides sleeping and periodic calls that end when a context is done.
+package pause
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -1,4 +1,3 @@
-// Package pause provides sleeping and periodic calls that end when a context is done.
 package pause
 
 import (
--- /dev/null
+++ b/internal/ports/doc.go
@@ -0,0 +1,2 @@
+// Package ports allocates free loopback addresses for fakes and tests.
+package ports
--- a/internal/ports/ports.go
+++ b/internal/ports/ports.go
@@ -1,4 +1,3 @@
-// Package ports allocates free loopback addresses for fakes and tests.
 package ports
 
 import (
