--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -16,13 +16,9 @@
 	"briarworks.example/briarworks/pkg/reason"
 )
 
-// Bounds of the attempts to learn the outcome of a call whose connection broke, so that time is left for a retry
-// elsewhere. A request that may be repeated waits only for a peer that can be reached at once: a peer without power
-// does not answer the new connection either.
-const (
-	settleTimeout           = time.Second
-	settleTimeoutIdempotent = 200 * time.Millisecond
-)
+// settleTimeout bounds the attempts to learn the outcome of a call whose connection broke, so that time is left
+// for a retry elsewhere.
+const settleTimeout = time.Second
 
 // Call runs a request on the peer at addr and returns its result, at the latest at the request's deadline. The
 // outcome is NotRun only if nothing was sent or the peer reported that the call never ran.
@@ -134,11 +130,7 @@
 
 // settle asks the same incarnation of the peer for the outcome of a call, over a new session.
 func (tr *Transport) settle(ctx context.Context, l *Link, broken *session, id ident.CallID, req *call.Request, why reason.Refusal) call.Result {
-	timeout := settleTimeout
-	if req.Idempotent {
-		timeout = settleTimeoutIdempotent
-	}
-	short, cancel := context.WithTimeout(ctx, timeout)
+	short, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
 	for {
 		s, err := l.session(short, tr)
