platform, side: log what responses state about the server's limit and leaving

The line serverNoticed and the gauge serverLimit show which limit a node has read and when. No decision uses them yet.

--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -62,6 +62,7 @@
 	Encode func(hr *http.Request, req *call.Request, token flight.Token, now time.Time) // adds the headers of a request
 	Decode func(resp *http.Response, req *call.Request, body []byte) call.Result        // interprets a response
 	Owner  func(resp *http.Response, req *call.Request, token flight.Token) Owner       // tells whether a response belongs to the request
+	Notice func(resp *http.Response, sentAt time.Time)                                  // receives each response that belongs to its request, before Decode; may be nil
 }
 
 // Owner tells to which request a response belongs.
@@ -158,12 +159,12 @@
 	if err != nil {
 		return call.Refuse(reason.BadRequest), true
 	}
-	return c.roundTrip(ctx, cn, hr, req, token)
+	return c.roundTrip(ctx, cn, hr, req, token, now)
 }
 
 // roundTrip writes a request, reads its response and reports whether the connection is reusable. Once writing has
 // started, a failure leaves the outcome unknown.
-func (c *Client) roundTrip(ctx context.Context, cn *conn, hr *http.Request, req *call.Request, token flight.Token) (res call.Result, reusable bool) {
+func (c *Client) roundTrip(ctx context.Context, cn *conn, hr *http.Request, req *call.Request, token flight.Token, now time.Time) (res call.Result, reusable bool) {
 	if ctx.Err() != nil {
 		return transportFailure(ctx, ctx.Err(), false), false
 	}
@@ -186,6 +187,9 @@
 		if owner == OwnerOther || owner == OwnerUnproven && cn.reused {
 			continue // a late duplicate response to an earlier request
 		}
+		if c.HeaderFormat.Notice != nil {
+			c.HeaderFormat.Notice(resp, now)
+		}
 		return c.HeaderFormat.Decode(resp, req, body), writeErr == nil && !resp.Close && owner == OwnerProven
 	}
 	return call.UnknownOutcome(reason.ServerFailed), false
--- a/internal/side/node.go
+++ b/internal/side/node.go
@@ -73,7 +73,8 @@
 	config        atomic.Pointer[activeConfig]
 	configMu      sync.Mutex // guards the replacement of config
 	serverState   atomic.Pointer[life.State]
-	mu            sync.Mutex // guards self, leaving and the replacement of serverState
+	notice        atomic.Pointer[life.Notice] // last one of the local server
+	mu            sync.Mutex                  // guards self, leaving and the replacement of serverState
 	self          fleet.Member
 	leaving       bool        // set by Leave
 	loggedLevel   level.Level // last logged level; used by the goroutine of tick only
@@ -321,6 +322,20 @@
 	return true
 }
 
+// Notice handles what a response of the local server says about it.
+func (n *Node) Notice(x life.Notice, _ time.Time) {
+	last := n.notice.Swap(&x)
+	if last != nil && last.Limit == x.Limit && last.Limited == x.Limited && last.Leaving == x.Leaving && last.Instance == x.Instance {
+		return
+	}
+	n.Stats.SetGauge("serverLimit", float64(x.Limit))
+	if last == nil && !x.Limited && !x.Leaving {
+		return
+	}
+	n.Log.Info("serverNoticed", zap.String("instance", string(x.Instance)), zap.Bool("limited", x.Limited), zap.Float64("limit", float64(x.Limit)),
+		zap.Bool("leaving", x.Leaving), zap.Time("sentAt", x.SentAt))
+}
+
 // announce publishes the member entry of the local server. The caller holds n.mu.
 func (n *Node) announce(now time.Time) {
 	n.self.Announced = now
--- a/pkg/ident/ident.go
+++ b/pkg/ident/ident.go
@@ -70,6 +70,9 @@
 // Bytes is a size in bytes.
 type Bytes int64
 
+// Rate is a number of requests per second.
+type Rate float64
+
 // Hop is the number of nodes that a request passed before this one; it is 0 at the entry node.
 type Hop uint8
 
--- a/pkg/life/life.go
+++ b/pkg/life/life.go
@@ -40,6 +40,16 @@
 	ColdStart time.Duration // duration of the cold start
 }
 
+// Notice is what a response of a server says about the server itself, besides answering its request.
+type Notice struct {
+	Instance  ident.Instance // that the request was sent to; "" if unknown
+	SentAt    time.Time      // when the request was sent; the server may have responded at any later time
+	Limited   bool           // the server states a Limit
+	Limit     ident.Rate     // requests that it accepts from all callers together, for as long as its responses state it
+	Unlimited bool           // the server states no limit; neither this nor Limited is set if its limit cannot be read
+	Leaving   bool           // the server is about to end
+}
+
 // State is the merged state of a server. The zero value is a server without any report.
 type State struct {
 	Report
