gossip: connect to further members while few nodes are connected

What callers saw: nothing yet. Nodes that get no requests may miss a new server for up to a minute. Cause: the periodic exchange went over open connections only. Nodes that are connected among themselves and get no requests never connected to others, although they knew their addresses, and learned what these knew only by the minute's read of the members. The fix: a node with fewer than three connected nodes adds one with each exchange, and one exchange in sixteen goes to a member that is not connected, so no group stays apart.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -31,9 +31,15 @@
 	// change reaches all but one in 400 nodes of a fleet; the periodic sync reaches the rest.
 	fanOut = 6
 
-	// maxIsolatedTries bounds the members that a node without connections tries in one interval. When most of a
-	// fleet is gone, a randomly chosen member may be gone as well.
-	maxIsolatedTries = 4
+	// minConnected is the number of connected nodes below which each sync adds one. Nodes that are connected only among
+	// themselves, as a few that started together and get no requests, would learn nothing from the others.
+	minConnected = 3
+	// newPeerPeriod is the number of syncs, on average, of which one goes to any member, connected or not.
+	newPeerPeriod = 16
+
+	// maxNewPeerTries bounds the members that a node tries to connect to in one interval. When most of a fleet is gone, a
+	// randomly chosen member may be gone as well.
+	maxNewPeerTries = 4
 )
 
 // Config is one version of the configuration, with the text as the platform wrote it.
@@ -281,12 +287,16 @@
 	if reply != nil {
 		g.lastExchange.Store(time.Now().UnixNano())
 		g.sendMissing(syncCtx, g.addressOf(from), reply)
-		return
 	}
-	if g.Transport.SessionCount() > 0 {
+	connected := g.Transport.ConnectedServers()
+	if len(connected) >= minConnected && mrand.IntN(newPeerPeriod) > 0 {
 		return
 	}
-	for _, addr := range g.fallbackAddresses() {
+	addrs := g.randomMembers(connected)
+	if g.Transport.SessionCount() == 0 {
+		addrs = append(addrs, g.Seeds...)
+	}
+	for _, addr := range addrs {
 		if _, reply, err := g.Transport.SyncTo(syncCtx, addr, g.summary()); err == nil {
 			g.sendMissing(syncCtx, addr, reply)
 			return
@@ -308,15 +318,15 @@
 	}
 }
 
-// fallbackAddresses returns the addresses of a few random members, followed by the seeds.
-func (g *Gossip) fallbackAddresses() (all []ident.Address) {
+// randomMembers returns the addresses of a few random members that are not among the connected ones.
+func (g *Gossip) randomMembers(connected map[ident.Server]bool) (all []ident.Address) {
 	members := g.Roster.Table().All()
 	for _, i := range mrand.Perm(len(members)) {
-		if m := members[i]; !m.Left && m.Address != "" && m.Server != g.Self.Server && len(all) < maxIsolatedTries {
+		if m := members[i]; !m.Left && m.Address != "" && m.Server != g.Self.Server && !connected[m.Server] && len(all) < maxNewPeerTries {
 			all = append(all, m.Address)
 		}
 	}
-	return append(all, g.Seeds...)
+	return all
 }
 
 func (g *Gossip) addressOf(s ident.Server) ident.Address {
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -276,6 +276,17 @@
 	return len(tr.sessions)
 }
 
+// ConnectedServers returns the names of the peers with an open session.
+func (tr *Transport) ConnectedServers() map[ident.Server]bool {
+	names := make(map[ident.Server]bool)
+	for _, s := range tr.openSessions() {
+		if id := s.identity.Load(); id != nil {
+			names[id.server] = true
+		}
+	}
+	return names
+}
+
 // Broadcast sends a message to every connected peer and waits until each has replied or the timeout has passed.
 func (tr *Transport) Broadcast(ctx context.Context, env *wirepb.Envelope, timeout time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
