admit, pace: keep the request rate that a server states

What callers saw: a backend server that names a limit in its responses (Server-Limit) got up to twice what it allows, and so fell further behind (LIMIT). Cause: no node read the header. It passed to the caller like any other, and the gate beside the server admits by free slots alone. Class: a condition that the other side states is forwarded instead of acted on. The fix: all requests to a server pass the gate beside it, so one token bucket there (pkg/pace) keeps the limit for the fleet, whatever the number of nodes and whatever they have heard. Its use counts in the level, so origins admit less, and the free slots that answers report. A node that starts beside a server that ran before sends 5 requests a second until the first response shows whether there is a limit. A response without a limit lifts it only if its request was sent after the limit was last stated.

--- a/internal/bench/control.go
+++ b/internal/bench/control.go
@@ -147,7 +147,7 @@
 		re(call.Refuse(reason.Overload))
 		return
 	}
-	if c.gate.Free() > 0 {
+	if c.gate.Free(w.now) > 0 {
 		visit(n, t, r, re)
 		return
 	}
@@ -272,7 +272,7 @@
 // answer adds the admitted fraction and the free slots to the result and returns it.
 func (v *hop) answer(gate *admit.Gate, res call.Result) {
 	res.AdmittedFraction = gate.Advertise(v.r.Kind, v.n.w.now)
-	res.FreeSlots = gate.Free()
+	res.FreeSlots = gate.Free(v.n.w.now)
 	v.re(res)
 }
 
--- a/internal/relay/downstream.go
+++ b/internal/relay/downstream.go
@@ -61,7 +61,7 @@
 // peerFirst returns a peer of the same service and reports whether a caller's request goes there first: the local
 // server has no free slot, and either the peer has one or the gate offloads the request.
 func (r *Relay) peerFirst(req *call.Request) (*route.Peer, bool) {
-	if r.Gate.Free() > 0 {
+	if r.Gate.Free(r.Now()) > 0 {
 		return nil, false
 	}
 	p, ok := r.pickPeer(r.Self.Service, route.Avoid{})
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -150,7 +150,7 @@
 	r := d.relay
 	now := r.Now()
 	eligible := d.req.Service == r.Self.Service && !d.tried.Has(r.Self.Server) && r.unavailable() == reason.None
-	free := r.Gate.Free() > 0
+	free := r.Gate.Free(now) > 0
 	if eligible && free && !r.localErrors.Outlier(now) {
 		return true, nil
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -317,7 +317,7 @@
 func (r *Relay) annotate(req *call.Request, res call.Result, left ident.Tokens) call.Result {
 	now := r.Now()
 	res.RetryBudgetLeft = left
-	res.FreeSlots = r.Gate.Free()
+	res.FreeSlots = r.Gate.Free(now)
 	if r.draining.Load() {
 		res.FreeSlots = 0
 	}
--- a/internal/side/node.go
+++ b/internal/side/node.go
@@ -73,8 +73,9 @@
 	config        atomic.Pointer[activeConfig]
 	configMu      sync.Mutex // guards the replacement of config
 	serverState   atomic.Pointer[life.State]
-	notice        atomic.Pointer[life.Notice] // last one of the local server
-	mu            sync.Mutex                  // guards self, leaving and the replacement of serverState
+	mu            sync.Mutex // guards self, leaving, limitedAt and the replacement of serverState
+	startedAt     time.Time
+	limitedAt     time.Time // when the local server last stated a limit
 	self          fleet.Member
 	leaving       bool        // set by Leave
 	loggedLevel   level.Level // last logged level; used by the goroutine of tick only
@@ -115,7 +116,7 @@
 	n := &Node{
 		Settings: p.Settings, Log: p.Log, Stats: p.Stats, Roster: p.Roster, Gate: p.Gate, Relay: p.Relay,
 		Transport: p.Transport, Backend: p.Backend, Gossip: p.Gossip, self: p.Self,
-		Publish: func(fleet.Member) {}, Ledger: p.Ledger, monitor: p.Monitor,
+		Publish: func(fleet.Member) {}, Ledger: p.Ledger, monitor: p.Monitor, startedAt: time.Unix(0, int64(p.Self.Incarnation)),
 	}
 	n.Flusher = &flush.Flusher{Ledger: p.Ledger, Lazy: true, StartSpread: firstAppendJitter, StopTimeout: stopAppendTimeout, Failed: func(err error) {
 		n.Stats.CountEvent("refusalsNotWritten")
@@ -316,24 +317,57 @@
 	}
 	if s.Instance != before.Instance || s.Born.After(before.Born) {
 		n.self.Incarnation = max(n.self.Incarnation+1, ident.Incarnation(now.UnixNano()))
+		n.resetPace(&s, &before, now)
 	}
 	n.self.Left = s.Phase != life.Ready || n.leaving
 	n.announce(now)
 	return true
 }
 
+// unknownRate is the rate of requests to a server that ran before its node started, until its first response shows
+// whether it states a limit.
+const unknownRate ident.Rate = 5
+
+// maxStartGap is the time by which a server may have started before its node and yet not have stated a limit that binds
+// any other node.
+const maxStartGap = time.Second
+
+// resetPace sets the pace for a run of the local server that begins or has become known. The caller holds n.mu.
+func (n *Node) resetPace(s, before *life.State, now time.Time) {
+	n.limitedAt = time.Time{}
+	if before.Phase == life.Unknown && n.startedAt.Sub(s.Born) > maxStartGap {
+		n.Gate.Pace.Set(unknownRate, now)
+		return
+	}
+	n.Gate.Pace.Clear()
+}
+
 // Notice handles what a response of the local server says about it.
-func (n *Node) Notice(x life.Notice, _ time.Time) {
-	last := n.notice.Swap(&x)
-	if last != nil && last.Limit == x.Limit && last.Limited == x.Limited && last.Leaving == x.Leaving && last.Instance == x.Instance {
+func (n *Node) Notice(x life.Notice, now time.Time) {
+	if !x.Limited && !n.Gate.Pace.Limited() {
 		return
 	}
-	n.Stats.SetGauge("serverLimit", float64(x.Limit))
-	if last == nil && !x.Limited && !x.Leaving {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := n.ServerState()
+	if !s.Concerns(x) {
+		return
+	}
+	before, wasLimited := n.Gate.Pace.Rate()
+	switch {
+	case x.Limited:
+		n.limitedAt = now
+		n.Gate.Pace.Set(x.Limit, now)
+	case x.Unlimited && x.SentAt.After(n.limitedAt): // an earlier request may have been answered before the limit was stated
+		n.Gate.Pace.Clear()
+	}
+	rate, isLimited := n.Gate.Pace.Rate()
+	if rate == before && isLimited == wasLimited {
 		return
 	}
-	n.Log.Info("serverNoticed", zap.String("instance", string(x.Instance)), zap.Bool("limited", x.Limited), zap.Float64("limit", float64(x.Limit)),
-		zap.Bool("leaving", x.Leaving), zap.Time("sentAt", x.SentAt))
+	n.Stats.SetGauge("serverLimit", float64(rate))
+	n.Log.Info("serverLimited", zap.String("instance", string(s.Instance)), zap.Bool("limited", isLimited), zap.Float64("limit", float64(rate)),
+		zap.Float64("before", float64(before)), zap.Time("sentAt", x.SentAt))
 }
 
 // announce publishes the member entry of the local server. The caller holds n.mu.
--- a/pkg/admit/chain_test.go
+++ b/pkg/admit/chain_test.go
@@ -131,7 +131,7 @@
 	}
 	all := path[0].nodes
 	a, b := all[c.rng.IntN(len(all))], all[c.rng.IntN(len(all))]
-	if b.gate.Free() > a.gate.Free() {
+	if b.gate.Free(c.time()) > a.gate.Free(c.time()) {
 		a = b
 	}
 	inner := *req
--- a/pkg/admit/gate.go
+++ b/pkg/admit/gate.go
@@ -12,6 +12,7 @@
 	"briarworks.example/briarworks/pkg/ident"
 	"briarworks.example/briarworks/pkg/level"
 	"briarworks.example/briarworks/pkg/limit"
+	"briarworks.example/briarworks/pkg/pace"
 	"briarworks.example/briarworks/pkg/reason"
 	"briarworks.example/briarworks/pkg/share"
 )
@@ -19,6 +20,8 @@
 // Gate controls the admission of requests to one backend server. All methods except OnWindow are safe for
 // concurrent use.
 type Gate struct {
+	Pace pace.Limiter // rate that the server states; unlimited until it is set
+
 	cfg   Config
 	kinds atomic.Pointer[kindTable]
 
@@ -126,7 +129,7 @@
 			return t.refuse(reason.DeadlineTooShort)
 		}
 	}
-	if g.queueLen.Load() == 0 && g.acquire() {
+	if g.queueLen.Load() == 0 && g.acquire(now) {
 		return Run
 	}
 	return g.enqueue(req, t, expected, now)
@@ -135,20 +138,26 @@
 // levelScale is the fixed-point scale of the sum of levels.
 const levelScale = 1e6
 
-// acquire takes a slot if fewer calls run than the limit allows. An increment beyond the limit is undone, which
-// can make a concurrent attempt fail although a slot is free. That is harmless, because a request that fails is
-// queued and then dispatches free slots.
-func (g *Gate) acquire() bool {
+// acquire takes a slot if fewer calls run than the limit allows, and a request from the pace. An increment beyond the limit
+// is undone, which can make a concurrent attempt fail although a slot is free. That is harmless, because a request that
+// fails is queued and then dispatches free slots.
+func (g *Gate) acquire(now time.Time) bool {
 	if g.inflight.Load() >= g.limit.Load() {
 		return false
 	}
-	if g.inflight.Add(1) <= g.limit.Load() {
+	if g.inflight.Add(1) <= g.limit.Load() && g.Pace.Take(now) {
 		return true
 	}
 	g.inflight.Add(-1)
 	return false
 }
 
+// release gives back what acquire took for a request that is not sent.
+func (g *Gate) release() {
+	g.inflight.Add(-1)
+	g.Pace.Return()
+}
+
 func (t *Ticket) refuse(r reason.Refusal) Verdict {
 	t.Reason, t.verdict = r, Refuse
 	return Refuse
@@ -180,7 +189,7 @@
 		g.queue.remove(t)
 		g.drop(t, reason.Overload)
 	}
-	if len(g.queue.tickets) > g.cfg.QueueLen {
+	if n := len(g.queue.tickets); n > 0 && n > g.maxQueueLen(g.queue.last(), now) {
 		last := g.queue.last()
 		g.queue.remove(last)
 		g.drop(last, reason.QueueFull)
@@ -195,6 +204,12 @@
 	return verdict
 }
 
+// maxQueueLen returns the queue length up to which the last ticket of the queue is kept: the capacity, and what the pace
+// admits until the wait of that ticket ends, as it would otherwise wait in vain.
+func (g *Gate) maxQueueLen(last *Ticket, now time.Time) int {
+	return min(g.cfg.QueueLen, max(g.Pace.Within(last.waitUntil.Sub(now)), 1))
+}
+
 // maxWait returns the maximum wait of a request. A server with few slots and slow calls frees a slot so rarely
 // that protected requests, although first in the queue and within the capacity, would often exceed the configured
 // maximum. They may therefore wait for the expected duration of a call, up to four times the maximum.
@@ -215,16 +230,16 @@
 		// The length is published before the attempt to acquire a slot: a call that leaves afterwards sees
 		// the length, and the slot of a call that left before is seen here.
 		g.publishQueueLen()
-		if !g.acquire() {
+		if !g.acquire(now) {
 			break
 		}
 		t := g.queue.popFirst()
 		switch {
 		case !t.latestStart.IsZero() && t.latestStart.Before(now):
-			g.inflight.Add(-1)
+			g.release()
 			t.refuse(reason.DeadlineTooShort)
 		case t.waitUntil.Before(now):
-			g.inflight.Add(-1)
+			g.release()
 			g.drop(t, reason.QueueTimeout)
 		default:
 			t.verdict = Run
@@ -394,8 +409,10 @@
 	nearlyFullDen = 5
 )
 
-// Free returns the number of free slots.
-func (g *Gate) Free() ident.Slots { return max(g.Limit()-g.Inflight(), 0) }
+// Free returns the number of requests that may be sent to the server now: its free slots, as far as the pace admits them.
+func (g *Gate) Free(now time.Time) ident.Slots {
+	return min(max(g.Limit()-g.Inflight(), 0), g.Pace.Available(now))
+}
 
 // Limit returns the concurrency limit.
 func (g *Gate) Limit() ident.Slots { return ident.Slots(g.limit.Load()) }
--- a/pkg/admit/gate_test.go
+++ b/pkg/admit/gate_test.go
@@ -144,8 +144,8 @@
 	if got, want := m.gate.Queued(), len(m.waiting); got != want {
 		m.Fatalf("queued: got %d, want %d", got, want)
 	}
-	if len(m.waiting) > 4 || len(m.waiting) > 0 && m.gate.Free() > 0 {
-		m.Fatalf("waiting: got %d with %d slots free, want at most 4 and no free slot", len(m.waiting), m.gate.Free())
+	if len(m.waiting) > 4 || len(m.waiting) > 0 && m.gate.Free(m.now) > 0 {
+		m.Fatalf("waiting: got %d with %d slots free, want at most 4 and no free slot", len(m.waiting), m.gate.Free(m.now))
 	}
 }
 
--- a/pkg/admit/window.go
+++ b/pkg/admit/window.go
@@ -67,6 +67,7 @@
 	startTime       time.Time
 	samples         int
 	utilizationSum  float64 // sum of the utilization of the limit over the samples
+	paceUseSum      float64 // sum of the use of the pace over the samples
 	queueLenSum     float64 // sum of the queue length over the samples
 	gain            float64 // capacity correction for errors of the estimates
 	meanSlotTime    float64 // mean slot time of a call in s
@@ -83,10 +84,11 @@
 	}
 	w.samples++
 	w.utilizationSum += float64(g.Inflight()) / float64(max(g.Limit(), 1))
+	w.paceUseSum += g.Pace.Use(now)
 	w.queueLenSum += float64(g.Queued())
 	if span := now.Sub(w.startTime); span >= g.cfg.Window {
 		g.endWindow(span, now)
-		w.startTime, w.samples, w.utilizationSum, w.queueLenSum = now, 0, 0, 0
+		w.startTime, w.samples, w.utilizationSum, w.paceUseSum, w.queueLenSum = now, 0, 0, 0, 0
 	}
 }
 
@@ -119,7 +121,7 @@
 	if g.onWindow == nil {
 		return
 	}
-	out := level.Sample{Arrived: int(g.arrived.Swap(0)), Dropped: dropped, Wait: w.meanWait(s), Utilization: utilization, Span: span}
+	out := level.Sample{Arrived: int(g.arrived.Swap(0)), Dropped: dropped, Wait: w.meanWait(s), Utilization: max(utilization, w.paceUseSum/float64(w.samples)), Span: span}
 	if admitted := g.levelSum.Swap(0); out.Arrived > 0 {
 		out.Admitted = level.Level(float64(admitted) / levelScale / float64(out.Arrived))
 	}
--- a/pkg/level/level.go
+++ b/pkg/level/level.go
@@ -35,7 +35,7 @@
 	Arrived     int           // requests received
 	Dropped     int           // requests of this or an earlier window that left the queue without running
 	Wait        time.Duration // mean queue wait
-	Utilization float64       // utilization of the slots, from 0 to 1
+	Utilization float64       // utilization of the slots, or of the rate that the server states if that is higher, from 0 to 1
 	Admitted    Level         // mean level at which the received requests were admitted
 	Span        time.Duration // length of the window
 }
--- a/pkg/life/life.go
+++ b/pkg/life/life.go
@@ -81,6 +81,12 @@
 	return changed
 }
 
+// Concerns reports whether a notice is about the run that the state describes. A response may be handled after the server
+// was replaced or has restarted under its name.
+func (s *State) Concerns(n Notice) bool {
+	return s.Phase != Unknown && (n.Instance == "" || n.Instance == s.Instance) && !s.Born.After(n.SentAt)
+}
+
 // isNewerRun reports whether r belongs to a later run. Unless both start times are known, that holds only for
 // another instance that is not departing, and only if the known one is gone or r alone has a start time.
 func (s *State) isNewerRun(r Report) bool {
--- a/pkg/life/life_test.go
+++ b/pkg/life/life_test.go
@@ -64,3 +64,28 @@
 		t.Error("more slots change the state: got false, want true")
 	}
 }
+
+// Guards against applying what a response says to another run of the server than the one that sent it.
+func TestConcerns(t *testing.T) {
+	born := time.Unix(1000, 0)
+	known := State{Report{Instance: "a", Born: born, Phase: Ready}}
+	tests := map[string]struct {
+		state  State
+		notice Notice
+		want   bool
+	}{
+		"present run":                {known, Notice{Instance: "a", SentAt: born.Add(time.Second)}, true},
+		"instance not named":         {known, Notice{SentAt: born.Add(time.Second)}, true},
+		"another instance":           {known, Notice{Instance: "b", SentAt: born.Add(time.Second)}, false},
+		"earlier run, same instance": {known, Notice{Instance: "a", SentAt: born.Add(-time.Millisecond)}, false},
+		"start time not known":       {State{Report{Instance: "a", Phase: Draining}}, Notice{Instance: "a", SentAt: born}, true},
+		"server not known":           {State{}, Notice{Instance: "a", SentAt: born}, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := tt.state.Concerns(tt.notice); got != tt.want {
+				t.Errorf("concerns the state: got %t, want %t", got, tt.want)
+			}
+		})
+	}
+}
