side, relay: stop sending to a server that says in its responses that it leaves

What callers saw: requests went on to a server whose responses said that it leaves (Server-Leaving), and failed when it ended (DRAIN). Cause: the header was not read; only a server's own reports ended its use. And what a server had said was lost with a restart of its node: a late report, or a health check that is good by mistake, brought it back. Class: as the limit, a condition that the other side states and that is forwarded instead of acted on, or kept by one process alone. The fix: the node beside the server takes the notice as a report of leaving, from responses and from its health check. Every answer of that node names the run that leaves; the origin keeps it and states it in each later call, so a restarted node learns it before the first request from an origin that had heard. A run is an instance and its start, so that a server that starts again under its name is used.

--- a/internal/relay/downstream.go
+++ b/internal/relay/downstream.go
@@ -9,6 +9,7 @@
 	"briarworks.example/briarworks/internal/pause"
 	"briarworks.example/briarworks/pkg/call"
 	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/life"
 	"briarworks.example/briarworks/pkg/reason"
 	"briarworks.example/briarworks/pkg/retry"
 	"briarworks.example/briarworks/pkg/route"
@@ -142,11 +143,20 @@
 	return pause.For(ctx, wait)
 }
 
-// sendToPeer makes one call to a peer and records the feedback in its answer.
+// sendToPeer makes one call to a peer and records the feedback in its answer. The call states which run of the server this
+// node knows to leave: a node that has restarted since does not know what the server said before.
 func (r *Relay) sendToPeer(ctx context.Context, p *route.Peer, req *call.Request) call.Result {
 	start := r.Now()
+	if run := r.departedRun(p.Member.Server); run != nil {
+		withRun := *req
+		withRun.Departed = *run
+		req = &withRun
+	}
 	p.Start()
 	res := r.Send(ctx, p.Member.Address, req)
+	if res.Departed.Instance != "" {
+		r.departed.LoadOrNew(p.Member.Server).Store(&res.Departed)
+	}
 	now := r.Now()
 	fb := route.Feedback{Failed: serverFailed(res), Erred: serverErred(res), Superseded: superseded(ctx), Free: route.NoReport}
 	if fromPeer(res) {
@@ -160,6 +170,14 @@
 	return res
 }
 
+// departedRun returns the run of a server that has said to leave in its answers to this node, or nil.
+func (r *Relay) departedRun(s ident.Server) *life.Run {
+	if run := r.departed.Load(s); run != nil {
+		return run.Load()
+	}
+	return nil
+}
+
 // learn stores the feedback in an answer from a peer.
 func (r *Relay) learn(req *call.Request, res call.Result, now time.Time) {
 	if fromPeer(res) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -12,6 +12,7 @@
 	"briarworks.example/briarworks/pkg/fleet"
 	"briarworks.example/briarworks/pkg/ident"
 	"briarworks.example/briarworks/pkg/lazy"
+	"briarworks.example/briarworks/pkg/life"
 	"briarworks.example/briarworks/pkg/reason"
 	"briarworks.example/briarworks/pkg/retry"
 	"briarworks.example/briarworks/pkg/route"
@@ -45,6 +46,8 @@
 	OnRetry func(reason.Retry)
 	// Unavailable returns why the local server accepts no requests, or None when it does; may be nil.
 	Unavailable func() reason.Refusal
+	// Departed returns the run of the local server if that leaves; may be nil.
+	Departed func() life.Run
 	// OnRefused is called for each request that is refused before it reaches the local server; may be nil.
 	OnRefused func(req *call.Request, why reason.Refusal)
 	// Stalled reports whether this process did not run for a while between two times; nil if that is not known.
@@ -63,7 +66,8 @@
 	inflight    atomic.Int64
 	ratios      lazy.Map[ident.Service, retry.Ratio]
 	keyedRuns   runTable
-	localErrors route.Errors // of the local server, for requests that originate at this node
+	departed    lazy.Map[ident.Server, atomic.Pointer[life.Run]] // runs of other nodes' servers that leave, as their answers said
+	localErrors route.Errors                                     // of the local server, for requests that originate at this node
 }
 
 // Drain makes the node refuse new requests. Requests in flight continue, and so do the calls that they make.
@@ -323,6 +327,9 @@
 	}
 	res.AdmittedFraction = r.Gate.Advertise(req.Kind, now)
 	res.RefusalSeq = r.RefusalSeq()
+	if r.Departed != nil {
+		res.Departed = r.Departed()
+	}
 	r.Control.addFeedback(req, &res, now)
 	return res
 }
--- a/internal/side/node.go
+++ b/internal/side/node.go
@@ -146,7 +146,8 @@
 	}
 	n.Rejects = &roster.Rejects{Count: n.Stats.CountEvent, Log: n.Log}
 	n.Roster.Rejected = func(m fleet.Member, err error) { n.Rejects.Report(string(m.Server), err) }
-	n.Transport.OnCall = n.Relay.ServePeer
+	n.Relay.Departed = n.departed
+	n.Transport.OnCall = n.servePeer
 	n.Transport.OnSync = n.Gossip.HandleSync
 	n.Transport.OnLeave = func(s ident.Server, inc ident.Incarnation) { n.Roster.Leave(s, inc, time.Now()) }
 	n.Roster.Changed = n.onMembersChanged
@@ -342,8 +343,30 @@
 	n.Gate.Pace.Clear()
 }
 
+// departed returns the run of the local server if it leaves, and no run otherwise.
+func (n *Node) departed() (r life.Run) {
+	if s := n.serverState.Load(); s.Phase > life.Ready {
+		r = s.Run()
+	}
+	return r
+}
+
+// servePeer handles a call of another node. That node may know that the local server leaves although this one does not,
+// because it has restarted since the server said so.
+func (n *Node) servePeer(ctx context.Context, req *call.Request) call.Result {
+	if run := req.Departed; run.Instance != "" {
+		if s := n.ServerState(); s.Phase <= life.Ready && s.Describes(run) {
+			n.Report(life.Report{Instance: run.Instance, Born: run.Born, Phase: life.Gone}, time.Now())
+		}
+	}
+	return n.Relay.ServePeer(ctx, req)
+}
+
 // Notice handles what a response of the local server says about it.
 func (n *Node) Notice(x life.Notice, now time.Time) {
+	if s := n.ServerState(); x.Leaving && s.Phase == life.Ready && s.Concerns(x) {
+		n.Report(life.Report{Instance: s.Instance, Born: s.Born, Phase: life.Draining}, now)
+	}
 	if !x.Limited && !n.Gate.Pace.Limited() {
 		return
 	}
--- a/internal/wire/convert.go
+++ b/internal/wire/convert.go
@@ -10,6 +10,7 @@
 	"briarworks.example/briarworks/pkg/fleet"
 	"briarworks.example/briarworks/pkg/ident"
 	"briarworks.example/briarworks/pkg/level"
+	"briarworks.example/briarworks/pkg/life"
 	"briarworks.example/briarworks/pkg/reason"
 )
 
@@ -25,7 +26,7 @@
 		Service: string(r.Service), AgeNs: int64(now.Sub(r.AcceptedAt)), LeftNs: int64(r.Remaining(now)),
 		BornUnixNs: r.AcceptedAt.UnixNano(), Budget: int32(r.RetryBudget), Passed: float64(r.AdmittedFraction),
 		Hop: uint32(r.Hop), Method: r.Method, Path: r.Path, Header: fromHeader(r.Header), Body: r.Body,
-		PatienceNs: int64(r.MaxQueueWait), Level: float64(r.Level), SentNs: int64(sent),
+		PatienceNs: int64(r.MaxQueueWait), Level: float64(r.Level), SentNs: int64(sent), Departed: fromRun(r.Departed),
 	}
 }
 
@@ -39,10 +40,34 @@
 		Service: ident.Service(m.Service), AcceptedAt: acceptedAt(m, now), Deadline: now.Add(clampDuration(m.LeftNs) - delayed),
 		RetryBudget: ident.Tokens(min(max(m.Budget, 0), maxRetryBudget)), AdmittedFraction: validFraction(m.Passed), Hop: ident.Hop(min(m.Hop, 255)),
 		Method: m.Method, Path: m.Path, Header: toHeader(m.Header), Body: m.Body,
-		MaxQueueWait: clampDuration(m.PatienceNs), Level: level.Level(validRatio(m.Level)),
+		MaxQueueWait: clampDuration(m.PatienceNs), Level: level.Level(validRatio(m.Level)), Departed: toRun(m.Departed),
 	}
 }
 
+// fromRun returns the message for a run, or nil for none.
+func fromRun(r life.Run) *wirepb.Run {
+	if r.Instance == "" {
+		return nil
+	}
+	m := &wirepb.Run{Instance: string(r.Instance)}
+	if !r.Born.IsZero() {
+		m.BornUnixNs = r.Born.UnixNano()
+	}
+	return m
+}
+
+// toRun returns the run that a message describes, with strings of its own.
+func toRun(m *wirepb.Run) (r life.Run) {
+	if m.GetInstance() == "" {
+		return r
+	}
+	r.Instance = ident.Instance(strings.Clone(m.Instance))
+	if m.BornUnixNs != 0 {
+		r.Born = time.Unix(0, m.BornUnixNs)
+	}
+	return r
+}
+
 // maxRetryBudget is the highest retry bound that the rules allow.
 const maxRetryBudget = 16
 
@@ -77,6 +102,7 @@
 		RetryAfterNs: int64(r.RetryAfter), Status: int32(r.Status), Header: fromHeader(r.Header), Body: r.Body,
 		TokensLeft: int32(r.RetryBudgetLeft), Free: int32(r.FreeSlots), Fraction: float64(r.AdmittedFraction),
 		RefusalSeq: uint64(r.RefusalSeq), Level: float64(r.Level), Inner: r.InternalKind, Fan: r.FanOut, Leaf: r.Leaf, Repeats: r.Repeats,
+		Departed: fromRun(r.Departed),
 	}
 }
 
@@ -92,7 +118,7 @@
 		RetryBudgetLeft: ident.Tokens(max(m.TokensLeft, 0)), FreeSlots: ident.Slots(m.Free),
 		AdmittedFraction: validFraction(m.Fraction), RefusalSeq: ident.Seq(m.RefusalSeq),
 		Level: level.Level(validRatio(m.Level)), InternalKind: m.Inner, FanOut: validRatio(m.Fan),
-		Leaf: m.Leaf, Repeats: min(validRatio(m.Repeats), 1),
+		Leaf: m.Leaf, Repeats: min(validRatio(m.Repeats), 1), Departed: toRun(m.Departed),
 	}
 }
 
--- a/pkg/call/call.go
+++ b/pkg/call/call.go
@@ -5,6 +5,7 @@
 
 	"briarworks.example/briarworks/pkg/ident"
 	"briarworks.example/briarworks/pkg/level"
+	"briarworks.example/briarworks/pkg/life"
 	"briarworks.example/briarworks/pkg/reason"
 )
 
@@ -39,6 +40,7 @@
 	Hop              ident.Hop
 	MaxAttempts      int           // maximum number of servers to send it to; known at the node where the request began only
 	Level            level.Level   // at which the request was admitted
+	Departed         life.Run      // run of the target server that leaves, as far as the sender knows
 	MaxQueueWait     time.Duration // maximum wait in the queue of a server; 0 means the default of the gate
 	Method           string
 	Path             string // including the query
@@ -63,6 +65,7 @@
 	FanOut           float64        // arrivals at one service that one repeat causes; 0 if unknown
 	Leaf             bool           // the kind makes no calls
 	Repeats          float64        // repeats per arrival that the fleet may send to the service
+	Departed         life.Run       // run of the answering node's server if that leaves
 	ServedBy         ident.Server   // server that answered; known at the node where the request began only
 	Retries          int            // attempts after the first that may have reached a server; known where ServedBy is
 	ShedByOwnServer  bool           // the node's own backend server shed the request; not sent to other nodes
--- a/pkg/life/life.go
+++ b/pkg/life/life.go
@@ -50,6 +50,12 @@
 	Leaving   bool           // the server is about to end
 }
 
+// Run identifies one run of a server. The zero value is no run.
+type Run struct {
+	Instance ident.Instance
+	Born     time.Time // zero if unknown
+}
+
 // State is the merged state of a server. The zero value is a server without any report.
 type State struct {
 	Report
@@ -81,6 +87,14 @@
 	return changed
 }
 
+// Run returns the run that the state describes.
+func (s *State) Run() Run { return Run{s.Instance, s.Born} }
+
+// Describes reports whether the state may describe a run. A run whose start time is not known is compared by its instance.
+func (s *State) Describes(r Run) bool {
+	return s.Phase == Unknown || s.Instance == r.Instance && (s.Born.IsZero() || r.Born.IsZero() || s.Born.Equal(r.Born))
+}
+
 // Concerns reports whether a notice is about the run that the state describes. A response may be handled after the server
 // was replaced or has restarted under its name.
 func (s *State) Concerns(n Notice) bool {
--- a/pkg/life/life_test.go
+++ b/pkg/life/life_test.go
@@ -89,3 +89,29 @@
 		})
 	}
 }
+
+// Guards against taking the leave of an earlier run for that of the present one, and against a node that has restarted and
+// ignores a leave that others know of.
+func TestDescribes(t *testing.T) {
+	born := time.Unix(1000, 0)
+	known := State{Report{Instance: "a", Born: born, Phase: Ready}}
+	tests := map[string]struct {
+		state State
+		run   Run
+		want  bool
+	}{
+		"the same run":                        {known, Run{"a", born}, true},
+		"earlier run, same instance":          {known, Run{"a", born.Add(-time.Second)}, false},
+		"another instance":                    {known, Run{"b", born}, false},
+		"start time of the leave not known":   {known, Run{"a", time.Time{}}, true},
+		"start time of the present not known": {State{Report{Instance: "a", Phase: Ready}}, Run{"a", born}, true},
+		"nothing known":                       {State{}, Run{"a", born}, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := tt.state.Describes(tt.run); got != tt.want {
+				t.Errorf("describes the run: got %t, want %t", got, tt.want)
+			}
+		})
+	}
+}
