platform: read and write again what the store lost when it comes back from a copy

What callers saw: after the store came back from an older copy, a configuration that had been confirmed was not in force, and an added route not served, until a later record arrived (CONFIG). Cause: a reader kept its offset. The store gives offsets out again after its return, so a record below the offset is missed without any error. What nodes had written themselves, entries of servers and refusals, was not written again unless the store had none at all for a key. Class: a position or an acknowledgement of one era of a service used in the next. The fix: every response names the store's era.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -58,6 +58,9 @@
 	Adopt     func(Config)    // receives a configuration from another node
 	Guard     *guard.Guard    // reports panics of single exchanges; may be nil
 
+	StoreEra   func() uint64 // returns the era of the store; nil if it has none
+	OnStoreEra func(uint64)  // receives the era that another node has observed; set together with StoreEra
+
 	newsQueue      chan []fleet.Member
 	versionChanged chan struct{}      // signals a new configuration version
 	pullFrom       chan ident.Address // a node with a newer configuration
@@ -92,11 +95,27 @@
 	}
 }
 
+// storeEra returns the era of the store that this node has observed.
+func (g *Gossip) storeEra() uint64 {
+	if g.StoreEra == nil {
+		return 0
+	}
+	return g.StoreEra()
+}
+
+// noteEra handles the era that another node has observed.
+func (g *Gossip) noteEra(era uint64) {
+	if g.OnStoreEra != nil && era > g.storeEra() {
+		g.OnStoreEra(era)
+	}
+}
+
 // summary returns a message with the member digest and the configuration version of this node.
 func (g *Gossip) summary() *wirepb.Sync {
 	return &wirepb.Sync{
 		Digest: g.Roster.Table().Digest(), ConfigVersion: uint64(g.Config().Version),
 		From: string(g.Self.Server), FromIncarnation: uint64(g.Self.Incarnation), Buckets: true,
+		StoreEra: g.storeEra(),
 	}
 }
 
@@ -127,9 +146,10 @@
 func (g *Gossip) HandleSync(from ident.Server, m *wirepb.Sync) *wirepb.SyncReply {
 	g.lastExchange.Store(time.Now().UnixNano())
 	g.merge(m.GetMembers(), m.GetConfig())
+	g.noteEra(m.GetStoreEra())
 	g.requestPull(from, ident.Version(m.GetConfigVersion()))
 	table, version := g.Roster.Table(), g.Config().Version
-	reply := &wirepb.SyncReply{Digest: table.Digest(), ConfigVersion: uint64(version), FromIncarnation: uint64(g.Self.Incarnation)}
+	reply := &wirepb.SyncReply{Digest: table.Digest(), ConfigVersion: uint64(version), FromIncarnation: uint64(g.Self.Incarnation), StoreEra: g.storeEra()}
 	if version > ident.Version(m.GetConfigVersion()) {
 		reply.Config = g.configMessage()
 	}
@@ -151,6 +171,7 @@
 // handleReply merges the reply of a node. It returns a message that sends what that node is missing and requests
 // what this node is missing, or nil if there is neither.
 func (g *Gossip) handleReply(r *wirepb.SyncReply) (next *wirepb.Sync) {
+	g.noteEra(r.GetStoreEra())
 	g.merge(r.GetMembers(), r.GetConfig())
 	table := g.Roster.Table()
 	membersDiffer := r.GetDigest() != table.Digest()
@@ -385,6 +406,7 @@
 func (g *Gossip) handleNewsReply(_ ident.Server, r *wirepb.SyncReply) {
 	if r != nil {
 		g.lastExchange.Store(time.Now().UnixNano())
+		g.noteEra(r.GetStoreEra())
 		g.merge(r.GetMembers(), r.GetConfig())
 	}
 }
