relay: take no request during a planned stop that would outlast it

What callers saw: in a planned stop of one node, in calm, requests that came late were taken and passed on, and cut with no answer when the node stopped, among them requests that must not be repeated (LOST). Cause: the node took callers' requests for nine twentieths of the stop, whatever their duration, and those of kinds that it knows as calls of servers until its end, so that admitted requests are not failed by their calls. Neither looked at the time that was left. Class: an admission that ignores the end of the one who admits. The fix: from the start of the stop a request, a call or one of another node is taken only if its deadline, or twice the latency above which its kind counts as overdue, lies before the end of the stop. Others are refused as not run, so that callers come back to another node.

--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -19,7 +19,7 @@
 
 // Forward handles a request that originates at this node, from a caller or from the local server, and that may run on
 // any server of its service. A request of a kind that backend servers call belongs to a request that was
-// admitted before, so it is always admitted, even while the node drains.
+// admitted before, so it is admitted even while the node drains, unless it would outlast the stop.
 func (r *Relay) Forward(ctx context.Context, req *call.Request) call.Result {
 	c := r.Control
 	req.AdmittedFraction = 1
@@ -28,6 +28,9 @@
 	}
 	r.inflight.Add(1)
 	defer r.inflight.Add(-1)
+	if !r.endsInTime(req, r.Now()) {
+		return call.Refuse(reason.Draining)
+	}
 	c.Graph.Call(req.Kind)
 	c.Quota.CountCall(req.Service, r.Now())
 	req.Level = c.Graph.Level(req.Kind)
--- a/internal/relay/forward_test.go
+++ b/internal/relay/forward_test.go
@@ -173,3 +173,50 @@
 		})
 	}
 }
+
+// Guards against requests and calls of the local server that begin shortly before the node stops and are cut when it does,
+// and against refusing those that end in time.
+func TestStopBy(t *testing.T) {
+	const usual = 200 * time.Millisecond
+	tests := map[string]struct {
+		inner   bool // a call of the local server
+		left    time.Duration
+		timeout time.Duration
+		known   bool // the usual latency of the kind is known
+		want    reason.Outcome
+	}{
+		"much time":                     {false, 5 * time.Second, 10 * time.Second, true, reason.Ran},
+		"little time":                   {false, usual, 10 * time.Second, true, reason.NotRun},
+		"little time, short deadline":   {false, usual, usual / 2, true, reason.Ran},
+		"latency not known, much time":  {false, 5 * time.Second, 10 * time.Second, false, reason.Ran},
+		"latency not known, short time": {false, time.Second, 10 * time.Second, false, reason.NotRun},
+		"call, much time":               {true, 5 * time.Second, 10 * time.Second, true, reason.Ran},
+		"call, little time":             {true, usual, 10 * time.Second, true, reason.NotRun},
+		"call, time over":               {true, -time.Second, 10 * time.Second, true, reason.NotRun},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			r, sent := forwarding(10, func(int) call.Result {
+				return call.Result{Outcome: reason.Ran, Status: 200, AdmittedFraction: 1, InternalKind: tt.inner}
+			})
+			now := r.Now()
+			req := func() *call.Request {
+				return &call.Request{Kind: "k", Service: "back", MaxAttempts: 1, AcceptedAt: now, Deadline: now.Add(tt.timeout)}
+			}
+			r.Forward(context.Background(), req())
+			if tt.known {
+				for range 100 {
+					r.Control.latency("k").Add(usual)
+				}
+			}
+			before := len(*sent)
+			r.StopBy(now.Add(tt.left))
+			if tt.inner {
+				r.Drain()
+			}
+			if res := r.Forward(context.Background(), req()); res.Outcome != tt.want || (len(*sent) > before) != (tt.want == reason.Ran) {
+				t.Errorf("request with %v until the stop: got %s after %d sends, want %s", tt.left, res.Outcome, len(*sent)-before, tt.want)
+			}
+		})
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -63,6 +63,7 @@
 	Control     *Control // of Forward; nil at a node that does not use it
 
 	draining    atomic.Bool
+	stopAt      atomic.Pointer[time.Time] // when this node stops; nil while that is not planned
 	inflight    atomic.Int64
 	ratios      lazy.Map[ident.Service, retry.Ratio]
 	keyedRuns   runTable
@@ -73,6 +74,35 @@
 // Drain makes the node refuse new requests. Requests in flight continue, and so do the calls that they make.
 func (r *Relay) Drain() { r.draining.Store(true) }
 
+// StopBy makes the node refuse new requests, calls of the local server among them, that are not expected to end by the
+// given time, at which it stops and cuts what still runs.
+func (r *Relay) StopBy(at time.Time) { r.stopAt.Store(&at) }
+
+// Expected duration of a request that begins during a stop.
+const (
+	stopLatencyFactor = 2           // of the latency above which its kind counts as overdue
+	unknownLatency    = time.Second // latency that is assumed for a kind with too few samples
+)
+
+// endsInTime reports whether a request that begins now is expected to end before this node stops.
+func (r *Relay) endsInTime(req *call.Request, now time.Time) bool {
+	at := r.stopAt.Load()
+	if at == nil {
+		return true
+	}
+	left := at.Sub(now)
+	if left <= 0 || req.Remaining(now) <= left {
+		return left > 0 // its deadline ends it in time
+	}
+	usual := unknownLatency
+	if r.Control != nil {
+		if limit, known := r.Control.latency(req.Kind).Limit(); known {
+			usual = limit
+		}
+	}
+	return stopLatencyFactor*usual <= left
+}
+
 // Draining reports whether Drain was called.
 func (r *Relay) Draining() bool { return r.draining.Load() }
 
@@ -127,7 +157,7 @@
 func (r *Relay) beginRequest(req *call.Request) (why reason.Refusal) {
 	n := r.inflight.Add(1)
 	switch {
-	case r.draining.Load():
+	case r.draining.Load(), !r.endsInTime(req, r.Now()):
 		why = reason.Draining
 	case r.MaxInflight > 0 && n > r.inflightLimit(req):
 		why = reason.NodeFull
