side: keep a server's pace when only its start becomes known

What callers saw: after a restart of the node beside a server that states a limit, a burst beyond it (LIMIT). Cause: a node that starts learns its server from the health check, which does not state the server's start. The first report then named a start and other slots, which counted as a new run and cleared the pace. Evidence: found in the reading of the diff; TestServerLimit/node_killed,_other_slots failed with 46 requests in 4 s where 29 are allowed. The fix: a start time that was not known before is no new run. Measured: TestServerLimit passes.

--- a/internal/side/node.go
+++ b/internal/side/node.go
@@ -318,6 +318,8 @@
 	}
 	if s.Instance != before.Instance || s.Born.After(before.Born) {
 		n.self.Incarnation = max(n.self.Incarnation+1, ident.Incarnation(now.UnixNano()))
+	}
+	if s.Instance != before.Instance || !before.Born.IsZero() && s.Born.After(before.Born) { // a start time that was not known is no new run
 		n.resetPace(&s, &before, now)
 	}
 	n.self.Left = s.Phase != life.Ready || n.leaving
