--- a/internal/side/node.go
+++ b/internal/side/node.go
@@ -74,8 +74,8 @@
 	configMu      sync.Mutex // guards the replacement of config
 	serverState   atomic.Pointer[life.State]
 	mu            sync.Mutex // guards self, leaving, limitedAt and the replacement of serverState
-	startedAt     time.Time
-	limitedAt     time.Time // when the local server last stated a limit
+	startedAt     time.Time  // start of this node
+	limitedAt     time.Time  // when the local server last stated a limit
 	self          fleet.Member
 	leaving       bool        // set by Leave
 	loggedLevel   level.Level // last logged level; used by the goroutine of tick only
