--- a/review/driver/cases.go
+++ b/review/driver/cases.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -18,6 +19,7 @@
 	"late-call":      playLateCall,
 	"odd-heartbeat":  playOddHeartbeat,
 	"late-heartbeat": playLateHeartbeat,
+	"uploads":        playUploads,
 }
 
 // constant returns a work time that is the same for all requests.
@@ -140,14 +142,10 @@
 	for _, m := range machines {
 		wg.Go(func() {
 			c := &client{name: "client of " + m.name, node: m.callers, rec: m.fleet.rec}
-			defer c.close()
-			for i := 0; sleep(ctx, interval) == nil; i++ {
-				id := fmt.Sprintf("%s-%s-%d", m.name, method, i)
-				a := c.send(context.WithoutCancel(ctx), method, path, id, 2*time.Second)
-				mu.Lock()
-				answers[id] = a
-				mu.Unlock()
-			}
+			sent := c.repeat(ctx, method, path, interval, 2*time.Second)
+			mu.Lock()
+			defer mu.Unlock()
+			maps.Copy(answers, sent)
 		})
 	}
 	return func() map[string]answer {
@@ -284,3 +282,93 @@
 	stopLoad()
 	return ranAfterAck(f, s, acked, inTouch, wait()), nil
 }
+
+// Parameters of playUploads.
+const (
+	maxBodyBytes  = 64 << 20 // of the configuration, as the pages' example of it states
+	uploadBytes   = 20 << 20
+	uploadTime    = 2 * time.Second // in which a client sends a body
+	uploaders     = 3               // clients that upload all the time
+	burstFactor   = 2.3
+	burstTime     = 5 * time.Second
+	approvers     = 12 // clients with small requests
+	approveWork   = 300 * time.Millisecond
+	uploadRate    = 2500 * time.Millisecond // between two uploads of a client
+	calmTime      = 6 * time.Second
+	toleratedCuts = 3
+)
+
+// playUploads lets clients of one machine upload bodies within the limits of the configuration, 2.3 times as many for some
+// seconds, while others send small requests. The platform kills a node whose memory exceeds its limit.
+func playUploads(ctx context.Context, f *fleet, trouble bool) (broken int, err error) {
+	m, err := f.add("desk-1", "desk", "a", &server{instance: "i-desk-1", work: constant(approveWork)})
+	if err != nil {
+		return 0, err
+	}
+	if _, err = f.add("desk-2", "desk", "b", &server{instance: "i-desk-2", work: constant(approveWork)}); err != nil {
+		return 0, err
+	}
+	f.configure(maxBodyBytes,
+		emul.Route{Name: "approve", Prefix: "/approve/", Service: "desk", Attempts: 2, Timeout: 3 * time.Second},
+		emul.Route{Name: "upload", Prefix: "/upload/", Service: "desk", Attempts: 2, Timeout: 5 * time.Second},
+	)
+	if err = f.startAll(ctx); err != nil {
+		return 0, err
+	}
+	load, stopLoad := context.WithCancel(ctx)
+	defer stopLoad()
+	var wg sync.WaitGroup
+	var killed int
+	wg.Go(func() {
+		if killed, err = m.enforceMemory(load); err != nil {
+			f.rec.printf("%s: %v", m.name, err)
+		}
+	})
+	approved := make([]map[string]answer, approvers)
+	for i := range approvers {
+		wg.Go(func() {
+			c := &client{name: fmt.Sprintf("client %d", i), node: m.callers, rec: f.rec}
+			approved[i] = c.repeat(load, http.MethodPost, "/approve/x", 20*time.Millisecond, 3*time.Second)
+		})
+	}
+	upload := func(ctx context.Context, i int) {
+		c := &client{name: fmt.Sprintf("uploader %d", i), node: m.callers, rec: f.rec, body: make([]byte, uploadBytes), pace: uploadTime}
+		c.repeat(ctx, http.MethodPost, "/upload/x", uploadRate-uploadTime, 5*time.Second)
+	}
+	for i := range uploaders {
+		wg.Go(func() { upload(load, i) })
+	}
+	if err = sleep(ctx, calmTime); err != nil {
+		return 0, err
+	}
+	f.rec.printf("burst: %v", trouble)
+	burst, endBurst := context.WithTimeout(load, burstTime)
+	defer endBurst()
+	for i := uploaders; trouble && float64(i) < uploaders*burstFactor; i++ {
+		wg.Go(func() { upload(burst, i) })
+	}
+	if err = sleep(ctx, burstTime+4*time.Second); err != nil {
+		return 0, err
+	}
+	stopLoad()
+	wg.Wait()
+	ran := make(map[string]bool)
+	for _, x := range f.machines {
+		for _, r := range x.server.runsOf() {
+			ran[r.id] = true
+		}
+	}
+	for _, answers := range approved {
+		for id, a := range answers {
+			if ran[id] && a.status == 0 && a.kept && a.ended.Sub(a.sent) < 3*time.Second-100*time.Millisecond {
+				broken++
+				f.rec.printf("check: LOST: %s was passed on to a server, and its kept connection was closed without an answer after %v", id, a.ended.Sub(a.sent).Round(time.Millisecond))
+			}
+		}
+	}
+	f.rec.printf("check: the node was killed %d times; %d requests were cut, up to %d are tolerated", killed, broken, toleratedCuts)
+	if broken <= toleratedCuts {
+		broken = 0
+	}
+	return broken, err
+}
--- a/review/driver/fleet.go
+++ b/review/driver/fleet.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -23,6 +24,7 @@
 	drainTime    = 2 * time.Second
 	contactTime  = 3 * time.Second
 	restartDelay = 500 * time.Millisecond // of the platform, before it starts an ended process again
+	memoryMb     = 284
 	readyTimeout = 15 * time.Second
 	pollInterval = 20 * time.Millisecond
 )
@@ -83,6 +85,13 @@
 	return f, nil
 }
 
+// configure writes the first configuration, with a limit on bodies that emul.Fleet does not offer.
+func (f *fleet) configure(maxBody int, routes ...emul.Route) {
+	f.emulated.Configure(1, routes...)
+	text := string(f.emulated.Store.Newest("keyed.op", "config"))
+	f.emulated.Store.Put("keyed.op", "config", []byte(strings.Replace(text, `"maxBodyBytes":1048576`, fmt.Sprintf(`"maxBodyBytes":%d`, maxBody), 1)))
+}
+
 // tomlString returns the value of a key whose value is a string on one line.
 func tomlString(text, key string) string {
 	for _, line := range strings.Split(text, "\n") {
@@ -134,7 +143,7 @@
 		"{{internalPortRange.0}}", peers, "{{internalPortRange.1}}", operator,
 		"{{appAddr}}", s.addr, "{{platform.address}}", f.emulated.Addr(), "{{seeds|json}}", "[]",
 		"{{bounds.retryBudgetRatio}}", "0.2", "{{bounds.budgetWindowS}}", "10", "{{bounds.retrySlack}}", "50",
-		"{{bounds.graceS}}", fmt.Sprint(int(grace.Seconds())), "{{limits.memoryMb}}", "284",
+		"{{bounds.graceS}}", fmt.Sprint(int(grace.Seconds())), "{{limits.memoryMb}}", strconv.Itoa(memoryMb),
 	).Replace(f.template)
 	if strings.Contains(text, "{{") {
 		return nil, fmt.Errorf("the template has an unknown placeholder: %s", text)
@@ -143,6 +152,43 @@
 	return m, os.WriteFile(m.settings, []byte(text), 0o600)
 }
 
+// peakMemory returns the largest resident memory that the node has had, in bytes.
+func (m *machine) peakMemory() int {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", m.proc.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	for _, line := range strings.Split(string(status), "\n") {
+		if text, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			kb, _ := strconv.Atoi(strings.Fields(text)[0])
+			return kb << 10
+		}
+	}
+	return 0
+}
+
+// enforceMemory kills the node whenever its memory exceeds the limit of the settings, and starts it again, until ctx ends. It
+// returns how often the node was killed.
+func (m *machine) enforceMemory(ctx context.Context) (killed int, err error) {
+	for sleep(ctx, pollInterval) == nil {
+		peak := m.peakMemory()
+		if peak <= memoryMb<<20 {
+			continue
+		}
+		m.fleet.rec.printf("%s: node has taken %d MiB, the limit is %d MB", m.name, peak>>20, memoryMb)
+		m.kill()
+		killed++
+		if err = sleep(ctx, restartDelay); err != nil {
+			return killed, nil
+		}
+		if err = m.start(); err != nil {
+			return killed, err
+		}
+	}
+	m.fleet.rec.printf("%s: node has taken %d MiB at most", m.name, m.peakMemory()>>20)
+	return killed, nil
+}
+
 // start starts the node of the machine with the command of the deploy file.
 func (m *machine) start() error {
 	words := make([]string, 0, len(m.fleet.command))
