--- a/review/driver/server.go
+++ b/review/driver/server.go
@@ -35,6 +35,7 @@
 type server struct {
 	instance string
 	work     func(path string) time.Duration
+	size     func(path string) int                     // bytes added to the answer; may be nil
 	call     func(ctx context.Context, id string) bool // call that each run makes after its work, and whether it succeeded; may be nil
 
 	service string
