--- a/review/driver/cases.go
+++ b/review/driver/cases.go
@@ -37,7 +37,7 @@
 	usualOrders   = 30 // at the other machine before the stop
 	leastOrders   = 25 // of these have to be served
 	orderSpread   = 30 * time.Millisecond
-	ownOrders     = 3  // at the machine whose node is stopped, before the stop
+	ownOrders     = 3 // at the machine whose node is stopped, before the stop
 	lateOrders    = 3
 	lateOrderTime = 2500 * time.Millisecond // after the SIGTERM
 )
@@ -296,7 +296,7 @@
 	maxBodyBytes  = 64 << 20 // of the configuration, as the pages' example of it states
 	uploadBytes   = 23 << 20
 	uploadTime    = 1200 * time.Millisecond // in which a client sends a body
-	uploaders     = 3               // clients that upload all the time
+	uploaders     = 3                       // clients that upload all the time
 	burstFactor   = 2.3
 	burstTime     = 5 * time.Second
 	approvers     = 20 // clients with small requests
