--- a/review/driver/fleet.go
+++ b/review/driver/fleet.go
@@ -128,7 +128,7 @@
 		callers: string(addrs[0]), ready: string(addrs[1]), control: string(addrs[2]),
 		settings: filepath.Join(f.dir, name+".conf"),
 	}
-	s.service, s.control = service, m.control
+	s.service, s.zone, s.control = service, zone, m.control
 	ip, peers, err := net.SplitHostPort(string(addrs[3]))
 	if err != nil {
 		return nil, err
--- a/review/driver/server.go
+++ b/review/driver/server.go
@@ -39,6 +39,7 @@
 	call     func(ctx context.Context, id string) bool // call that each run makes after its work, and whether it succeeded; may be nil
 
 	service string
+	zone    string
 	addr    string
 	control string // address of the node for heartbeats
 	born    time.Time
@@ -133,8 +134,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sequence++
-	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","version":"v1","slots":%d,"state":%q,"coldRemainingMs":0,"sequence":%d,"born":%d}`,
-		s.service, s.addr, serverSlots, s.state, s.sequence, s.born.UnixMilli())
+	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":%q,"coldRemainingMs":0,"sequence":%d,"born":%d}`,
+		s.service, s.addr, s.zone, serverSlots, s.state, s.sequence, s.born.UnixMilli())
 }
 
 // beat sends one heartbeat and reports whether the node acknowledged it.
