--- a/review/driver/cases.go
+++ b/review/driver/cases.go
@@ -29,17 +29,17 @@
 
 // Parameters of playLateCall.
 const (
-	orderWork     = 620 * time.Millisecond // of the server, before its call
+	orderWork     = 2220 * time.Millisecond // of the server, before its call
 	settleWork    = 2400 * time.Millisecond
-	routeTimeout  = 5 * time.Second
-	orderDeadline = 5 * time.Second
-	callDeadline  = 4 * time.Second
-	usualOrders   = 30 // at the other machine before the stop
-	leastOrders   = 25 // of these have to be served
+	routeTimeout  = 6 * time.Second
+	orderDeadline = 6 * time.Second
+	callDeadline  = 3500 * time.Millisecond // within that of the order
+	usualOrders   = 30                      // at the other machine before the stop
+	leastOrders   = 25                      // of these have to be served
 	orderSpread   = 30 * time.Millisecond
 	ownOrders     = 3 // at the machine whose node is stopped, before the stop
 	lateOrders    = 3
-	lateOrderTime = 2500 * time.Millisecond // after the SIGTERM
+	lateOrderTime = 900 * time.Millisecond // after the SIGTERM, before the platform can have missed two readiness checks
 )
 
 // lateCalls records the calls that the server beside the stopped node makes.
@@ -295,13 +295,13 @@
 const (
 	maxBodyBytes  = 64 << 20 // of the configuration, as the pages' example of it states
 	uploadBytes   = 23 << 20
-	uploadTime    = 1200 * time.Millisecond // in which a client sends a body
+	uploadTime    = 1600 * time.Millisecond // in which a client sends a body
 	uploaders     = 3                       // clients that upload all the time
 	burstFactor   = 2.3
 	burstTime     = 5 * time.Second
 	approvers     = 20 // clients with small requests
 	approveWork   = 300 * time.Millisecond
-	uploadRate    = 1500 * time.Millisecond // between two uploads of a client
+	uploadRate    = 1900 * time.Millisecond // between two uploads of a client
 	calmTime      = 6 * time.Second
 	toleratedCuts = 3
 )
--- a/review/driver/fleet.go
+++ b/review/driver/fleet.go
@@ -250,7 +250,7 @@
 		m.server.beatEvery(ctx)
 	}
 	// Traffic starts 8 s after the machines do.
-	return sleep(ctx, 4*time.Second)
+	return sleep(ctx, 8*time.Second)
 }
 
 // awaitReady waits until the node answers the platform's readiness check with 200.
