--- a/review/driver/cases.go
+++ b/review/driver/cases.go
@@ -295,18 +295,18 @@
 const (
 	maxBodyBytes  = 64 << 20 // of the configuration, as the pages' example of it states
 	uploadBytes   = 23 << 20
-	uploadTime    = 1600 * time.Millisecond // in which a client sends a body
-	uploaders     = 3                       // clients that upload all the time
-	burstFactor   = 2.3
+	uploadTime    = 2200 * time.Millisecond // in which a client sends a body
+	uploaders     = 4                       // clients that upload all the time
+	burstFactor   = 2.5
 	burstTime     = 5 * time.Second
 	approvers     = 20 // clients with small requests
 	approveWork   = 300 * time.Millisecond
-	uploadRate    = 1900 * time.Millisecond // between two uploads of a client
+	uploadRate    = 2500 * time.Millisecond // between two uploads of a client
 	calmTime      = 6 * time.Second
 	toleratedCuts = 3
 )
 
-// playUploads lets clients of one machine upload bodies within the limits of the configuration, 2.3 times as many for some
+// playUploads lets clients of one machine upload bodies within the limits of the configuration, 2.5 times as many for some
 // seconds, while others send small requests. The platform kills a node whose memory exceeds its limit.
 func playUploads(ctx context.Context, f *fleet, trouble bool) (broken int, err error) {
 	m, err := f.add("desk-1", "desk", "a", &server{instance: "i-desk-1", work: constant(approveWork)})
