--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -50,6 +50,8 @@
 	Departed func() life.Run
 	// OnRefused is called for each request that is refused before it reaches the local server; may be nil.
 	OnRefused func(req *call.Request, why reason.Refusal)
+	// OnStopDecision is called for each request that arrives after StopBy; may be nil.
+	OnStopDecision func(req *call.Request, d StopDecision)
 	// Stalled reports whether this process did not run for a while between two times; nil if that is not known.
 	Stalled func(since, now time.Time) bool
 	// Connected reports whether a connection to a node is open, and starts one otherwise; may be nil.
@@ -84,23 +86,41 @@
 	unknownLatency    = time.Second // latency that is assumed for a kind with too few samples
 )
 
+// StopDecision is the decision on a request that arrives during a planned stop, with the inputs that it depends on.
+type StopDecision struct {
+	Taken   bool
+	Left    time.Duration // until the node stops
+	Overdue time.Duration // latency above which the kind counts as overdue; 0 if it has too few samples
+}
+
 // endsInTime reports whether a request that begins now is expected to end before this node stops.
 func (r *Relay) endsInTime(req *call.Request, now time.Time) bool {
 	at := r.stopAt.Load()
 	if at == nil {
 		return true
 	}
-	left := at.Sub(now)
-	if left <= 0 || req.Remaining(now) <= left {
-		return left > 0 // its deadline ends it in time
-	}
-	usual := unknownLatency
+	d := StopDecision{Left: at.Sub(now)}
 	if r.Control != nil {
 		if limit, known := r.Control.latency(req.Kind).Limit(); known {
-			usual = limit
+			d.Overdue = limit
 		}
 	}
-	return stopLatencyFactor*usual <= left
+	d.Taken = d.decide(req, now)
+	if r.OnStopDecision != nil {
+		r.OnStopDecision(req, d)
+	}
+	return d.Taken
+}
+
+func (d StopDecision) decide(req *call.Request, now time.Time) bool {
+	if d.Left <= 0 || req.Remaining(now) <= d.Left {
+		return d.Left > 0 // its deadline ends it in time
+	}
+	usual := unknownLatency
+	if d.Overdue > 0 {
+		usual = d.Overdue
+	}
+	return stopLatencyFactor*usual <= d.Left
 }
 
 // Draining reports whether Drain was called.
--- a/internal/side/node.go
+++ b/internal/side/node.go
@@ -129,6 +129,7 @@
 	n.Relay.Unavailable = n.unavailable
 	n.Gate.OnWindow(n.updateLevel)
 	n.Relay.OnRefused = n.logRefusal
+	n.Relay.OnStopDecision = n.logStopDecision
 	n.Relay.Control.Graph.Changed = func(kind ident.Kind, calls []chain.Call) {
 		n.Log.Info("callsLearned", zap.String("kind", string(kind)), zap.Stringer("calls", chain.List(calls)))
 	}
@@ -206,6 +207,19 @@
 	}
 }
 
+// logStopDecision logs whether a request that arrives during a planned stop is taken, with the inputs of the decision.
+func (n *Node) logStopDecision(req *call.Request, d relay.StopDecision) {
+	event := "refusedInStop"
+	if d.Taken {
+		event = "takenInStop"
+	}
+	n.Stats.CountEvent(event)
+	if ce := n.Log.Check(zap.InfoLevel, event); ce != nil {
+		ce.Write(zap.String("id", string(req.Key)), zap.String("kind", string(req.Kind)), zap.Bool("idempotent", req.Idempotent),
+			zap.Duration("left", req.Remaining(n.Relay.Now())), zap.Duration("untilStop", d.Left), zap.Duration("overdue", d.Overdue))
+	}
+}
+
 // minLoggedChange is the smallest change of the local server's level that is logged. A return to 0 always is.
 const minLoggedChange = 0.1
 
