relay: take requests during a planned stop by proof, not on an assumed duration

Callers saw: a node that got SIGTERM took calls of its server up to 3.3 s later, passed them on, and closed their connections without an answer at 5.3 s while another server was at work on them.

Cause: the decision expected a request to end after twice the latency above which its kind counts as overdue, and took 1 s where that was not known. Evidence: takenInStop of the three cut calls states overdue=0, 2.1 to 2.2 s before the stop. A kind that was fast before is cut in the same way when one call is slow. Class: a promise given on a guess of a duration.

pkg/stop now decides for callers, the local server and other nodes alike. The deadline proves that a request ends in time; in the first half of the stop a known latency counts as well, and the deadline is moved before the end, so that the caller gets an answer; what is not known counts for nothing. A call in the second half is refused as not run unless its deadline ends it.

TestStopBy asked for the fault: "latency not known, much time" had to be taken. That row now asks for a refusal, and rows for a deadline in time and for the second half of the stop are added.

--- a/internal/relay/forward_test.go
+++ b/internal/relay/forward_test.go
@@ -179,20 +179,24 @@
 func TestStopBy(t *testing.T) {
 	const usual = 200 * time.Millisecond
 	tests := map[string]struct {
-		inner   bool // a call of the local server
+		inner   bool          // a call of the local server
+		elapsed time.Duration // since the signal to stop
 		left    time.Duration
 		timeout time.Duration
 		known   bool // the usual latency of the kind is known
 		want    reason.Outcome
 	}{
-		"much time":                     {false, 5 * time.Second, 10 * time.Second, true, reason.Ran},
-		"little time":                   {false, usual, 10 * time.Second, true, reason.NotRun},
-		"little time, short deadline":   {false, usual, usual / 2, true, reason.Ran},
-		"latency not known, much time":  {false, 5 * time.Second, 10 * time.Second, false, reason.Ran},
-		"latency not known, short time": {false, time.Second, 10 * time.Second, false, reason.NotRun},
-		"call, much time":               {true, 5 * time.Second, 10 * time.Second, true, reason.Ran},
-		"call, little time":             {true, usual, 10 * time.Second, true, reason.NotRun},
-		"call, time over":               {true, -time.Second, 10 * time.Second, true, reason.NotRun},
+		"much time":                        {false, 0, 5 * time.Second, 10 * time.Second, true, reason.Ran},
+		"little time":                      {false, 0, usual, 10 * time.Second, true, reason.NotRun},
+		"little time, short deadline":      {false, 0, usual, usual / 2, true, reason.Ran},
+		"latency not known, much time":     {false, 0, 5 * time.Second, 10 * time.Second, false, reason.NotRun},
+		"latency not known, in time":       {false, 0, 5 * time.Second, 4 * time.Second, false, reason.Ran},
+		"latency not known, short time":    {false, 0, time.Second, 10 * time.Second, false, reason.NotRun},
+		"call, much time":                  {true, 0, 5 * time.Second, 10 * time.Second, true, reason.Ran},
+		"call, little time":                {true, 0, usual, 10 * time.Second, true, reason.NotRun},
+		"call, time over":                  {true, 0, -time.Second, 10 * time.Second, true, reason.NotRun},
+		"call in the second half":          {true, 3 * time.Second, 2 * time.Second, 10 * time.Second, true, reason.NotRun},
+		"call in the second half, in time": {true, 3 * time.Second, 2 * time.Second, time.Second, true, reason.Ran},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -210,7 +214,7 @@
 				}
 			}
 			before := len(*sent)
-			r.StopBy(now.Add(tt.left))
+			r.StopBy(now.Add(tt.left), now.Add(-tt.elapsed))
 			if tt.inner {
 				r.Drain()
 			}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -18,6 +18,7 @@
 	"briarworks.example/briarworks/pkg/route"
 	"briarworks.example/briarworks/pkg/rules"
 	"briarworks.example/briarworks/pkg/share"
+	"briarworks.example/briarworks/pkg/stop"
 )
 
 // Relay is the path of requests through one node. The exported fields are set before the first request.
@@ -65,7 +66,7 @@
 	Control     *Control // of Forward; nil at a node that does not use it
 
 	draining    atomic.Bool
-	stopAt      atomic.Pointer[time.Time] // when this node stops; nil while that is not planned
+	stopPlan    atomic.Pointer[stop.Plan] // nil while no stop is planned
 	inflight    atomic.Int64
 	ratios      lazy.Map[ident.Service, retry.Ratio]
 	keyedRuns   runTable
@@ -76,51 +77,38 @@
 // Drain makes the node refuse new requests. Requests in flight continue, and so do the calls that they make.
 func (r *Relay) Drain() { r.draining.Store(true) }
 
-// StopBy makes the node refuse new requests, calls of the local server among them, that are not expected to end by the
-// given time, at which it stops and cuts what still runs.
-func (r *Relay) StopBy(at time.Time) { r.stopAt.Store(&at) }
-
-// Expected duration of a request that begins during a stop.
-const (
-	stopLatencyFactor = 2           // of the latency above which its kind counts as overdue
-	unknownLatency    = time.Second // latency that is assumed for a kind with too few samples
-)
+// StopBy announces that this node stops at a time and then closes all connections. From now on it takes only requests that
+// are answered before that, calls of the local server among them; see stop.Plan.
+func (r *Relay) StopBy(at, now time.Time) { r.stopPlan.Store(&stop.Plan{Begin: now, End: at}) }
 
 // StopDecision is the decision on a request that arrives during a planned stop, with the inputs that it depends on.
 type StopDecision struct {
-	Taken   bool
+	Verdict stop.Verdict
 	Left    time.Duration // until the node stops
-	Overdue time.Duration // latency above which the kind counts as overdue; 0 if it has too few samples
+	Overdue time.Duration // latency above which the kind counts as overdue; 0 if it is not known
 }
 
-// endsInTime reports whether a request that begins now is expected to end before this node stops.
+// endsInTime reports whether a request that begins now is answered before this node stops. It shortens the deadline of one that
+// is only expected to.
 func (r *Relay) endsInTime(req *call.Request, now time.Time) bool {
-	at := r.stopAt.Load()
-	if at == nil {
+	p := r.stopPlan.Load()
+	if p == nil {
 		return true
 	}
-	d := StopDecision{Left: at.Sub(now)}
+	d := StopDecision{Left: p.End.Sub(now)}
 	if r.Control != nil {
 		if limit, known := r.Control.latency(req.Kind).Limit(); known {
 			d.Overdue = limit
 		}
 	}
-	d.Taken = d.decide(req, now)
+	d.Verdict = p.Decide(req.Deadline, d.Overdue, now)
 	if r.OnStopDecision != nil {
 		r.OnStopDecision(req, d)
 	}
-	return d.Taken
-}
-
-func (d StopDecision) decide(req *call.Request, now time.Time) bool {
-	if d.Left <= 0 || req.Remaining(now) <= d.Left {
-		return d.Left > 0 // its deadline ends it in time
-	}
-	usual := unknownLatency
-	if d.Overdue > 0 {
-		usual = d.Overdue
+	if d.Verdict == stop.Expected {
+		req.Deadline = p.LastDeadline()
 	}
-	return stopLatencyFactor*usual <= d.Left
+	return d.Verdict != stop.Refused
 }
 
 // Draining reports whether Drain was called.
--- a/internal/side/node.go
+++ b/internal/side/node.go
@@ -33,6 +33,7 @@
 	"briarworks.example/briarworks/pkg/match"
 	"briarworks.example/briarworks/pkg/reason"
 	"briarworks.example/briarworks/pkg/share"
+	"briarworks.example/briarworks/pkg/stop"
 )
 
 // Intervals at which the gate ends expired waits and completes its windows. A server with many free slots has no waits to
@@ -209,14 +210,14 @@
 
 // logStopDecision logs whether a request that arrives during a planned stop is taken, with the inputs of the decision.
 func (n *Node) logStopDecision(req *call.Request, d relay.StopDecision) {
-	event := "refusedInStop"
-	if d.Taken {
-		event = "takenInStop"
+	event := "takenInStop"
+	if d.Verdict == stop.Refused {
+		event = "refusedInStop"
 	}
 	n.Stats.CountEvent(event)
 	if ce := n.Log.Check(zap.InfoLevel, event); ce != nil {
 		ce.Write(zap.String("id", string(req.Key)), zap.String("kind", string(req.Kind)), zap.Bool("idempotent", req.Idempotent),
-			zap.Duration("left", req.Remaining(n.Relay.Now())), zap.Duration("untilStop", d.Left), zap.Duration("overdue", d.Overdue))
+			zap.Stringer("verdict", d.Verdict), zap.Duration("left", req.Remaining(n.Relay.Now())), zap.Duration("untilStop", d.Left), zap.Duration("overdue", d.Overdue))
 	}
 }
 
