side: keep an acknowledged leave past a restart of the node

Cause: the leave lived in the memory of the node. It was killed 0.3 s after the acknowledgement, and the new process took the first report that came, a heartbeat that had been held up for 4.5 s, since it had nothing to compare it with. Class: a promise kept by one process that may restart, and an old message taken as new.

The member entry now names the run of the server and whether that left for good. A process believes no report of a ready server and no health check before it knows the entry of the process before it, and writes none before.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -58,6 +58,10 @@
 	Adopt     func(Config)    // receives a configuration from another node
 	Guard     *guard.Guard    // reports panics of single exchanges; may be nil
 
+	OnOwnEntry func(fleet.Member)      // receives each entry of this node that another one has sent; may be nil
+	OnSynced   func()                  // called after this node has received all members that another one knows; may be nil
+	OnOwnHeld  func(ident.Incarnation) // called when another node has confirmed an entry of this node; may be nil
+
 	StoreEra   func() uint64 // returns the era of the store; nil if it has none
 	OnStoreEra func(uint64)  // receives the era that another node has observed; set together with StoreEra
 
@@ -131,8 +135,12 @@
 // merge applies the members and the configuration that another node sent.
 func (g *Gossip) merge(members []*wirepb.Member, c *wirepb.Config) {
 	all := make([]fleet.Member, 0, len(members))
-	for _, m := range members {
-		all = append(all, wire.ToMember(m))
+	for _, x := range members {
+		m := wire.ToMember(x)
+		if m.Server == g.Self.Server && g.OnOwnEntry != nil {
+			g.OnOwnEntry(m)
+		}
+		all = append(all, m)
 	}
 	if len(all) > 0 {
 		g.Roster.Apply(time.Now(), all...)
@@ -157,6 +165,7 @@
 		return reply
 	}
 	if want := fleet.BucketSet(m.GetWant()); want != 0 {
+		g.synced()
 		known := make([]fleet.Member, 0, len(m.GetMembers()))
 		for _, x := range m.GetMembers() {
 			known = append(known, wire.ToMember(x))
@@ -331,11 +340,22 @@
 // sendMissing sends a node what it is missing according to its reply, and merges the answer.
 func (g *Gossip) sendMissing(ctx context.Context, addr ident.Address, reply *wirepb.SyncReply) {
 	next := g.handleReply(reply)
+	if next == nil {
+		g.synced()
+	}
 	if next == nil || addr == "" {
 		return
 	}
 	if _, r, err := g.Transport.SyncTo(ctx, addr, next); err == nil {
 		g.handleReply(r)
+		g.synced()
+	}
+}
+
+// synced reports a completed comparison of the members with another node.
+func (g *Gossip) synced() {
+	if g.OnSynced != nil {
+		g.OnSynced()
 	}
 }
 
@@ -393,7 +413,16 @@
 func (g *Gossip) Broadcast(ctx context.Context, members []fleet.Member) {
 	syncCtx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
-	g.Transport.SyncAll(syncCtx, g.newsMessage(members), g.handleNewsReply)
+	g.Transport.SyncAll(syncCtx, g.newsMessage(members), func(from ident.Server, r *wirepb.SyncReply) {
+		if r != nil && g.OnOwnHeld != nil {
+			for _, m := range members {
+				if m.Server == g.Self.Server {
+					g.OnOwnHeld(m.Incarnation)
+				}
+			}
+		}
+		g.handleNewsReply(from, r)
+	})
 }
 
 func (g *Gossip) newsMessage(members []fleet.Member) *wirepb.Sync {
--- a/internal/record/member.go
+++ b/internal/record/member.go
@@ -6,6 +6,7 @@
 	"briarworks.example/briarworks/internal/record/recpb"
 	"briarworks.example/briarworks/pkg/fleet"
 	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/life"
 )
 
 // FromMember encodes a fleet member: as a Leave when the member has left, otherwise as an Announce, which adds
@@ -15,13 +16,14 @@
 	if m.Left {
 		r.Body = &recpb.Record_Leave{Leave: &recpb.Leave{
 			Server: string(m.Server), Incarnation: uint64(m.Incarnation),
+			Instance: string(m.Run.Instance), BornUnixNs: unixNs(m.Run.Born), Departed: m.Departed,
 		}}
 		return r
 	}
 	r.Body = &recpb.Record_Announce{Announce: &recpb.Announce{
 		Server: string(m.Server), Service: string(m.Service), DataCentre: string(m.DataCentre),
 		Address: string(m.Address), Incarnation: uint64(m.Incarnation), Slots: int32(m.Slots),
-		Connections: int32(m.Conns),
+		Connections: int32(m.Conns), Instance: string(m.Run.Instance), BornUnixNs: unixNs(m.Run.Born),
 	}}
 	return r
 }
@@ -37,12 +39,14 @@
 			DataCentre: ident.DataCentre(a.GetDataCentre()), Address: ident.Address(a.GetAddress()),
 			Incarnation: ident.Incarnation(a.GetIncarnation()), Slots: ident.Slots(a.GetSlots()),
 			Conns: ident.Conns(a.GetConnections()), Announced: at,
+			Run: life.Run{Instance: ident.Instance(a.GetInstance()), Born: fromUnixNs(a.GetBornUnixNs())},
 		}
 		return m, m.Server != "" && m.Service != "" && m.Address != "" && m.Slots >= 0 && m.Conns >= 0
 	case *recpb.Record_Leave:
 		m = fleet.Member{
 			Server: ident.Server(b.Leave.GetServer()), Incarnation: ident.Incarnation(b.Leave.GetIncarnation()),
-			Left: true, Announced: at,
+			Left: true, Announced: at, Departed: b.Leave.GetDeparted(),
+			Run: life.Run{Instance: ident.Instance(b.Leave.GetInstance()), Born: fromUnixNs(b.Leave.GetBornUnixNs())},
 		}
 		return m, m.Server != ""
 	}
--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -10,6 +10,7 @@
 	"briarworks.example/briarworks/pkg/audit"
 	"briarworks.example/briarworks/pkg/call"
 	"briarworks.example/briarworks/pkg/fleet"
+	"briarworks.example/briarworks/pkg/life"
 	"briarworks.example/briarworks/pkg/once"
 	"briarworks.example/briarworks/pkg/order"
 	"briarworks.example/briarworks/pkg/reason"
@@ -38,8 +39,8 @@
 func toOrder(r *recpb.Record) (order.Record, bool) { return ToOrder(r, at) }
 
 func roundTrips() map[string]roundTrip {
-	announce := fleet.Member{Server: "s", Service: "ledger", DataCentre: "d", Address: "127.0.0.1:1", Incarnation: 7, Slots: 130, Conns: 900, Announced: at}
-	leave := fleet.Member{Server: "s", Incarnation: 7, Left: true, Announced: at}
+	announce := fleet.Member{Server: "s", Service: "ledger", DataCentre: "d", Address: "127.0.0.1:1", Incarnation: 7, Slots: 130, Conns: 900, Announced: at, Run: life.Run{Instance: "i", Born: at}}
+	leave := fleet.Member{Server: "s", Incarnation: 7, Left: true, Announced: at, Run: life.Run{Instance: "i", Born: at}, Departed: true}
 	publish := order.Record{Publish: &order.Publish{ID: "id", Base: 4, Document: "rules: []", Author: "me", At: at}}
 	carry := order.Record{Carry: &order.Carry{At: at, State: order.State{Version: 5, Through: 17, Document: "rules: []", Author: "me", ID: "id", AcceptedAt: at}}}
 	started := once.Started{Key: "k", Attempt: "a", Holder: "s", Incarnation: 7}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -66,7 +66,7 @@
 // mergeMember applies one member. A leave without a service marks the known member as left and keeps its description.
 func (r *Roster) mergeMember(m fleet.Member, now time.Time) (changed bool) {
 	if m.Left && m.Service == "" {
-		return r.state.Leave(m.Server, m.Incarnation, now)
+		return r.state.MarkLeft(m, now)
 	}
 	return r.state.Apply(m, now)
 }
--- a/internal/side/node.go
+++ b/internal/side/node.go
@@ -78,8 +78,11 @@
 	startedAt     time.Time  // start of this node
 	limitedAt     time.Time  // when the local server last stated a limit
 	self          fleet.Member
-	leaving       bool        // set by Leave
-	loggedLevel   level.Level // last logged level; used by the goroutine of tick only
+	leaving       bool // set by Leave
+	held          heldEntry
+	entryKnown    chan struct{} // closed once this node knows what it recorded about the local server before it started
+	entryOnce     sync.Once     // closes entryKnown
+	loggedLevel   level.Level   // last logged level; used by the goroutine of tick only
 	monitor       *stall.Monitor
 	membersLoaded atomic.Bool // members were read from the store, or membersTimeout is over
 	stopping      atomic.Bool
@@ -117,7 +120,7 @@
 	n := &Node{
 		Settings: p.Settings, Log: p.Log, Stats: p.Stats, Roster: p.Roster, Gate: p.Gate, Relay: p.Relay,
 		Transport: p.Transport, Backend: p.Backend, Gossip: p.Gossip, self: p.Self,
-		Publish: func(fleet.Member) {}, Ledger: p.Ledger, monitor: p.Monitor, startedAt: time.Unix(0, int64(p.Self.Incarnation)),
+		Publish: func(fleet.Member) {}, entryKnown: make(chan struct{}), Ledger: p.Ledger, monitor: p.Monitor, startedAt: time.Unix(0, int64(p.Self.Incarnation)),
 	}
 	n.Flusher = &flush.Flusher{Ledger: p.Ledger, Lazy: true, StartSpread: firstAppendJitter, StopTimeout: stopAppendTimeout, Failed: func(err error) {
 		n.Stats.CountEvent("refusalsNotWritten")
@@ -160,6 +163,9 @@
 		}
 		return gossip.Config{Version: c.table.Version, Text: c.text}
 	}
+	n.Gossip.OnOwnEntry = func(m fleet.Member) { n.restore(m, time.Now()) }
+	n.Gossip.OnSynced = n.markEntryKnown
+	n.Gossip.OnOwnHeld = func(inc ident.Incarnation) { n.held.confirm(holderNode, inc) }
 	n.Gossip.Adopt = func(c gossip.Config) { n.Configure(c.Text, "peer") }
 	p.Backend.OnExtraBytes = func() {
 		n.Stats.CountEvent("serverExtraBytes")
@@ -321,27 +327,76 @@
 	s := n.ServerState()
 	before := s
 	changed := s.Merge(r)
+	n.apply(s, before, changed, r.Seq, now)
+	return changed
+}
+
+// apply puts a state of the local server in force and announces it if it has changed; seq is the number of the report that
+// changed it, or 0. The caller holds n.mu.
+func (n *Node) apply(s, before life.State, changed bool, seq life.Seq, now time.Time) {
 	n.serverState.Store(&s)
 	if !changed {
-		return false
+		return
 	}
 	n.Log.Info("serverReported", zap.String("instance", string(s.Instance)), zap.String("phase", s.Phase.String()),
-		zap.String("before", before.Phase.String()), zap.Int32("slots", int32(s.Slots)), zap.Time("born", s.Born))
+		zap.String("before", before.Phase.String()), zap.Int32("slots", int32(s.Slots)), zap.Time("born", s.Born),
+		zap.Uint64("sequence", uint64(seq)), zap.Duration("nodeAge", now.Sub(n.startedAt)))
 	if s.Slots > 0 {
 		n.Gate.SetSlots(s.Slots)
 		n.self.Slots = s.Slots
 	}
-	if s.Instance != before.Instance || s.Born.After(before.Born) {
+	// Nodes compare entries by incarnation: one that names a run that leaves has to outrank each that does not.
+	if s.Instance != before.Instance || s.Born.After(before.Born) || s.Phase > life.Ready && !n.self.Departed {
 		n.self.Incarnation = max(n.self.Incarnation+1, ident.Incarnation(now.UnixNano()))
 	}
-	if s.Instance != before.Instance || !before.Born.IsZero() && s.Born.After(before.Born) { // a start time that was not known is no new run
+	if before.Phase == life.Unknown || s.Instance != before.Instance || !before.Born.IsZero() && s.Born.After(before.Born) { // a start time that was not known is no new run
 		n.resetPace(&s, &before, now)
 	}
 	n.self.Left = s.Phase != life.Ready || n.leaving
+	n.self.Run, n.self.Departed = s.Run(), s.Phase > life.Ready
 	n.announce(now)
-	return true
 }
 
+// restore merges an entry of the local server that this node wrote, perhaps before it restarted. What it has acknowledged of
+// a run that leaves holds on.
+func (n *Node) restore(m fleet.Member, now time.Time) {
+	if m.Server != n.Settings.Server || m.Check(now) != nil {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := n.ServerState()
+	before := s
+	changed := s.Restore(m.Run, m.Departed)
+	n.apply(s, before, changed, 0, now)
+}
+
+// markEntryKnown records that the store or another node has told what this node recorded about the local server.
+func (n *Node) markEntryKnown() { n.entryOnce.Do(func() { close(n.entryKnown) }) }
+
+// AwaitEntry waits until this node knows what it recorded about the local server before it started, and returns false if ctx
+// ends before that. A report that the server is ready may be older than a leave that an earlier process acknowledged.
+func (n *Node) AwaitEntry(ctx context.Context) bool {
+	select {
+	case <-n.entryKnown:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// AwaitLeaveHeld waits until the store and another node hold that the local server leaves. If ctx ends before that, it returns
+// whether one of them does. It returns true at once for a server that does not leave.
+func (n *Node) AwaitLeaveHeld(ctx context.Context) bool {
+	n.mu.Lock()
+	inc, departed := n.self.Incarnation, n.self.Departed
+	n.mu.Unlock()
+	return !departed || n.held.await(ctx, inc)
+}
+
+// ConfirmHeld records that the store holds an entry of the local server.
+func (n *Node) ConfirmHeld(m fleet.Member) { n.held.confirm(holderStore, m.Incarnation) }
+
 // unknownRate is the rate of requests to a server that ran before its node started, until its first response shows
 // whether it states a limit.
 const unknownRate ident.Rate = 5
@@ -425,8 +480,12 @@
 // MergeMembers merges members that were read from the store. A watcher forwards a few changes, since other nodes do not
 // follow the store.
 func (n *Node) MergeMembers(now time.Time, members ...fleet.Member) {
+	for _, m := range members {
+		n.restore(m, now)
+	}
 	changed := n.Roster.Merge(now, members...)
 	n.membersLoaded.Store(true)
+	n.markEntryKnown()
 	if len(changed) > 0 && len(changed) <= maxForwarded && n.IsWatcher(now) {
 		n.Gossip.QueueNews(changed)
 	}
--- a/internal/wire/convert.go
+++ b/internal/wire/convert.go
@@ -157,6 +157,7 @@
 		Server: string(m.Server), Service: string(m.Service), DataCentre: string(m.DataCentre),
 		Address: string(m.Address), Incarnation: uint64(m.Incarnation), Slots: int32(m.Slots),
 		Connections: int32(m.Conns), Left: m.Left, AnnouncedUnixNs: m.Announced.UnixNano(),
+		Run: fromRun(m.Run), Departed: m.Departed,
 	}
 }
 
@@ -166,5 +167,6 @@
 		Server: ident.Server(strings.Clone(m.Server)), Service: ident.Service(strings.Clone(m.Service)),
 		DataCentre: ident.DataCentre(strings.Clone(m.DataCentre)), Address: ident.Address(strings.Clone(m.Address)), Incarnation: ident.Incarnation(m.Incarnation), Slots: ident.Slots(m.Slots),
 		Conns: ident.Conns(m.Connections), Left: m.Left, Announced: time.Unix(0, m.AnnouncedUnixNs),
+		Run: toRun(m.Run), Departed: m.Departed,
 	}
 }
--- a/pkg/fleet/check.go
+++ b/pkg/fleet/check.go
@@ -34,6 +34,10 @@
 		return oops.Errorf("incarnation %d lies more than %v ahead", m.Incarnation, MaxClockLead)
 	case m.Announced.After(latest):
 		return oops.Errorf("announced at %v, more than %v ahead", m.Announced, MaxClockLead)
+	case m.Run.Instance != "" && !validName(string(m.Run.Instance)):
+		return oops.Errorf("instance name is too long or has characters that cannot be printed")
+	case m.Run.Born.After(latest):
+		return oops.Errorf("run started at %v, more than %v ahead", m.Run.Born, MaxClockLead)
 	case m.Left && m.Service == "":
 		return nil
 	case !validName(string(m.Service)):
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/life"
 )
 
 // leaveMarkFactor is the time for which a leave mark is kept, in retentions. An announcement of the incarnation
@@ -23,6 +24,8 @@
 	Conns       ident.Conns
 	Left        bool      // whether this and all lower incarnations left the fleet
 	Announced   time.Time // time of the last announcement, or of leaving
+	Run         life.Run  // run of the server; zero if not known
+	Departed    bool      // Run leaves for good; a member may also have left because its node stops
 }
 
 // Join returns the description that wins of two of the same server. It is commutative, associative and
@@ -40,6 +43,7 @@
 	return cmp.Or(
 		cmp.Compare(a.Incarnation, b.Incarnation),
 		compareBool(a.Left, b.Left),
+		compareBool(a.Departed, b.Departed),
 		// A leave mark without a known announcement has no service; the complete description wins.
 		compareBool(a.Service != "", b.Service != ""),
 		a.Announced.Compare(b.Announced),
@@ -48,6 +52,8 @@
 		cmp.Compare(a.Address, b.Address),
 		cmp.Compare(a.Slots, b.Slots),
 		cmp.Compare(a.Conns, b.Conns),
+		cmp.Compare(a.Run.Instance, b.Run.Instance),
+		a.Run.Born.Compare(b.Run.Born),
 	)
 }
 
@@ -101,14 +107,20 @@
 
 // Leave marks the given and all lower incarnations of a server as left and reports whether the digest changed.
 func (s *State) Leave(server ident.Server, incarnation ident.Incarnation, now time.Time) bool {
-	m, known := s.members[server]
-	if known && (m.Incarnation > incarnation || m.Incarnation == incarnation && m.Left) {
+	return s.MarkLeft(Member{Server: server, Incarnation: incarnation}, now)
+}
+
+// MarkLeft is like Leave for the server and the incarnation of a leave mark, which may also name the run that departed.
+func (s *State) MarkLeft(mark Member, now time.Time) bool {
+	m, known := s.members[mark.Server]
+	if known && (m.Incarnation > mark.Incarnation || m.Incarnation == mark.Incarnation && m.Left && (m.Departed || !mark.Departed)) {
 		return false
 	}
-	m.Server = server
-	m.Incarnation = incarnation
-	m.Left = true
-	m.Announced = now
+	m.Server, m.Incarnation = mark.Server, mark.Incarnation
+	m.Left, m.Announced = true, now
+	if mark.Run.Instance != "" {
+		m.Run, m.Departed = mark.Run, mark.Departed
+	}
 	return s.Apply(m, now)
 }
 
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/life"
 )
 
 // TestMain fixes the seed, so that runs are reproducible; -rapid.seed on the command line overrides it.
@@ -36,6 +37,8 @@
 			Slots:       ident.Slots(rapid.IntRange(1, 2).Draw(t, "slots")),
 			Conns:       ident.Conns(rapid.IntRange(1, 2).Draw(t, "conns")),
 			Left:        rapid.Bool().Draw(t, "left"),
+			Run:         life.Run{Instance: rapid.SampledFrom([]ident.Instance{"", "i", "j"}).Draw(t, "run")},
+			Departed:    rapid.Bool().Draw(t, "departed"),
 			Announced:   start.Add(time.Duration(rapid.IntRange(0, 3).Draw(t, "announced"))),
 		}
 	})
--- a/pkg/life/life.go
+++ b/pkg/life/life.go
@@ -65,6 +65,9 @@
 // outdated reports of the same run, and departures of other instances.
 func (s *State) Merge(r Report) (changed bool) {
 	if s.Phase == Unknown {
+		if !r.Born.IsZero() && r.Born.Before(s.Born) {
+			return false
+		}
 		s.Report = r
 		return r.Phase != Unknown
 	}
@@ -87,6 +90,20 @@
 	return changed
 }
 
+// Restore merges what the node has recorded about a run of the server, which it may have done before it restarted, and returns
+// whether the state changed. A run that departed is not taken up again; of another one, reports of earlier runs are ignored.
+func (s *State) Restore(r Run, departed bool) (changed bool) {
+	switch {
+	case r.Instance == "":
+		return false
+	case departed:
+		return s.Merge(Report{Instance: r.Instance, Born: r.Born, Phase: Gone})
+	case s.Phase == Unknown && r.Born.After(s.Born):
+		s.Instance, s.Born = r.Instance, r.Born
+	}
+	return false
+}
+
 // Run returns the run that the state describes.
 func (s *State) Run() Run { return Run{s.Instance, s.Born} }
 
--- a/pkg/life/life_test.go
+++ b/pkg/life/life_test.go
@@ -115,3 +115,43 @@
 		})
 	}
 }
+
+// Guards against a restarted node that forgets a leave which it has acknowledged, and against one that takes the record of an
+// earlier run for the present one.
+func TestRestore(t *testing.T) {
+	born := time.Unix(1000, 0)
+	later := born.Add(time.Minute)
+	ready := func(born time.Time) Report { return Report{Instance: "a", Born: born, Seq: 9, Phase: Ready, Slots: 8} }
+	tests := map[string]struct {
+		before   []Report
+		run      Run
+		departed bool
+		after    []Report
+		want     Phase
+		born     time.Time
+	}{
+		"departed, late report":                  {nil, Run{"a", born}, true, []Report{ready(born)}, Gone, born},
+		"departed, health check passes":          {nil, Run{"a", born}, true, []Report{{Instance: "a", Phase: Ready}}, Gone, born},
+		"departed, later run":                    {nil, Run{"a", born}, true, []Report{ready(later)}, Ready, later},
+		"departed, learned after a late report":  {[]Report{ready(born)}, Run{"a", born}, true, nil, Gone, born},
+		"record of an earlier run that departed": {[]Report{ready(later)}, Run{"a", born}, true, nil, Ready, later},
+		"running, late report of an earlier run": {nil, Run{"a", later}, false, []Report{ready(born)}, Unknown, later},
+		"running":                                {nil, Run{"a", born}, false, []Report{ready(born)}, Ready, born},
+		"nothing recorded":                       {nil, Run{}, true, []Report{ready(born)}, Ready, born},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var s State
+			for _, r := range tt.before {
+				s.Merge(r)
+			}
+			s.Restore(tt.run, tt.departed)
+			for _, r := range tt.after {
+				s.Merge(r)
+			}
+			if s.Phase != tt.want || !s.Born.Equal(tt.born) {
+				t.Errorf("state: got %s since %v, want %s since %v", s.Phase, s.Born, tt.want, tt.born)
+			}
+		})
+	}
+}
