blame: refuse a request under which three servers have ended

Callers saw: a request that ends the server which runs it took all servers of its service down, one after the other and again after each start, since its callers repeat it.

Cause: callers repeat with new attempt ids, and nothing kept what a request had done to a server beyond one attempt. Class: a retry bounded inside an attempt, while the caller comes back with a new one.

The node beside a server that has ended blames the requests whose responses broke off with it, unless the server has completed them lately. Nodes exchange the evidence at once. After three separate ends without a completion a request is refused for a minute, as not run, with the reason endsServers and a Retry-After until the verdict ends. From two ends on nodes do not repeat it by themselves. One completion clears it.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -14,6 +14,7 @@
 	"briarworks.example/briarworks/internal/roster"
 	"briarworks.example/briarworks/internal/wire"
 	"briarworks.example/briarworks/internal/wire/wirepb"
+	"briarworks.example/briarworks/pkg/blame"
 	"briarworks.example/briarworks/pkg/fleet"
 	"briarworks.example/briarworks/pkg/ident"
 )
@@ -62,10 +63,15 @@
 	OnSynced   func()                  // called after this node has received all members that another one knows; may be nil
 	OnOwnHeld  func(ident.Incarnation) // called when another node has confirmed an entry of this node; may be nil
 
+	Blame       *blame.Table          // suspects that nodes exchange; nil for none
+	OnConvicted func([]blame.Suspect) // receives suspects of other nodes that changed; may be nil
+	OnUnusable  func(suspects int)    // called when suspects of another node cannot be used; may be nil
+
 	StoreEra   func() uint64 // returns the era of the store; nil if it has none
 	OnStoreEra func(uint64)  // receives the era that another node has observed; set together with StoreEra
 
 	newsQueue      chan []fleet.Member
+	suspectQueue   chan sharedSuspects
 	versionChanged chan struct{}      // signals a new configuration version
 	pullFrom       chan ident.Address // a node with a newer configuration
 	lastExchange   atomic.Int64       // Unix time in ns
@@ -75,7 +81,7 @@
 func New(self fleet.Member, r *roster.Roster, b *peer.Transport) *Gossip {
 	return &Gossip{
 		Self: self, Roster: r, Transport: b,
-		newsQueue: make(chan []fleet.Member, newsQueueSize), versionChanged: make(chan struct{}, 1), pullFrom: make(chan ident.Address, 1),
+		newsQueue: make(chan []fleet.Member, newsQueueSize), suspectQueue: make(chan sharedSuspects, newsQueueSize), versionChanged: make(chan struct{}, 1), pullFrom: make(chan ident.Address, 1),
 	}
 }
 
@@ -154,10 +160,14 @@
 func (g *Gossip) HandleSync(from ident.Server, m *wirepb.Sync) *wirepb.SyncReply {
 	g.lastExchange.Store(time.Now().UnixNano())
 	g.merge(m.GetMembers(), m.GetConfig())
+	g.mergeSuspects(m.GetSuspects())
 	g.noteEra(m.GetStoreEra())
 	g.requestPull(from, ident.Version(m.GetConfigVersion()))
 	table, version := g.Roster.Table(), g.Config().Version
 	reply := &wirepb.SyncReply{Digest: table.Digest(), ConfigVersion: uint64(version), FromIncarnation: uint64(g.Self.Incarnation), StoreEra: g.storeEra()}
+	if g.Blame != nil && !m.GetNews() {
+		reply.Suspects = wire.FromSuspects(g.Blame.Shared())
+	}
 	if version > ident.Version(m.GetConfigVersion()) {
 		reply.Config = g.configMessage()
 	}
@@ -182,6 +192,7 @@
 func (g *Gossip) handleReply(r *wirepb.SyncReply) (next *wirepb.Sync) {
 	g.noteEra(r.GetStoreEra())
 	g.merge(r.GetMembers(), r.GetConfig())
+	g.mergeSuspects(r.GetSuspects())
 	table := g.Roster.Table()
 	membersDiffer := r.GetDigest() != table.Digest()
 	configBehind := ident.Version(r.GetConfigVersion()) < g.Config().Version
@@ -258,6 +269,8 @@
 			return
 		case members := <-g.newsQueue:
 			g.Guard.Run("news", func() { g.broadcastNews(ctx, members) })
+		case s := <-g.suspectQueue:
+			g.Guard.Run("suspects", func() { g.sendSuspects(ctx, s) })
 		case <-g.versionChanged:
 			g.Guard.Run("news", func() { g.broadcastNews(ctx, nil) })
 		case <-timer.C:
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -23,6 +23,10 @@
 func (r *Relay) Forward(ctx context.Context, req *call.Request) call.Result {
 	c := r.Control
 	req.AdmittedFraction = 1
+	if res, convicted := r.Blame.refusal(req, r.Now()); convicted {
+		return res
+	}
+	r.Blame.limitAttempts(req, r.Now())
 	if !c.fromServers(req.Kind) {
 		return r.handle(ctx, req, r.admitByLevel)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -64,6 +64,7 @@
 	Flights     *flight.Table
 	MaxInflight int64    // limit on concurrent requests; 0 means no limit
 	Control     *Control // of Forward; nil at a node that does not use it
+	Blame       *Blame   // of requests that end servers; nil at a node that does not use it
 
 	draining    atomic.Bool
 	stopPlan    atomic.Pointer[stop.Plan] // nil while no stop is planned
@@ -259,6 +260,9 @@
 	if why := r.unavailable(); why != reason.None {
 		return r.refuse(req, why)
 	}
+	if res, convicted := r.Blame.refusal(req, r.Now()); convicted {
+		return r.annotate(req, res, req.RetryBudget)
+	}
 	a := r.admit(ctx, req)
 	if a.refusal != reason.None {
 		return r.refuse(req, a.refusal)
@@ -337,6 +341,7 @@
 	}
 	r.Control.recordEnd(req)
 	now := r.Now()
+	r.Blame.observe(req, &res, now)
 	total := now.Sub(start)
 	// A server that sheds with many slots free is faulty rather than full; a lower concurrency limit would not help.
 	shed := res.ShedByOwnServer && (r.Control == nil || r.Gate.NearlyFull())
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -86,6 +86,16 @@
 	return c
 }
 
+// Ended reports whether the server accepts no connection before ctx ends.
+func (c *Client) Ended(ctx context.Context) bool {
+	cn, err := c.Dial(ctx, "tcp", string(c.Addr))
+	if err != nil {
+		return true
+	}
+	_ = cn.Close()
+	return false
+}
+
 // Resize changes the maximum number of connections. Requests in flight keep their connections.
 func (c *Client) Resize(maxConns ident.Conns) {
 	if c.maxConns.Swap(int32(maxConns)) == int32(maxConns) {
--- a/internal/side/node.go
+++ b/internal/side/node.go
@@ -166,6 +166,7 @@
 		}
 		return gossip.Config{Version: c.table.Version, Text: c.text}
 	}
+	n.connectBlame()
 	n.Gossip.OnOwnEntry = func(m fleet.Member) { n.restore(m, time.Now()) }
 	n.Gossip.OnSynced = n.markEntryKnown
 	n.Gossip.OnOwnHeld = func(inc ident.Incarnation) { n.held.confirm(holderNode, inc) }
--- a/pkg/reason/reason.go
+++ b/pkg/reason/reason.go
@@ -57,6 +57,7 @@
 	KeyShare                        // the caller is at its limit of keys in the partition
 	HeadersSlow                     // the headers did not arrive in time
 	MemoryFull                      // the node has no memory for the messages of the request
+	EndsServers                     // several servers have ended while they ran this request
 	refusalCount
 )
 
@@ -66,7 +67,7 @@
 	"keyRunning", "keyUnknown", "badRequest", "bodyTooLarge", "bodyShort", "answerTooLarge",
 	"unknownKind", "budgetSpent", "connectionLost", "connectionSilent", "cancelled", "peerVersion",
 	"depthExceeded", "internal", "keyMissing", "keyReused",
-	"headersTooLarge", "nodeFull", "keyShare", "headersSlow", "memoryFull",
+	"headersTooLarge", "nodeFull", "keyShare", "headersSlow", "memoryFull", "endsServers",
 }
 
 // String returns the name used in answers, records, logs and metrics.
