admit: order the queue by one clock

Callers saw: after a step of the time of day a request that left the queue could take out another one, which then never got an answer, or the removal panicked with the gate locked, after which nothing passed that server.

Cause: the queue is sorted by the time of acceptance, which has a steady reading for requests of this node and is a time of day for those of other nodes. After a step the two orders contradict each other, so the binary search of a removal ends at the wrong place.

The gate converts the time to the clock of now when it queues a request, so all tickets have a steady reading and a later step changes nothing.

--- a/pkg/admit/gate.go
+++ b/pkg/admit/gate.go
@@ -167,7 +167,9 @@
 // and returns its verdict.
 func (g *Gate) enqueue(req *call.Request, t *Ticket, expected time.Duration, now time.Time) Verdict {
 	t.priority = share.Kind{Rank: req.Rank, Protected: req.Protected}
-	t.orderTime, t.nested = req.AcceptedAt, req.Hop > 0
+	// All tickets are ordered by the clock of now. Times of other nodes have no steady reading, and comparing them with times
+	// that have one leaves no order after a step of the time of day.
+	t.orderTime, t.nested = now.Add(-now.Sub(req.AcceptedAt)), req.Hop > 0
 	if t.kind.admitted.load() < 1 {
 		// A kind above its share of the limit comes after kinds of its rank that are below theirs.
 		// Otherwise long calls would crowd short ones out of the queue.
