life: take a report that a run leaves whatever its sequence number

Cause: a report is ignored if its sequence number is not above the largest one seen, also one that says that the run leaves. Evidence: TestTake with such a sequence ends in the phase ready. A run never returns from a later phase, so such a report is true whenever it arrives; the number now orders reports of one phase only.

--- a/pkg/life/life.go
+++ b/pkg/life/life.go
@@ -127,10 +127,12 @@
 	return r.Born.After(s.Born)
 }
 
-// isStale reports whether r belongs to an earlier run or is not newer than the last report of this run.
+// isStale reports whether r belongs to an earlier run or is not newer than the last report of this run. A run never returns from a
+// later phase, so a report that it leaves is true whenever it arrives, also behind one of another writer with a large sequence
+// number.
 func (s *State) isStale(r Report) bool {
 	if !r.Born.IsZero() && r.Born.Before(s.Born) {
 		return true
 	}
-	return r.Seq != 0 && r.Seq <= s.Seq
+	return r.Seq != 0 && r.Seq <= s.Seq && r.Phase <= s.Phase
 }
--- a/pkg/life/life_test.go
+++ b/pkg/life/life_test.go
@@ -1,6 +1,7 @@
 package life
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -35,6 +36,8 @@
 		"probe, then the server's report":    {[]Report{{Instance: "a", Phase: Ready, Slots: 8}, ready("a", t0, 7)}, Ready, "a"},
 		"probe of an old run, then a report": {[]Report{{Instance: "a", Phase: Ready, Slots: 8}, ready("b", t1, 1)}, Ready, "b"},
 		"replacement without a start time":   {[]Report{ready("a", time.Time{}, 1), {Instance: "a", Phase: Gone}, ready("b", time.Time{}, 1)}, Ready, "b"},
+		"draining after an odd sequence":     {[]Report{ready("a", t0, 1), ready("a", t0, math.MaxUint64), withPhase(ready("a", t0, 2), Draining)}, Draining, "a"},
+		"draining of an earlier run, too":    {[]Report{ready("a", t1, 1), withPhase(ready("a", t0, 9), Draining)}, Ready, "a"},
 		"departure as the first report":      {[]Report{{Instance: "a", Phase: Gone}}, Gone, "a"},
 	}
 	for name, tt := range tests {
