--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -63,9 +63,9 @@
 	OnSynced   func()                  // called after this node has received all members that another one knows; may be nil
 	OnOwnHeld  func(ident.Incarnation) // called when another node has confirmed an entry of this node; may be nil
 
-	Blame       *blame.Table          // suspects that nodes exchange; nil for none
-	OnConvicted func([]blame.Suspect) // receives suspects of other nodes that changed; may be nil
-	OnUnusable  func(suspects int)    // called when suspects of another node cannot be used; may be nil
+	Blame      *blame.Table          // suspects that nodes exchange; nil for none
+	OnSuspects func([]blame.Suspect) // receives suspects of other nodes that changed; may be nil
+	OnUnusable func(suspects int)    // called when suspects of another node cannot be used; may be nil
 
 	StoreEra   func() uint64 // returns the era of the store; nil if it has none
 	OnStoreEra func(uint64)  // receives the era that another node has observed; set together with StoreEra
--- a/internal/gossip/suspects.go
+++ b/internal/gossip/suspects.go
@@ -53,8 +53,8 @@
 	if len(changed) == 0 {
 		return
 	}
-	if g.OnConvicted != nil {
-		g.OnConvicted(changed)
+	if g.OnSuspects != nil {
+		g.OnSuspects(changed)
 	}
 	g.queueSuspects(sharedSuspects{changed, false})
 }
--- a/internal/side/blame.go
+++ b/internal/side/blame.go
@@ -28,7 +28,7 @@
 		OnConvicted: n.logConvicted,
 	}
 	n.Gossip.Blame = t
-	n.Gossip.OnConvicted = func(changed []blame.Suspect) { n.logSuspects(changed, "peer") }
+	n.Gossip.OnSuspects = func(changed []blame.Suspect) { n.logSuspects(changed, "peer") }
 	n.Gossip.OnUnusable = func(suspects int) {
 		n.Stats.CountEvent("suspectRejected")
 		n.Log.Warn("suspectRejected", zap.Int("suspects", suspects))
