server: take no end of file for the end of a response after a failed write

A server answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was being written. The caller got that part as the complete answer.

Hypotheses: the reset is not reported to the node; it is reported and dropped; the response is taken for one that ends with the connection. A read on a reset connection without an upload fails as it should (TestRunFaults, "no length, reset"), and a response with a length or in chunks is never taken for whole. So the upload makes the difference: the failed write takes the error of the socket, after which a read returns the bytes that have arrived and then a plain end of file, which net/http takes for the end of a body that ends with the connection. roundTrip goes on to read after a failed write on purpose, as a server may refuse an upload that it has not read.

Class: the end of a message is taken from one library call, although another one was told that it was not seen.

http1.Conn remembers that a write has failed and reports any later end of file as unexpected. A response whose end is in its own bytes is still passed on.

--- a/internal/server/pool.go
+++ b/internal/server/pool.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"briarworks.example/briarworks/internal/http1"
 	"briarworks.example/briarworks/internal/idle"
 	"briarworks.example/briarworks/pkg/budget"
 	"briarworks.example/briarworks/pkg/ident"
@@ -22,7 +23,7 @@
 
 // conn is a connection to the backend server that carries one request at a time.
 type conn struct {
-	net.Conn
+	*http1.Conn
 	r         *bufio.Reader
 	w         *bufio.Writer
 	readLimit int64        // bytes that may still be read; limits the size of response headers
@@ -52,8 +53,8 @@
 )
 
 func newConn(c net.Conn, keepAlive *atomic.Int64) *conn {
-	k := &conn{Conn: c, keepAlive: keepAlive}
-	k.r, k.w = bufio.NewReader(k), bufio.NewWriter(c)
+	k := &conn{Conn: &http1.Conn{Conn: c}, keepAlive: keepAlive}
+	k.r, k.w = bufio.NewReader(k), bufio.NewWriter(k.Conn)
 	return k
 }
 
@@ -85,7 +86,7 @@
 // checkState returns the state of an idle connection without blocking. It peeks at the socket only: pool.put
 // closes connections with buffered data.
 func (c *conn) checkState() connState {
-	sc, ok := c.Conn.(syscall.Conn)
+	sc, ok := c.Conn.Conn.(syscall.Conn)
 	if !ok {
 		return connIdle
 	}
