http1: refuse response heads with malformed lines

A server in trouble sent a head in which the name of a field held a blank or a control byte. Callers got it as an answer, with that line passed on or with a body that was not the server's.

Hypotheses: the node's own list of forwarded headers lets such names through; net/http does. Printed by the failing tests, the names are in the header of http.ReadResponse already. Its parser keeps a name with a blank, for compatibility, without taking it for the known field: "Content-Length : 3" is passed on and the body runs to the end of the connection. It takes a line feed alone for a line end, so that a name that begins with one ends the head, and the rest of the head becomes the body. It joins a continued line to the field before it. Names with other control bytes were refused already; their tests stay.

Class: bytes that can be read in two ways are passed on by the reading of one library call.

http1.Checker follows the raw bytes below net/http and stops before a line that RFC 9110 and 9112 do not allow: line ends, status lines, names, values and chunk sizes. It sits in http1.Conn, so it holds for each reader of a connection, and does not depend on what a parser drops or keeps. A connection is kept only if the Checker has seen a whole response and nothing behind it.

--- a/Makefile
+++ b/Makefile
@@ -49,7 +49,7 @@
 # replayed by make test.
 FUZZTIME ?= 20s
 FUZZ := pkg/rules:FuzzDecode internal/setup:FuzzDecode internal/setup:FuzzDecodeSidecar internal/record:FuzzDecodeGroup \
-	internal/pipe:FuzzConn internal/server:FuzzResponse internal/peer:FuzzSession internal/wire:FuzzRead \
+	internal/pipe:FuzzConn internal/http1:FuzzChecker internal/server:FuzzResponse internal/peer:FuzzSession internal/wire:FuzzRead \
 	platform:FuzzDecodeNewest platform:FuzzDecodePage platform:FuzzDecodeMember platform:FuzzDecodeConfig platform:FuzzReport
 fuzz:
 	set -e; for f in $(FUZZ); do \
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -12,15 +12,21 @@
 // Conn is a connection of a client. One goroutine at a time may read, beside one that writes.
 type Conn struct {
 	net.Conn
+	Checker     Checker    // of the bytes that are read
 	mu          sync.Mutex // held while writing; guards writeFailed
 	writeFailed bool
 }
 
-// Read reads from the connection. It fails with io.ErrUnexpectedEOF if the connection has ended and a write has failed.
+// Read reads from the connection. It fails with an error of the Checker if what was read is malformed, and with
+// io.ErrUnexpectedEOF if the connection has ended and a write has failed.
 func (c *Conn) Read(p []byte) (n int, err error) {
 	n, err = c.Conn.Read(p)
-	if errors.Is(err, io.EOF) && c.failed() {
-		err = io.ErrUnexpectedEOF
+	n, malformed := c.Checker.Check(p[:n])
+	switch {
+	case malformed != nil:
+		return n, malformed
+	case errors.Is(err, io.EOF) && c.failed():
+		return n, io.ErrUnexpectedEOF
 	}
 	return n, err
 }
--- a/internal/server/broken_test.go
+++ b/internal/server/broken_test.go
@@ -11,6 +11,57 @@
 	"briarworks.example/briarworks/pkg/reason"
 )
 
+// Guards against a response that another reader would read in another way: its head is passed on with a malformed field, or the
+// body that the caller gets is not the one that the server sent.
+func TestBrokenHead(t *testing.T) {
+	const (
+		ok     = "HTTP/1.1 200 OK\r\n"
+		length = "Content-Length: 3\r\n"
+		inner  = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\ninner" // 43 bytes
+	)
+	tests := map[string]string{
+		"blank inside a name":             ok + "X Y: z\r\n" + length + "\r\nabc",
+		"blank before the colon":          ok + "X-Y : z\r\n" + length + "\r\nabc",
+		"blank before the length's colon": ok + "Content-Length : 3\r\n\r\nabcdef",
+		"blank before the coding's colon": ok + "Transfer-Encoding : chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+		"blank first":                     ok + " X-Y: z\r\n" + length + "\r\nabc",
+		"tab before the colon":            ok + "X-Y\t: z\r\n" + length + "\r\nabc",
+		"control byte inside a name":      ok + "X\x01Y: z\r\n" + length + "\r\nabc",
+		"zero byte inside a name":         ok + "X\x00Y: z\r\n" + length + "\r\nabc",
+		"delete inside a name":            ok + "X\x7fY: z\r\n" + length + "\r\nabc",
+		"carriage return inside a name":   ok + "X\rY: z\r\n" + length + "\r\nabc",
+		"carriage return first":           ok + "\rX-Y: z\r\n" + length + "\r\nabc",
+		"line feed first":                 ok + "\n" + length + "\r\nabc",
+		"line feed first, behind a field": ok + "X-Y: z\r\n\n" + length + "\r\nabc",
+		"line feed inside a name":         ok + "X\nContent-Length: 3\r\n\r\nabc",
+		"line feed inside a value":        ok + "X-Y: z\n" + length + "\r\nabc",
+		"line feeds for line ends":        "HTTP/1.1 200 OK\nContent-Length: 3\n\nabc",
+		"byte of another code in a name":  ok + "X\xe9: z\r\n" + length + "\r\nabc",
+		"no name":                         ok + ": z\r\n" + length + "\r\nabc",
+		"no colon":                        ok + "X-Y\r\n" + length + "\r\nabc",
+		"continued field":                 ok + "X-Y: z\r\n " + length + "\r\nabc",
+		"control byte in a value":         ok + "X-Y: \x01\r\n" + length + "\r\nabc",
+		"control byte in the reason":      "HTTP/1.1 200 O\x01K\r\n" + length + "\r\nabc",
+		"two codings":                     ok + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+		"signed length":                   ok + "Content-Length: +3\r\n\r\nabc",
+		"other version":                   "HTTP/3.7 200 OK\r\n" + length + "\r\nabc",
+		"malformed trailer":               ok + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX Y: z\r\n\r\n",
+		"status with a sign":              "HTTP/1.1 +20 X\r\n\r\n" + inner,
+		"two blanks before the status":    "HTTP/1.1  200 OK\r\n" + length + "\r\nabc",
+	}
+	for name, text := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := New(newScriptedServer(t, respond(text)).addr, 1)
+			defer c.Close()
+			req, now := request(longTimeout)
+			if res := c.Run(t.Context(), req, "token", now); res.Outcome != reason.Unknown || res.Reason != reason.ServerFailed {
+				t.Errorf("got %v %v status %d header %q body %q, want unknown serverFailed", res.Outcome, res.Reason, res.Status, res.Header, res.Body)
+			}
+		})
+	}
+}
+
 // Guards against a part of a response that reaches the caller as the whole: the server responds without a length while the
 // request is still being written, and resets the connection. The write then fails with the reset, and the next read reports a
 // plain end of the connection.
--- a/internal/server/pool.go
+++ b/internal/server/pool.go
@@ -71,8 +71,9 @@
 	return n, err
 }
 
-// headCopies is how often the bytes of a response head are in memory: as they are read and as parsed headers.
-const headCopies = 2
+// headCopies is how often the bytes of a response head are in memory: as they are read, as a line that is checked, and as parsed
+// headers.
+const headCopies = 3
 
 // connState is the state of an idle connection.
 type connState uint8
@@ -168,7 +169,7 @@
 
 // put returns a connection to the pool, or closes it if it is not reusable.
 func (p *pool) put(c *conn, reusable bool, now time.Time) {
-	if reusable && c.r.Buffered() > 0 {
+	if reusable && (c.r.Buffered() > 0 || !c.Checker.Done()) {
 		p.onExtraBytes()
 		reusable = false
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -179,6 +179,7 @@
 	if ctx.Err() != nil {
 		return transportFailure(ctx, ctx.Err(), false), false
 	}
+	cn.Checker.ToHead = hr.Method == http.MethodHead
 	cn.hold = req.Hold
 	defer func() { cn.hold = nil }()
 	writeErr := hr.Write(cn.w)
