http1: refuse responses with a status outside 100 to 599

Seen on other systems: a server in trouble answered with status 000, and the client got it as an answer. Here that answer alone did not pass: readResponseHead skips each status below 200 as an interim response, finds no head in the body and reports the outcome as unknown.

What callers could get instead: the body of such a response, or whatever follows it, as the response, if it looks like one; and a status of 600 to 999 as it is.

Cause: http.ReadResponse takes any three characters that strconv.Atoi reads, and the client told interim responses apart by an upper bound alone. RFC 9110, section 15, has statuses from 100 to 599. The Checker now refuses others in the status line, before anything decides by the status.

--- a/internal/http1/check.go
+++ b/internal/http1/check.go
@@ -138,6 +138,12 @@
 	return nil
 }
 
+// Bounds of a status, RFC 9110, section 15.
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
 // checkStatus checks a status line, RFC 9112, section 4. The blank behind the status may be missing if no reason follows.
 func (c *Checker) checkStatus(line []byte) error {
 	const version, status, reason = len("HTTP/1."), len("HTTP/1.1 "), len("HTTP/1.1 200")
@@ -154,6 +160,9 @@
 		}
 		c.status = 10*c.status + int(d-'0')
 	}
+	if c.status < minStatus || c.status > maxStatus {
+		return ErrStatus
+	}
 	c.part, c.length, c.chunked = partField, noLength, false
 	return nil
 }
--- a/internal/http1/check_test.go
+++ b/internal/http1/check_test.go
@@ -90,6 +90,9 @@
 		"two digits":                {text: "HTTP/1.1 20  OK\r\n" + length + "\r\nabc", want: ErrStatus},
 		"letter in the status":      {text: "HTTP/1.1 2x0 OK\r\n" + length + "\r\nabc", want: ErrStatus},
 		"sign in the status":        {text: "HTTP/1.1 +20 OK\r\n" + length + "\r\nabc", want: ErrStatus},
+		"status 000":                {text: "HTTP/1.1 000 OK\r\n" + length + "\r\nabc", want: ErrStatus},
+		"status 099":                {text: "HTTP/1.1 099 OK\r\n" + length + "\r\nabc", want: ErrStatus},
+		"status 600":                {text: "HTTP/1.1 600 OK\r\n" + length + "\r\nabc", want: ErrStatus},
 		"two lengths":               {text: ok + length + "Content-Length: 4\r\n\r\nabc", want: ErrLength},
 		"list of lengths":           {text: ok + "Content-Length: 3, 3\r\n\r\nabc", want: ErrLength},
 		"signed length":             {text: ok + "Content-Length: +3\r\n\r\nabc", want: ErrLength},
@@ -131,7 +134,7 @@
 func TestCheckerPasses(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
 	tests := map[string]struct{ sound, malformed string }{
-		"status line":  {"", "HTTP/1.1 0x0 X\r\n\r\n"},
+		"status line":  {"", "HTTP/1.1 000 X\r\n\r\n"},
 		"field":        {head, "X Y: z\r\n\r\n0\r\n\r\n"},
 		"line end":     {head, "\n0\r\n\r\n"},
 		"size":         {head + "\r\n", "x\r\n"},
--- a/internal/server/broken_test.go
+++ b/internal/server/broken_test.go
@@ -46,7 +46,13 @@
 		"signed length":                   ok + "Content-Length: +3\r\n\r\nabc",
 		"other version":                   "HTTP/3.7 200 OK\r\n" + length + "\r\nabc",
 		"malformed trailer":               ok + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX Y: z\r\n\r\n",
+		"status 000":                      "HTTP/1.1 000 X\r\n" + length + "\r\nabc",
+		"status 000, no length":           "HTTP/1.1 000 X\r\n\r\n",
+		"status 000, then a response":     "HTTP/1.1 000 X\r\nContent-Length: 43\r\n\r\n" + inner,
+		"status 099, then a response":     "HTTP/1.1 099 X\r\n\r\n" + inner,
 		"status with a sign":              "HTTP/1.1 +20 X\r\n\r\n" + inner,
+		"status 600":                      "HTTP/1.1 600 X\r\n" + length + "\r\nabc",
+		"status 999":                      "HTTP/1.1 999 X\r\n" + length + "\r\nabc",
 		"two blanks before the status":    "HTTP/1.1  200 OK\r\n" + length + "\r\nabc",
 	}
 	for name, text := range tests {
