http1: refuse responses that state their length in several ways

Callers got as an answer:

- a response with both a length and chunks, read by its chunks;
- a response of HTTP/1.0 in chunks, with the sizes of the chunks as a part of the body, or the first bytes of the first chunk where a length was stated too;
- the body of an interim response with a length as the response;
- a 204 with a length, whose body is left on the connection.

Cause: where a head states several lengths, net/http chooses one. RFC 9112, section 6.3, names such messages as a sign of response splitting, and section 6.1 calls a coding in HTTP/1.0 faulty. The Checker refuses them where the head ends. A 204 or an interim response that states a length of 0 has one reading and is accepted.

--- a/internal/http1/check.go
+++ b/internal/http1/check.go
@@ -45,6 +45,7 @@
 
 	part    part
 	line    []byte // beginning of a line whose end is not read yet
+	version byte   // minor version of the status line
 	status  int
 	length  int64 // stated length of the body, or noLength
 	chunked bool
@@ -163,7 +164,7 @@
 	if c.status < minStatus || c.status > maxStatus {
 		return ErrStatus
 	}
-	c.part, c.length, c.chunked = partField, noLength, false
+	c.part, c.version, c.length, c.chunked = partField, line[version], noLength, false
 	return nil
 }
 
@@ -198,6 +199,10 @@
 func (c *Checker) endHead() error {
 	interim := c.status < 200
 	switch {
+	case c.chunked && (c.length != noLength || c.version == '0'):
+		return ErrLength
+	case (interim || c.status == 204) && (c.chunked || c.length > 0):
+		return ErrLength // it has no body, and a reader that takes the length finds one
 	case c.status == 101:
 		c.part = partUnframed
 	case interim, c.status == 204, c.status == 304, c.ToHead, c.length == 0:
