applog: read responses of the log by the rule for answers

The same causes at the log of briarworks node and in the command line. No caller sees these responses, but an append that was not acknowledged in full counted as written, and a cut page as a whole one: the JSON decoder on the body stops behind the first value, whatever follows.

A broken response to an append is ErrUnknown, so the writer looks the append up by its id as after a lost response.

--- a/cmd/briarworks/fleet.go
+++ b/cmd/briarworks/fleet.go
@@ -14,6 +14,7 @@
 	"github.com/spf13/cobra"
 
 	"briarworks.example/briarworks/internal/admin"
+	"briarworks.example/briarworks/internal/http1"
 )
 
 // Limits of a request to the operator's port of a node.
@@ -99,7 +100,7 @@
 	if err != nil {
 		return v, err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := statusClient.Do(req)
 	if err != nil {
 		return v, fmt.Errorf("briarworks: no answer from %s; name the operator's port of a running node with --node: %w", node, err)
 	}
@@ -107,9 +108,11 @@
 	if resp.StatusCode != http.StatusOK {
 		return v, fmt.Errorf("briarworks: %s answered %s; is it the operator's port of a node?", node, resp.Status)
 	}
-	return v, json.NewDecoder(io.LimitReader(resp.Body, maxStatusBytes)).Decode(&v)
+	return http1.DecodeJSON[T](resp, maxStatusBytes)
 }
 
+var statusClient = &http.Client{Transport: http1.NewTransport()}
+
 // location is the service and data centre by which the status groups servers.
 type location struct {
 	service, dataCentre string
--- a/internal/applog/client.go
+++ b/internal/applog/client.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -16,6 +15,7 @@
 
 	"github.com/samber/oops"
 
+	"briarworks.example/briarworks/internal/http1"
 	"briarworks.example/briarworks/pkg/ident"
 )
 
@@ -41,8 +41,14 @@
 	ErrUnknown = errors.New("applog: outcome unknown")
 )
 
-// MaxPageBytes is the maximum size of a read response that the client accepts.
-const MaxPageBytes = 64 << 20
+// Limits on responses that the client accepts.
+const (
+	MaxPageBytes   ident.Bytes = 64 << 20 // to a read
+	maxAppendBytes ident.Bytes = 1 << 10  // to an append
+)
+
+// defaultClient is shared by the clients of a process, as http.DefaultClient is.
+var defaultClient = &http.Client{Transport: http1.NewTransport()}
 
 // RawAppend is one append as returned by the log, with its payload still encoded.
 type RawAppend struct {
@@ -65,7 +71,7 @@
 // Client makes single requests to the log.
 type Client struct {
 	BaseURL string       // base URL, such as "http://127.0.0.1:9000"
-	HTTP    *http.Client // http.DefaultClient when nil
+	HTTP    *http.Client // a client with the transport of http1 when nil
 }
 
 // Append appends data to the stream and returns its offset. Errors match ErrNotWritten or ErrUnknown.
@@ -84,8 +90,8 @@
 	if w.StatusCode != http.StatusOK {
 		return 0, errors.Join(classifyStatus(w.StatusCode), fmt.Errorf("status %d", w.StatusCode))
 	}
-	var a appendResponse
-	if err := json.NewDecoder(io.LimitReader(w.Body, 1<<10)).Decode(&a); err != nil {
+	a, err := http1.DecodeJSON[appendResponse](w, maxAppendBytes)
+	if err != nil {
 		return 0, errors.Join(ErrUnknown, err)
 	}
 	return a.Offset, nil
@@ -111,10 +117,7 @@
 	if w.StatusCode != http.StatusOK {
 		return p, fmt.Errorf("status %d", w.StatusCode)
 	}
-	if err := json.NewDecoder(io.LimitReader(w.Body, MaxPageBytes)).Decode(&p); err != nil {
-		return Page{}, err
-	}
-	return p, nil
+	return http1.DecodeJSON[Page](w, MaxPageBytes)
 }
 
 func (c *Client) url(stream Stream) string {
@@ -123,7 +126,7 @@
 
 func (c *Client) client() *http.Client {
 	if c.HTTP == nil {
-		return http.DefaultClient
+		return defaultClient
 	}
 	return c.HTTP
 }
