wire, keeper: pass on no malformed answer of another node or record

The same causes on related paths: an answer reaches a caller from another node, and from the record of an at-most-once key. A node of an older version, which nodes work with during an upgrade, passes a malformed head on, and the entry node wrote its status and fields to the caller as they came; a line end in a value made two responses of one.

Retry tokens and other statements of the node are kept.

--- a/internal/http1/check.go
+++ b/internal/http1/check.go
@@ -168,10 +168,10 @@
 	return nil
 }
 
-var (
-	nameLength = []byte("Content-Length")
-	nameCoding = []byte("Transfer-Encoding")
-	chunked    = []byte("chunked")
+const (
+	nameLength = "Content-Length"
+	nameCoding = "Transfer-Encoding"
+	chunked    = "chunked"
 )
 
 // checkField checks a field of the head and takes the length of the body from it.
@@ -180,14 +180,14 @@
 	switch {
 	case err != nil:
 		return err
-	case bytes.EqualFold(name, nameLength):
+	case bytes.EqualFold(name, []byte(nameLength)):
 		n, err := strconv.ParseUint(string(value), 10, lengthBits)
 		if err != nil || c.length != noLength && c.length != int64(n) {
 			return ErrLength
 		}
 		c.length = int64(n)
-	case bytes.EqualFold(name, nameCoding):
-		if c.chunked || !bytes.EqualFold(value, chunked) {
+	case bytes.EqualFold(name, []byte(nameCoding)):
+		if c.chunked || !bytes.EqualFold(value, []byte(chunked)) {
 			return ErrLength
 		}
 		c.chunked = true
@@ -236,24 +236,29 @@
 // is continued on a further line has no name there.
 func cutField(line []byte) (name, value []byte, err error) {
 	name, value, ok := bytes.Cut(line, []byte(":"))
-	if !ok || len(name) == 0 {
+	switch {
+	case !ok, !isName(name):
 		return nil, nil, ErrName
-	}
-	for _, b := range name {
-		if !httpguts.IsTokenRune(rune(b)) {
-			return nil, nil, ErrName
-		}
-	}
-	if !isValue(value) {
+	case !isValue(value):
 		return nil, nil, ErrValue
 	}
 	return name, bytes.Trim(value, " \t"), nil
 }
 
+// isName reports whether the text is a token: RFC 9110, section 5.6.2.
+func isName[T string | []byte](text T) bool {
+	for i := range len(text) {
+		if !httpguts.IsTokenRune(rune(text[i])) {
+			return false
+		}
+	}
+	return len(text) > 0
+}
+
 // isValue reports whether the text has no control bytes other than tabs: RFC 9110, section 5.5.
-func isValue(text []byte) bool {
-	for _, b := range text {
-		if b < ' ' && b != '\t' || b == 0x7f {
+func isValue[T string | []byte](text T) bool {
+	for i := range len(text) {
+		if b := text[i]; b < ' ' && b != '\t' || b == 0x7f {
 			return false
 		}
 	}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"briarworks.example/briarworks/internal/applog"
+	"briarworks.example/briarworks/internal/http1"
 	"briarworks.example/briarworks/internal/pause"
 	"briarworks.example/briarworks/internal/record"
 	"briarworks.example/briarworks/internal/record/recpb"
@@ -525,6 +526,10 @@
 func resultOfAction(a once.Decision) call.Result {
 	switch a.Action {
 	case once.Reply:
+		// A node of an older version may have recorded an answer that a caller could not read in one way only.
+		if http1.CheckAnswer(a.Answer.Status, a.Answer.Header) != nil {
+			return call.UnknownOutcome(reason.ServerFailed)
+		}
 		return call.Result{Outcome: reason.Ran, Status: a.Answer.Status, Header: a.Answer.Header, Body: a.Answer.Body, AdmittedFraction: 1}
 	case once.Unknown:
 		return call.UnknownOutcome(a.Reason)
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -401,3 +401,24 @@
 		k.Do(b.Context(), request(strconv.Itoa(i), waitLimit), func(context.Context) call.Result { return answer("x") })
 	}
 }
+
+// Guards against a recorded answer that becomes a malformed response when a repeated request gets it.
+func TestBrokenAnswer(t *testing.T) {
+	tests := map[string]struct {
+		answer once.Answer
+		want   reason.Outcome
+	}{
+		"sound":               {once.Answer{Status: 201, Header: []call.Header{{Name: "X", Value: "y"}}}, reason.Ran},
+		"status 000":          {once.Answer{}, reason.Unknown},
+		"blank in a name":     {once.Answer{Status: 201, Header: []call.Header{{Name: "X Y", Value: "z"}}}, reason.Unknown},
+		"line end in a value": {once.Answer{Status: 201, Header: []call.Header{{Name: "X", Value: "y\r\nZ: z"}}}, reason.Unknown},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			got := resultOfAction(once.Decision{Action: once.Reply, Answer: tt.answer})
+			if got.Outcome != tt.want || got.Outcome == reason.Ran && got.Status != tt.answer.Status {
+				t.Errorf("got %v status %d, want %v", got.Outcome, got.Status, tt.want)
+			}
+		})
+	}
+}
--- a/internal/wire/convert.go
+++ b/internal/wire/convert.go
@@ -4,6 +4,7 @@
 	"strings"
 	"time"
 
+	"briarworks.example/briarworks/internal/http1"
 	"briarworks.example/briarworks/internal/wire/wirepb"
 	"briarworks.example/briarworks/pkg/call"
 	"briarworks.example/briarworks/pkg/delay"
@@ -106,13 +107,14 @@
 	}
 }
 
-// ToResult returns the result of an answer. An outcome that this version does not know becomes Unknown.
+// ToResult returns the result of an answer. An outcome that this version does not know becomes Unknown, and so does the answer of a
+// backend server that a caller could not read in one way only, which a node of an older version passes on.
 func ToResult(m *wirepb.Answer) call.Result {
 	out := reason.Outcome(min(m.Outcome, 255))
 	if out > reason.Running {
 		out = reason.Unknown
 	}
-	return call.Result{
+	res := call.Result{
 		Outcome: out, Reason: reason.Refusal(min(m.Reason, 255)), RetryAfter: clampDuration(m.RetryAfterNs),
 		Status: int(m.Status), Header: toHeader(m.Header), Body: m.Body,
 		RetryBudgetLeft: ident.Tokens(max(m.TokensLeft, 0)), FreeSlots: ident.Slots(m.Free),
@@ -120,6 +122,11 @@
 		Level: level.Level(validRatio(m.Level)), InternalKind: m.Inner, FanOut: validRatio(m.Fan),
 		Leaf: m.Leaf, Repeats: min(validRatio(m.Repeats), 1), Departed: toRun(m.Departed),
 	}
+	if out == reason.Ran && http1.CheckAnswer(res.Status, res.Header) != nil {
+		res.Outcome, res.Reason = reason.Unknown, reason.ServerFailed
+		res.Status, res.Header, res.Body = 0, nil, nil
+	}
+	return res
 }
 
 // validRatio returns f if it is in (0,maxRatio), and 0 otherwise, as for NaN.
