--- a/internal/server/broken_test.go
+++ b/internal/server/broken_test.go
@@ -20,11 +20,11 @@
 		inner  = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\ninner" // 43 bytes
 	)
 	tests := map[string]string{
-		"blank inside a name":              ok + "X Y: z\r\n" + length + "\r\nabc",
-		"blank before the colon":           ok + "X-Y : z\r\n" + length + "\r\nabc",
-		"blank before the length's colon":  ok + "Content-Length : 3\r\n\r\nabcdef",
-		"blank before the coding's colon":  ok + "Transfer-Encoding : chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
-		"blank first":                      ok + " X-Y: z\r\n" + length + "\r\nabc",
+		"space inside a name":              ok + "X Y: z\r\n" + length + "\r\nabc",
+		"space before the colon":           ok + "X-Y : z\r\n" + length + "\r\nabc",
+		"space before the length's colon":  ok + "Content-Length : 3\r\n\r\nabcdef",
+		"space before the coding's colon":  ok + "Transfer-Encoding : chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+		"space first":                      ok + " X-Y: z\r\n" + length + "\r\nabc",
 		"tab before the colon":             ok + "X-Y\t: z\r\n" + length + "\r\nabc",
 		"control byte inside a name":       ok + "X\x01Y: z\r\n" + length + "\r\nabc",
 		"zero byte inside a name":          ok + "X\x00Y: z\r\n" + length + "\r\nabc",
@@ -32,7 +32,7 @@
 		"carriage return inside a name":    ok + "X\rY: z\r\n" + length + "\r\nabc",
 		"carriage return first":            ok + "\rX-Y: z\r\n" + length + "\r\nabc",
 		"line feed first":                  ok + "\n" + length + "\r\nabc",
-		"line feed first, behind a field":  ok + "X-Y: z\r\n\n" + length + "\r\nabc",
+		"line feed first, after a field":   ok + "X-Y: z\r\n\n" + length + "\r\nabc",
 		"line feed inside a name":          ok + "X\nContent-Length: 3\r\n\r\nabc",
 		"line feed inside a value":         ok + "X-Y: z\n" + length + "\r\nabc",
 		"line feeds for line ends":         "HTTP/1.1 200 OK\nContent-Length: 3\n\nabc",
@@ -51,6 +51,7 @@
 		"malformed trailer":                ok + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX Y: z\r\n\r\n",
 		"interim response with a length":   "HTTP/1.1 103 Early Hints\r\nContent-Length: 43\r\n\r\n" + inner,
 		"response without content, length": "HTTP/1.1 204 No Content\r\n" + length + "\r\nabc",
+		"two tokens":                       ok + HeaderToken + ": token\r\n" + HeaderToken + ": other\r\n" + length + "\r\nabc",
 		"status 000":                       "HTTP/1.1 000 X\r\n" + length + "\r\nabc",
 		"status 000, no length":            "HTTP/1.1 000 X\r\n\r\n",
 		"status 000, then a response":      "HTTP/1.1 000 X\r\nContent-Length: 43\r\n\r\n" + inner,
@@ -58,7 +59,7 @@
 		"status with a sign":               "HTTP/1.1 +20 X\r\n\r\n" + inner,
 		"status 600":                       "HTTP/1.1 600 X\r\n" + length + "\r\nabc",
 		"status 999":                       "HTTP/1.1 999 X\r\n" + length + "\r\nabc",
-		"two blanks before the status":     "HTTP/1.1  200 OK\r\n" + length + "\r\nabc",
+		"two spaces before the status":     "HTTP/1.1  200 OK\r\n" + length + "\r\nabc",
 	}
 	for name, text := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -71,9 +71,10 @@
 
 // Values of Owner. A server may send a second copy of a response late, on a connection that carries the next request.
 const (
-	OwnerProven   Owner = iota // the response names the request
-	OwnerUnproven              // the response names no request: accepted as the first one of a connection, which is then closed
-	OwnerOther                 // the response names another request
+	OwnerProven    Owner = iota // the response names the request
+	OwnerUnproven               // the response names no request: accepted as the first one of a connection, which is then closed
+	OwnerOther                  // the response names another request
+	OwnerAmbiguous              // the response names several requests, or one several times
 )
 
 // New returns a client that opens at most maxConns connections to the server.
@@ -198,6 +199,9 @@
 		}
 		cn.updateKeepAlive(resp)
 		owner := c.HeaderFormat.Owner(resp, req, token)
+		if owner == OwnerAmbiguous {
+			return call.UnknownOutcome(reason.ServerFailed), false
+		}
 		if owner == OwnerOther || owner == OwnerUnproven && cn.reused {
 			req.Hold.Shrink(ident.Bytes(cap(body)))
 			continue // a late duplicate response to an earlier request
@@ -279,7 +283,10 @@
 // ownerByToken compares the token that a response repeats with that of the request. On a new connection, one with
 // another token is accepted: it cannot be a copy of an earlier response, and the server may set the header itself.
 func ownerByToken(resp *http.Response, _ *call.Request, token flight.Token) Owner {
-	if resp.Header.Get(HeaderToken) == string(token) {
+	switch tokens := resp.Header[HeaderToken]; {
+	case len(tokens) > 1:
+		return OwnerAmbiguous
+	case len(tokens) == 1 && tokens[0] == string(token):
 		return OwnerProven
 	}
 	return OwnerUnproven
