http1, probe: name statuses by their constants, share the stand-in of two tests

No change of behaviour: the usual words in comments and test names, constants of net/http for statuses, and probe.Respond for the server with a fixed text that two packages had each.

--- a/internal/applog/client_test.go
+++ b/internal/applog/client_test.go
@@ -1,41 +1,13 @@
 package applog
 
 import (
-	"bufio"
 	"errors"
 	"fmt"
-	"io"
-	"net"
-	"net/http"
 	"strings"
 	"testing"
-)
 
-// respondRaw accepts connections, reads one request on each, writes the text and closes it. It returns the URL.
-func respondRaw(t *testing.T, text string) (url string) {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			if hr, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-				_, _ = io.Copy(io.Discard, hr.Body)
-				_, _ = io.WriteString(c, text)
-			}
-			_ = c.Close()
-		}
-	}()
-	t.Cleanup(func() { _ = ln.Close(); <-done })
-	return "http://" + ln.Addr().String()
-}
+	"briarworks.example/briarworks/internal/probe"
+)
 
 // Guards against a response of the log that is taken for an acknowledgement or for a page although it is cut, or has several
 // readings.
@@ -48,27 +20,27 @@
 		text  func(body string) string
 		sound bool
 	}{
-		"sound":                   {func(b string) string { return ok + length(b, 0) }, true},
-		"sound, until the end":    {func(b string) string { return ok + "\r\n" + b }, true},
-		"cut behind the document": {func(b string) string { return ok + length(b, 1) }, false},
+		"sound":                  {func(b string) string { return ok + length(b, 0) }, true},
+		"sound, until the end":   {func(b string) string { return ok + "\r\n" + b }, true},
+		"cut after the document": {func(b string) string { return ok + length(b, 1) }, false},
 		"no last chunk": {func(b string) string {
 			return ok + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(b), b)
 		}, false},
 		"two documents":                   {func(b string) string { return ok + length(b+b, 0) }, false},
-		"blank in a name":                 {func(b string) string { return ok + "X Y: z\r\n" + length(b, 0) }, false},
-		"blank before the length's colon": {func(b string) string { return ok + strings.Replace(length(b, 0), ":", " :", 1) }, false},
+		"space in a name":                 {func(b string) string { return ok + "X Y: z\r\n" + length(b, 0) }, false},
+		"space before the length's colon": {func(b string) string { return ok + strings.Replace(length(b, 0), ":", " :", 1) }, false},
 		"line feeds for line ends":        {func(b string) string { return strings.ReplaceAll(ok+length(b, 0), "\r", "") }, false},
 		"status 000":                      {func(b string) string { return "HTTP/1.1 000 X\r\n" + length(b, 0) }, false},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			c := &Client{BaseURL: respondRaw(t, tt.text(`{"offset":7}`))}
+			c := &Client{BaseURL: "http://" + string(probe.Respond(t, tt.text(`{"offset":7}`)))}
 			defer c.client().CloseIdleConnections()
 			at, err := c.Append(t.Context(), "s", []byte("x"))
 			if tt.sound && (err != nil || at != 7) || !tt.sound && !errors.Is(err, ErrUnknown) {
 				t.Errorf("append: got %d, error %v, want sound: %v", at, err, tt.sound)
 			}
-			c.BaseURL = respondRaw(t, tt.text(`{"first":0,"next":7,"records":[]}`))
+			c.BaseURL = "http://" + string(probe.Respond(t, tt.text(`{"first":0,"next":7,"records":[]}`)))
 			p, err := c.Read(t.Context(), "s", 0, 1, 0)
 			if (err == nil) != tt.sound || err == nil && p.Next != 7 {
 				t.Errorf("read: got %d, error %v, want sound: %v", p.Next, err, tt.sound)
--- a/internal/http1/answer.go
+++ b/internal/http1/answer.go
@@ -6,9 +6,6 @@
 	"briarworks.example/briarworks/pkg/call"
 )
 
-// minFinalStatus is the lowest status of a response that is not an interim one.
-const minFinalStatus = 200
-
 // CheckAnswer checks the answer of a backend server that was read from another message than a response of HTTP, such as one
 // between nodes. Written to a caller, its status and fields must make one response; its length is that of its body.
 func CheckAnswer(status int, header []call.Header) error {
--- a/internal/http1/check.go
+++ b/internal/http1/check.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"net/http"
 	"strconv"
 
 	"golang.org/x/net/http/httpguts"
@@ -23,12 +24,12 @@
 
 const (
 	partStatus   part = iota // status line
-	partField                // field of the head, or the empty line behind it
+	partField                // field of the head, or the empty line after it
 	partBody                 // body with a length
 	partSize                 // line with the size of a chunk
 	partChunk                // data of a chunk
-	partChunkEnd             // line end behind the data of a chunk
-	partTrailer              // field behind the last chunk, or the empty line behind it
+	partChunkEnd             // line end after the data of a chunk
+	partTrailer              // field after the last chunk, or the empty line after it
 	partUnframed             // until the connection ends
 )
 
@@ -102,7 +103,7 @@
 	return end, nil
 }
 
-// endData goes on behind the data of a body or a chunk.
+// endData ends the data of a body or a chunk.
 func (c *Checker) endData() {
 	if c.part == partBody {
 		c.part = partStatus
@@ -141,11 +142,12 @@
 
 // Bounds of a status, RFC 9110, section 15.
 const (
-	minStatus = 100
-	maxStatus = 599
+	minStatus      = 100
+	minFinalStatus = 200 // lower ones are of interim responses
+	maxStatus      = 599
 )
 
-// checkStatus checks a status line, RFC 9112, section 4. The blank behind the status may be missing if no reason follows.
+// checkStatus checks a status line, RFC 9112, section 4. The space after the status may be missing if no reason follows.
 func (c *Checker) checkStatus(line []byte) error {
 	const version, status, reason = len("HTTP/1."), len("HTTP/1.1 "), len("HTTP/1.1 200")
 	switch {
@@ -195,17 +197,17 @@
 	return nil
 }
 
-// endHead goes on behind the head of a response, with the body that it states: RFC 9112, section 6.3.
+// endHead ends the head of a response and finds the end of its body: RFC 9112, section 6.3.
 func (c *Checker) endHead() error {
-	interim := c.status < 200
+	interim := c.status < minFinalStatus
 	switch {
 	case c.chunked && (c.length != noLength || c.version == '0'):
 		return ErrLength
-	case (interim || c.status == 204) && (c.chunked || c.length > 0):
+	case (interim || c.status == http.StatusNoContent) && (c.chunked || c.length > 0):
 		return ErrLength // it has no body, and a reader that takes the length finds one
-	case c.status == 101:
+	case c.status == http.StatusSwitchingProtocols:
 		c.part = partUnframed
-	case interim, c.status == 204, c.status == 304, c.ToHead, c.length == 0:
+	case interim, c.status == http.StatusNoContent, c.status == http.StatusNotModified, c.ToHead, c.length == 0:
 		c.part = partStatus
 	case c.chunked:
 		c.part = partSize
@@ -232,8 +234,8 @@
 	return nil
 }
 
-// cutField splits a field into its name and its value, without the blanks around the value: RFC 9112, section 5. A field that
-// is continued on a further line has no name there.
+// cutField splits a field into its name and its value, without the whitespace around the value: RFC 9112, section 5. The second
+// line of a folded field has no valid name.
 func cutField(line []byte) (name, value []byte, err error) {
 	name, value, ok := bytes.Cut(line, []byte(":"))
 	switch {
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -70,7 +70,8 @@
 	}
 }
 
-// NewTransport returns a transport with the defaults of net/http whose connections are Conns.
+// NewTransport returns a transport with the defaults of net/http whose connections are Conns. It must not carry HEAD requests,
+// since Conn.Checker is not told of them.
 func NewTransport() *http.Transport {
 	t := http.DefaultTransport.(*http.Transport).Clone()
 	t.DialContext = Dialer(t.DialContext)
--- a/internal/http1/conn_test.go
+++ b/internal/http1/conn_test.go
@@ -55,7 +55,7 @@
 		"reset":                         {script: reset(ok + "\r\npart")},
 		"reset during an upload":        {script: reset(ok + "\r\npart"), upload: 32 << 20},
 		"length, reset during upload":   {script: reset(ok + "Content-Length: 10\r\n\r\npart"), upload: 32 << 20},
-		"blank before the colon":        {script: respond(ok + "Content-Length : 4\r\n\r\nbody and more")},
+		"space before the colon":        {script: respond(ok + "Content-Length : 4\r\n\r\nbody and more")},
 		"line feed before the length":   {script: respond(ok + "\nContent-Length: 4\r\n\r\nbody")},
 		"length and coding":             {script: respond(ok + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n")},
 		"interim response with content": {script: respond("HTTP/1.1 103 X\r\nContent-Length: 9\r\n\r\n" + ok + "\r\nbody")},
--- a/internal/http1/json.go
+++ b/internal/http1/json.go
@@ -11,7 +11,7 @@
 )
 
 // DecodeJSON reads the body of a response to its end, at most limit bytes, and decodes it as one document. A decoder on the body
-// would stop behind the first value, whether more follows or the rest is cut off.
+// would stop after the first value, whether more follows or the rest is cut off.
 func DecodeJSON[T any](resp *http.Response, limit ident.Bytes) (v T, err error) {
 	defer func() { err = oops.Wrapf(err, "http1: decode response") }()
 	b, err := budget.ReadAll(resp.Body, resp.ContentLength, limit, nil)
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -410,7 +410,7 @@
 	}{
 		"sound":               {once.Answer{Status: 201, Header: []call.Header{{Name: "X", Value: "y"}}}, reason.Ran},
 		"status 000":          {once.Answer{}, reason.Unknown},
-		"blank in a name":     {once.Answer{Status: 201, Header: []call.Header{{Name: "X Y", Value: "z"}}}, reason.Unknown},
+		"space in a name":     {once.Answer{Status: 201, Header: []call.Header{{Name: "X Y", Value: "z"}}}, reason.Unknown},
 		"line end in a value": {once.Answer{Status: 201, Header: []call.Header{{Name: "X", Value: "y\r\nZ: z"}}}, reason.Unknown},
 	}
 	for name, tt := range tests {
--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -1,7 +1,10 @@
 package probe
 
 import (
+	"bufio"
+	"io"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -52,3 +55,29 @@
 	}
 	return all
 }
+
+// Respond accepts connections until the test ends, reads one request on each, writes the text and closes it. It returns the address.
+func Respond(t testing.TB, text string) ident.Address {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			if hr, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = io.Copy(io.Discard, hr.Body)
+				_, _ = io.WriteString(c, text)
+			}
+			_ = c.Close()
+		}
+	}()
+	t.Cleanup(func() { _ = ln.Close(); <-done })
+	return ident.Address(ln.Addr().String())
+}
--- a/internal/wire/answer_test.go
+++ b/internal/wire/answer_test.go
@@ -23,7 +23,7 @@
 		"status 000":            {0, nil, reason.Unknown},
 		"interim status":        {103, nil, reason.Unknown},
 		"status 600":            {600, nil, reason.Unknown},
-		"blank in a name":       {200, header("X Y", "z"), reason.Unknown},
+		"space in a name":       {200, header("X Y", "z"), reason.Unknown},
 		"control byte in name":  {200, header("X\x01", "z"), reason.Unknown},
 		"line end in a name":    {200, header("X\r\nY", "z"), reason.Unknown},
 		"empty name":            {200, header("", "z"), reason.Unknown},
