--- a/internal/http1/json.go
+++ b/internal/http1/json.go
@@ -18,6 +18,9 @@
 	if err != nil {
 		return v, err
 	}
-	err = json.Unmarshal(b, &v)
-	return v, err
+	var decoded T
+	if err = json.Unmarshal(b, &decoded); err != nil {
+		return v, err
+	}
+	return decoded, nil
 }
