probe: share the stand-ins that respond and reset

No check is changed; with the check for a failed write taken out, TestResetDuringUpload, TestTransport and TestEndAfterWrite fail as before.

--- a/internal/http1/conn_test.go
+++ b/internal/http1/conn_test.go
@@ -8,57 +8,29 @@
 	"net/http"
 	"testing"
 	"time"
-)
 
-// respondOnce accepts one connection, reads the beginning of a request, runs a script on the connection and closes it.
-func respondOnce(t *testing.T, script func(c *net.TCPConn)) (url string) {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		c, err := ln.Accept()
-		if err != nil {
-			return
-		}
-		defer func() { _ = c.Close() }()
-		_, _ = c.Read(make([]byte, 1<<10))
-		script(c.(*net.TCPConn))
-	}()
-	t.Cleanup(func() { _ = ln.Close(); <-done })
-	return "http://" + ln.Addr().String()
-}
+	"briarworks.example/briarworks/internal/probe"
+	"briarworks.example/briarworks/pkg/ident"
+)
 
 // Guards against a client of net/http that gets a part of a response as the whole, or a body that was not sent.
 func TestTransport(t *testing.T) {
 	const ok = "HTTP/1.1 200 OK\r\n"
-	reset := func(text string) func(c *net.TCPConn) {
-		return func(c *net.TCPConn) {
-			_, _ = io.WriteString(c, text)
-			time.Sleep(20 * time.Millisecond) // a reset discards what has not arrived yet
-			_ = c.SetLinger(0)
-		}
-	}
-	respond := func(text string) func(c *net.TCPConn) {
-		return func(c *net.TCPConn) { _, _ = io.WriteString(c, text) }
-	}
 	tests := map[string]struct {
-		script func(c *net.TCPConn)
+		serve  func(t testing.TB, text string) ident.Address
+		text   string
 		upload int
 		want   string // body; an error if empty
 	}{
-		"length":                        {script: respond(ok + "Content-Length: 4\r\n\r\nbody"), want: "body"},
-		"until the end":                 {script: respond(ok + "\r\nbody"), want: "body"},
-		"reset":                         {script: reset(ok + "\r\npart")},
-		"reset during an upload":        {script: reset(ok + "\r\npart"), upload: 32 << 20},
-		"length, reset during upload":   {script: reset(ok + "Content-Length: 10\r\n\r\npart"), upload: 32 << 20},
-		"space before the colon":        {script: respond(ok + "Content-Length : 4\r\n\r\nbody and more")},
-		"line feed before the length":   {script: respond(ok + "\nContent-Length: 4\r\n\r\nbody")},
-		"length and coding":             {script: respond(ok + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n")},
-		"interim response with content": {script: respond("HTTP/1.1 103 X\r\nContent-Length: 9\r\n\r\n" + ok + "\r\nbody")},
+		"length":                        {serve: probe.Respond, text: ok + "Content-Length: 4\r\n\r\nbody", want: "body"},
+		"until the end":                 {serve: probe.Respond, text: ok + "\r\nbody", want: "body"},
+		"reset":                         {serve: probe.RespondAndReset, text: ok + "\r\npart"},
+		"reset during an upload":        {serve: probe.RespondAndReset, text: ok + "\r\npart", upload: 32 << 20},
+		"length, reset during upload":   {serve: probe.RespondAndReset, text: ok + "Content-Length: 10\r\n\r\npart", upload: 32 << 20},
+		"space before the colon":        {serve: probe.Respond, text: ok + "Content-Length : 4\r\n\r\nbody and more"},
+		"line feed before the length":   {serve: probe.Respond, text: ok + "\nContent-Length: 4\r\n\r\nbody"},
+		"length and coding":             {serve: probe.Respond, text: ok + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"},
+		"interim response with content": {serve: probe.Respond, text: "HTTP/1.1 103 X\r\nContent-Length: 9\r\n\r\n" + ok + "\r\nbody"},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -67,7 +39,7 @@
 			defer tr.CloseIdleConnections()
 			client := &http.Client{Transport: tr, Timeout: 5 * time.Second}
 			var body []byte
-			resp, err := client.Post(respondOnce(t, tt.script), "", bytes.NewReader(make([]byte, tt.upload)))
+			resp, err := client.Post("http://"+string(tt.serve(t, tt.text)), "", bytes.NewReader(make([]byte, tt.upload)))
 			if err == nil {
 				body, err = io.ReadAll(resp.Body)
 				_ = resp.Body.Close()
--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -56,8 +56,8 @@
 	return all
 }
 
-// Respond accepts connections until the test ends, reads one request on each, writes the text and closes it. It returns the address.
-func Respond(t testing.TB, text string) ident.Address {
+// Serve accepts connections until the test ends, and serves and closes one after the other. It returns the address.
+func Serve(t testing.TB, serve func(c *net.TCPConn)) ident.Address {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -71,13 +71,35 @@
 			if err != nil {
 				return
 			}
-			if hr, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-				_, _ = io.Copy(io.Discard, hr.Body)
-				_, _ = io.WriteString(c, text)
-			}
+			serve(c.(*net.TCPConn))
 			_ = c.Close()
 		}
 	}()
 	t.Cleanup(func() { _ = ln.Close(); <-done })
 	return ident.Address(ln.Addr().String())
 }
+
+// Respond is Serve with a server that reads one request and writes the text.
+func Respond(t testing.TB, text string) ident.Address {
+	t.Helper()
+	return Serve(t, func(c *net.TCPConn) {
+		if hr, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.Copy(io.Discard, hr.Body)
+			_, _ = io.WriteString(c, text)
+		}
+	})
+}
+
+// RespondAndReset is Serve with a server that reads the beginning of a request, writes the text and resets the connection.
+func RespondAndReset(t testing.TB, text string) ident.Address {
+	t.Helper()
+	return Serve(t, func(c *net.TCPConn) {
+		_, _ = c.Read(make([]byte, 1<<10))
+		_, _ = io.WriteString(c, text)
+		time.Sleep(resetDelay)
+		_ = c.SetLinger(0)
+	})
+}
+
+// resetDelay is the time between a text and a reset, which discards what has not arrived yet.
+const resetDelay = 50 * time.Millisecond
--- a/internal/server/broken_test.go
+++ b/internal/server/broken_test.go
@@ -1,13 +1,10 @@
 package server
 
 import (
-	"io"
-	"net"
 	"net/http"
 	"testing"
-	"time"
 
-	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/internal/probe"
 	"briarworks.example/briarworks/pkg/reason"
 )
 
@@ -78,7 +75,7 @@
 // request is still being written, and resets the connection. The write then fails with the reset, and the next read reports a
 // plain end of the connection.
 func TestResetDuringUpload(t *testing.T) {
-	const upload = 32 << 20
+	const upload = 32 << 20 // more than the buffers of the sockets hold
 	tests := map[string]struct {
 		text string
 		want reason.Outcome
@@ -94,25 +91,8 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			ln, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			done := make(chan struct{})
-			go func() {
-				defer close(done)
-				c, err := ln.Accept()
-				if err != nil {
-					return
-				}
-				_, _ = c.Read(make([]byte, 1<<10)) // the upload has begun, and does not fit in the buffers of the sockets
-				_, _ = io.WriteString(c, tt.text)
-				time.Sleep(50 * time.Millisecond) // a reset discards what has not arrived yet
-				_ = c.(*net.TCPConn).SetLinger(0)
-				_ = c.Close()
-			}()
-			client := New(ident.Address(ln.Addr().String()), 1)
-			defer func() { client.Close(); _ = ln.Close(); <-done }()
+			client := New(probe.RespondAndReset(t, tt.text), 1)
+			defer client.Close()
 			req, now := request(longTimeout)
 			req.Method, req.Body = http.MethodPost, make([]byte, upload)
 			res := client.Run(t.Context(), req, "token", now)
