--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -526,7 +526,7 @@
 func resultOfAction(a once.Decision) call.Result {
 	switch a.Action {
 	case once.Reply:
-		// A node of an older version may have recorded an answer that a caller could not read in one way only.
+		// A node of an older version may have recorded a malformed answer.
 		if http1.CheckAnswer(a.Answer.Status, a.Answer.Header) != nil {
 			return call.UnknownOutcome(reason.ServerFailed)
 		}
--- a/internal/wire/convert.go
+++ b/internal/wire/convert.go
@@ -107,8 +107,8 @@
 	}
 }
 
-// ToResult returns the result of an answer. An outcome that this version does not know becomes Unknown, and so does the answer of a
-// backend server that a caller could not read in one way only, which a node of an older version passes on.
+// ToResult returns the result of an answer. The outcome becomes Unknown if this version does not know it, or if the status or a
+// field is malformed: a node of an older version passes on what its backend server sends.
 func ToResult(m *wirepb.Answer) call.Result {
 	out := reason.Outcome(min(m.Outcome, 255))
 	if out > reason.Running {
