--- /dev/null
+++ b/review/standin/cases.go
@@ -0,0 +1,410 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Parameters of playLost.
+const (
+	slowClients  = 8
+	slowBuffer   = 4096 // receive buffer of a client in bytes
+	answerBytes  = 36000
+	lostDeadline = 2500 * time.Millisecond
+	lostFirst    = 200 * time.Millisecond // from the signal to the first request
+	lostNext     = 150 * time.Millisecond // between two requests of a client
+	lostFurther  = 3                      // requests of a client behind the first
+)
+
+// playLost: a node is stopped as planned while clients that read slowly send further requests behind the first.
+func playLost(ctx context.Context, rec *record, trouble bool) (bool, error) {
+	f, err := deployment(ctx, rec, 50*time.Millisecond, answerBytes)
+	if err != nil {
+		return false, err
+	}
+	defer f.close()
+	if err := f.warmUp(); err != nil {
+		return false, err
+	}
+	all := make([]*client, slowClients)
+	for k := range all {
+		if all[k], err = dial(rec, f.machines[0].callers, slowBuffer); err != nil {
+			return false, err
+		}
+	}
+	if trouble {
+		rec.printf("SIGTERM to %s", f.machines[0].name)
+		if err := f.machines[0].cmd.Process.Signal(syscall.SIGTERM); err != nil {
+			return false, err
+		}
+	}
+	var wg sync.WaitGroup
+	firsts, answers := make([]*request, slowClients), make([]answer, slowClients)
+	for k, c := range all {
+		firsts[k] = newRequest(http.MethodGet, lookupPath, lostDeadline)
+		if k%2 == 1 {
+			firsts[k] = newRequest(http.MethodPost, claimPath, lostDeadline)
+		}
+		wg.Go(func() { answers[k] = c.sendSlowly(firsts[k]) })
+	}
+	wg.Wait()
+	ran := f.ran()
+	whole, cut, refused := 0, 0, 0
+	for k, a := range answers {
+		switch {
+		case a.err == nil && a.status == http.StatusOK && a.size == answerBytes:
+			whole++
+		case a.err != nil && ran[firsts[k].id]:
+			cut++
+			rec.printf("the answer to %s %s, which a server has run to its end, was cut", firsts[k].method, firsts[k].id)
+		default:
+			refused++
+		}
+	}
+	rec.printf("of %d answers %d were whole and %d cut; %d requests were refused", slowClients, whole, cut, refused)
+	return cut > 0, nil
+}
+
+// sendSlowly sends a request and further ones behind it, and then reads the answer to the first slowly.
+func (c *client) sendSlowly(first *request) answer {
+	time.Sleep(lostFirst)
+	if err := c.send(first); err != nil {
+		return answer{err: err}
+	}
+	for range lostFurther {
+		time.Sleep(lostNext)
+		if err := c.send(newRequest(http.MethodGet, lookupPath, lostDeadline)); err != nil {
+			c.rec.printf("client of %s cannot send a further request: %v", first.id, err)
+		}
+	}
+	c.slow = true
+	a := c.receive(first)
+	_ = c.Close()
+	return a
+}
+
+// ran returns the ids of the requests that servers have run to the end.
+func (f *fleet) ran() map[string]bool {
+	ids := make(map[string]bool)
+	for _, m := range f.machines {
+		runs, _ := m.server.seen()
+		for _, x := range runs {
+			ids[x.id] = ids[x.id] || x.whole
+		}
+	}
+	return ids
+}
+
+// Parameters of playDrain.
+const (
+	clockStep  = 2 * time.Second
+	firstLife  = 700 * time.Millisecond // from the first start of the server to its crash
+	crashTime  = 500 * time.Millisecond // from the crash to the next start
+	drainBound = 2 * time.Second
+	drainTime  = 6 * time.Second // from the acknowledgement to the end of the server
+	askEvery   = 30 * time.Millisecond
+)
+
+// playDrain: a server crashes and starts again under its instance id after the clock of its machine was set back. Later it
+// drains.
+func playDrain(ctx context.Context, rec *record, trouble bool) (bool, error) {
+	f, err := deployment(ctx, rec, 200*time.Millisecond, 0)
+	if err != nil {
+		return false, err
+	}
+	defer f.close()
+	s := f.machines[1].server
+	s.stop()
+	if trouble {
+		s.clockLead = clockStep
+	}
+	if err := s.start(); err != nil {
+		return false, err
+	}
+	time.Sleep(firstLife)
+	s.stop()
+	rec.printf("server %s has crashed", s.instance)
+	time.Sleep(crashTime)
+	s.clockLead, s.keepInstance = 0, true
+	if err := s.start(); err != nil {
+		return false, err
+	}
+	sleep(ctx, contact+2*time.Second)
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	for k, m := range f.machines {
+		wg.Go(func() { f.askUntil(m, k%2 == 1, stop) })
+	}
+	time.Sleep(2 * time.Second)
+	s.drain()
+	time.Sleep(2*heartbeat + drainTime)
+	s.stop()
+	rec.printf("server %s has ended", s.instance)
+	close(stop)
+	wg.Wait()
+	runs, _ := s.seen()
+	if s.drainedAt.IsZero() {
+		rec.printf("the node has not acknowledged that the server drains")
+		return false, nil
+	}
+	late, cut := 0, 0
+	for _, x := range runs {
+		if x.began.Sub(s.drainedAt) <= drainBound {
+			continue
+		}
+		late++
+		if !x.whole {
+			cut++
+		}
+	}
+	rec.printf("%d requests reached the server over 2 s after its node had acknowledged that it drains; %d of them were at work when it ended", late, cut)
+	return late > 0, nil
+}
+
+// askUntil sends lookups, or claims, through a node until stop is closed.
+func (f *fleet) askUntil(m *machine, claims bool, stop <-chan struct{}) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	t := time.NewTicker(askEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-t.C:
+		}
+		r := newRequest(http.MethodGet, lookupPath, lostDeadline)
+		if claims {
+			r = newRequest(http.MethodPost, claimPath, lostDeadline)
+		}
+		wg.Go(func() { ask(f.rec, m.callers, r) })
+	}
+}
+
+// playChanged: requests whose paths have characters that many clients send as they are.
+func playChanged(ctx context.Context, rec *record, trouble bool) (bool, error) {
+	f, err := deployment(ctx, rec, 20*time.Millisecond, 0)
+	if err != nil {
+		return false, err
+	}
+	defer f.close()
+	paths := []string{"/leny950/north%7Csouth", "/leny950/a-b?c|d"}
+	if trouble {
+		paths = append(paths, "/leny950/north|south", "/leny950/a^b")
+	}
+	sent := make(map[string]string)
+	for _, p := range paths {
+		r := newRequest(http.MethodGet, p, lookupDeadline)
+		sent[r.id] = p
+		if a := ask(rec, f.machines[0].callers, r); a.err != nil {
+			return false, a.err
+		}
+	}
+	changed := 0
+	for _, m := range f.machines {
+		runs, _ := m.server.seen()
+		for _, x := range runs {
+			if p, ok := sent[x.id]; ok && p != x.uri {
+				changed++
+				rec.printf("%s was sent with the path %s and run with the path %s", x.id, p, x.uri)
+			}
+		}
+	}
+	rec.printf("%d requests were run with another path", changed)
+	return changed > 0, nil
+}
+
+// Parameters of playGone.
+const (
+	leavingClients = 3
+	pipelined      = 40                     // requests that a client sends on one connection
+	stay           = 300 * time.Millisecond // until a client leaves
+	goneWork       = 1500 * time.Millisecond
+	goneBound      = 500 * time.Millisecond
+	goneFew        = 3
+	goneDivisor    = 4
+)
+
+// playGone: clients that have sent many requests on one connection leave before the first answer.
+func playGone(ctx context.Context, rec *record, trouble bool) (bool, error) {
+	f, err := deployment(ctx, rec, 20*time.Millisecond, 0)
+	if err != nil {
+		return false, err
+	}
+	defer f.close()
+	if err := f.warmUp(); err != nil {
+		return false, err
+	}
+	for _, m := range f.machines {
+		m.server.mu.Lock()
+		m.server.work = goneWork
+		m.server.mu.Unlock()
+	}
+	left := make(map[string]time.Time) // by the id of the request
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for range leavingClients {
+		wg.Go(func() {
+			all, at, err := f.pipeline(trouble)
+			if err != nil {
+				rec.printf("client: %v", err)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			for _, r := range all {
+				left[r.id] = at
+			}
+		})
+	}
+	wg.Wait()
+	time.Sleep(4 * goneWork)
+	late, atWork, lasting := 0, 0, 0
+	for _, m := range f.machines {
+		runs, arrivals := m.server.seen()
+		for _, a := range arrivals {
+			if at, ok := left[a.id]; ok && a.at.Sub(at) > goneBound {
+				late++
+			}
+		}
+		for _, x := range runs {
+			at, ok := left[x.id]
+			if !ok || x.began.After(at) || x.began.Add(goneWork).Before(at.Add(goneBound)) {
+				continue
+			}
+			lasting++
+			if x.ended.IsZero() || x.ended.Sub(at) > goneBound {
+				atWork++
+			}
+		}
+	}
+	rec.printf("%d requests reached a server over 0.5 s after their client had left; of %d that were at work then, servers worked on %d 0.5 s later", late, lasting, atWork)
+	return late > goneFew || goneDivisor*atWork > lasting, nil
+}
+
+// pipeline sends many requests on one connection. The client then leaves, or waits for all answers. It returns the requests
+// and when the client has left.
+func (f *fleet) pipeline(leave bool) (all []*request, at time.Time, err error) {
+	c, err := dial(f.rec, f.machines[0].callers, 0)
+	if err != nil {
+		return nil, at, err
+	}
+	defer func() { _ = c.Close() }()
+	for range pipelined {
+		r := newRequest(http.MethodGet, lookupPath, lookupDeadline)
+		all = append(all, r)
+		if err := c.send(r); err != nil {
+			return nil, at, err
+		}
+	}
+	if leave {
+		time.Sleep(stay)
+		f.rec.printf("client of %s closes its connection", all[0].id)
+		return all, time.Now(), nil
+	}
+	for _, r := range all {
+		c.receive(r)
+	}
+	return all, time.Now(), nil
+}
+
+// Parameters of playBudget.
+const (
+	budgetSpan   = 22 * time.Second
+	budgetBefore = 11 * time.Second // of calm
+	budgetEvery  = 40 * time.Millisecond
+	beatDelay    = 4 * time.Second
+	budgetWindow = 10 * time.Second
+	budgetRatio  = 0.2
+	budgetSlack  = 50
+	downTime     = 300 * time.Millisecond
+)
+
+// playBudget: all servers of a service crash and start again, and their heartbeats arrive some seconds late.
+func playBudget(ctx context.Context, rec *record, trouble bool) (bool, error) {
+	f, err := deployment(ctx, rec, 50*time.Millisecond, 0)
+	if err != nil {
+		return false, err
+	}
+	defer f.close()
+	var mu sync.Mutex
+	var sent []time.Time
+	var wg sync.WaitGroup
+	end := time.Now().Add(budgetSpan)
+	for _, m := range f.machines {
+		wg.Go(func() {
+			for time.Now().Before(end) {
+				time.Sleep(budgetEvery)
+				mu.Lock()
+				sent = append(sent, time.Now())
+				mu.Unlock()
+				wg.Go(func() { ask(rec, m.callers, newRequest(http.MethodGet, lookupPath, 2*time.Second)) })
+			}
+		})
+	}
+	time.Sleep(budgetBefore)
+	if trouble {
+		for _, m := range f.machines[1:] {
+			m.server.stop()
+		}
+		rec.printf("all servers of the service calendar have crashed")
+		time.Sleep(downTime)
+		for _, m := range f.machines[1:] {
+			m.server.beatDelay = beatDelay
+			if err := m.server.start(); err != nil {
+				return false, err
+			}
+		}
+	}
+	wg.Wait()
+	return f.overBudget(sent), nil
+}
+
+// overBudget reports whether in some window more requests reached the service calendar again than the budget allows.
+func (f *fleet) overBudget(sent []time.Time) (isBroken bool) {
+	var repeats []time.Time
+	first := make(map[string]time.Time)
+	var all []arrival
+	for _, m := range f.machines[1:] {
+		_, arrivals := m.server.seen()
+		all = append(all, arrivals...)
+	}
+	for _, a := range all {
+		if at, ok := first[a.id]; !ok || a.at.Before(at) {
+			first[a.id] = a.at
+		}
+	}
+	for _, a := range all {
+		if !a.at.Equal(first[a.id]) {
+			repeats = append(repeats, a.at)
+		}
+	}
+	most := 0
+	for _, from := range repeats {
+		n := within(repeats, from, from.Add(budgetWindow))
+		requests := max(
+			within(sent, from, from.Add(budgetWindow)), within(sent, from.Add(-budgetWindow), from),
+			within(sent, from.Add(-budgetWindow/2), from.Add(budgetWindow/2)),
+		)
+		allowed := int(budgetRatio*float64(requests)) + budgetSlack
+		if n > most {
+			most = n
+			f.rec.printf("%d repeated arrivals in 10 s with %d requests, %d are allowed", n, requests, allowed)
+		}
+		isBroken = isBroken || n > allowed
+	}
+	f.rec.printf("%d requests, %d arrivals at the service calendar, %d of them repeated", len(sent), len(all), len(repeats))
+	return isBroken
+}
+
+// within counts the times from one time to before another.
+func within(all []time.Time, from, to time.Time) (n int) {
+	for _, t := range all {
+		if !t.Before(from) && t.Before(to) {
+			n++
+		}
+	}
+	return n
+}
