review: case 9, a request smuggled inside another

A node takes the body of such a request for the next request of its connection, and a server of another machine runs it. It takes the place of the case of encoded paths.

--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -184,37 +187,71 @@
 	}
 }
 
-// playChanged: requests whose paths have characters that many clients send as they are.
-func playChanged(ctx context.Context, rec *record, trouble bool) (bool, error) {
+// playSmuggled: requests whose heads state the length of the body in a way that has two readings, with another request in the
+// body.
+func playSmuggled(ctx context.Context, rec *record, trouble bool) (bool, error) {
 	f, err := deployment(ctx, rec, 20*time.Millisecond, 0)
 	if err != nil {
 		return false, err
 	}
 	defer f.close()
-	paths := []string{"/leny950/north%7Csouth", "/leny950/a-b?c|d"}
-	if trouble {
-		paths = append(paths, "/leny950/north|south", "/leny950/a^b")
-	}
-	sent := make(map[string]string)
-	for _, p := range paths {
-		r := newRequest(http.MethodGet, p, lookupDeadline)
-		sent[r.id] = p
-		if a := ask(rec, f.machines[0].callers, r); a.err != nil {
-			return false, a.err
+	inner := make(map[string]string) // ids of the requests in bodies, with the form of the outer one
+	for form, length := range lengths(trouble) {
+		in := newRequest(http.MethodGet, innerPath, lookupDeadline)
+		out := newRequest(http.MethodPost, claimPath, lookupDeadline)
+		inner[in.id] = form
+		text := outerText(out, length, in.text())
+		rec.printf("client sends %s, %s: %q", out.id, form, text)
+		c, err := dial(rec, f.machines[0].callers, 0)
+		if err != nil {
+			return false, err
+		}
+		out.sent = time.Now()
+		if _, err := io.WriteString(c.Conn, text); err != nil {
+			return false, err
 		}
+		c.receive(out)
+		_ = c.Close()
 	}
-	changed := 0
+	smuggled := 0
 	for _, m := range f.machines {
 		runs, _ := m.server.seen()
 		for _, x := range runs {
-			if p, ok := sent[x.id]; ok && p != x.uri {
-				changed++
-				rec.printf("%s was sent with the path %s and run with the path %s", x.id, p, x.uri)
+			if form, ok := inner[x.id]; ok {
+				smuggled++
+				rec.printf("%s %s, which was the body of another request (%s), was run", x.method, x.uri, form)
 			}
 		}
 	}
-	rec.printf("%d requests were run with another path", changed)
-	return changed > 0, nil
+	rec.printf("%d requests from the bodies of others were run", smuggled)
+	return smuggled > 0, nil
+}
+
+// innerPath is the path of the request in a body.
+const innerPath = "/leny950/inner"
+
+// lengths returns fields that state the length of a body, with a verb for it, by the name of their form.
+func lengths(trouble bool) map[string]string {
+	if !trouble {
+		return map[string]string{"a length": "Content-Length: %d"}
+	}
+	return map[string]string{
+		"a blank before the colon":                               "Content-Length : %d",
+		"two lengths, one of them with a blank before the colon": "Content-Length: 0\r\nContent-Length : %d",
+		"a length and a coding":                                  "Content-Length: %d\r\nTransfer-Encoding: chunked",
+	}
+}
+
+// lastChunk ends a body in chunks.
+const lastChunk = "0\r\n\r\n"
+
+// outerText returns a request whose body, by the length that its head states, has another request in it.
+func outerText(r *request, length, body string) string {
+	if strings.Contains(length, "chunked") {
+		body = lastChunk + body
+	}
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n"+length+"\r\n\r\n%s",
+		r.method, r.path, host, headerAttempt, r.id, headerDeadline, r.deadline.Milliseconds(), len(body), body)
 }
 
 // Parameters of playGone.
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -22,10 +22,10 @@
 type scenario func(ctx context.Context, rec *record, trouble bool) (isBroken bool, err error)
 
 var scenarios = map[string]scenario{
-	"lost":    playLost,
-	"drain":   playDrain,
-	"changed": playChanged,
-	"gone":    playGone,
+	"lost":     playLost,
+	"drain":    playDrain,
+	"smuggled": playSmuggled,
+	"gone":     playGone,
 }
 
 // caseTimeout bounds a case.
