--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -256,7 +256,9 @@
 
 // Parameters of playGone.
 const (
-	leavingClients = 3
+	leavingClients = 8
+	stayingClients = 20
+	stayingPause   = 300 * time.Millisecond // of a client that stays, after an answer
 	pipelined      = 40                     // requests that a client sends on one connection
 	stay           = 300 * time.Millisecond // until a client leaves
 	goneWork       = 1500 * time.Millisecond
@@ -283,6 +285,11 @@
 	left := make(map[string]time.Time) // by the id of the request
 	var mu sync.Mutex
 	var wg sync.WaitGroup
+	stop := make(chan struct{})
+	var staying sync.WaitGroup
+	for k := range stayingClients {
+		staying.Go(func() { f.askInTurn(f.machines[k%len(f.machines)], stop) })
+	}
 	for range leavingClients {
 		wg.Go(func() {
 			all, at, err := f.pipeline(trouble)
@@ -298,6 +305,8 @@
 	}
 	wg.Wait()
 	time.Sleep(4 * goneWork)
+	close(stop)
+	staying.Wait()
 	late, atWork, lasting := 0, 0, 0
 	for _, m := range f.machines {
 		runs, arrivals := m.server.seen()
@@ -321,6 +330,18 @@
 	return late > goneFew || goneDivisor*atWork > lasting, nil
 }
 
+// askInTurn sends lookups through a node, one after the other, until stop is closed.
+func (f *fleet) askInTurn(m *machine, stop <-chan struct{}) {
+	for {
+		ask(f.rec, m.callers, newRequest(http.MethodGet, lookupPath, lookupDeadline))
+		select {
+		case <-stop:
+			return
+		case <-time.After(stayingPause):
+		}
+	}
+}
+
 // pipeline sends many requests on one connection. The client then leaves, or waits for all answers. It returns the requests
 // and when the client has left.
 func (f *fleet) pipeline(leave bool) (all []*request, at time.Time, err error) {
