--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -18,6 +18,7 @@
 	headerExpected = "X-Briarworks-Expected-Instance"
 	headerInstance = "X-Briarworks-Instance-Id"
 	headerLoad     = "X-Briarworks-Server-Load"
+	headerNotRun   = "X-Briarworks-Not-Executed"
 	headerSeal     = "X-Briarworks-Server-Seal"
 
 	healthPath = "/health"
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -44,6 +44,7 @@
 	size                int           // of the body of an answer
 	clockLead           time.Duration // by which the clock of the machine is ahead
 	keepInstance        bool          // the next start has the instance id of the one before
+	startsLater         bool          // the server is not started together with its node
 
 	mu        sync.Mutex
 	instance  string
@@ -80,12 +81,24 @@
 	return nil
 }
 
-// stop ends the server at once, as a crash does.
+// stop ends the server at once, as a crash does. It does nothing to one that was not started.
 func (s *server) stop() {
+	if s.cancel == nil {
+		return
+	}
 	s.cancel()
 	_ = s.http.Close()
 }
 
+// leave deregisters the server and ends it, as a server does that has drained.
+func (s *server) leave(ctx context.Context) {
+	body := fmt.Sprintf(`{"born":%d}`, s.born.UnixMilli())
+	status, err := send(ctx, http.MethodDelete, "http://"+s.node+"/v1/instances/"+s.instance, []byte(body))
+	s.rec.printf("DELETE of %s: status %d, error %v", s.instance, status, err)
+	s.stop()
+	s.rec.printf("server %s has ended", s.instance)
+}
+
 // drain makes the next heartbeats say that the server drains. It goes on to serve.
 func (s *server) drain() {
 	s.mu.Lock()
@@ -118,7 +131,7 @@
 func (s *server) sendBeat(ctx context.Context, instance, state string, seq int64, body []byte) {
 	short, cancel := context.WithTimeout(ctx, time.Second) // a later response is no acknowledgement
 	defer cancel()
-	status, err := put(short, "http://"+s.node+"/v1/instances/"+instance, body)
+	status, err := send(short, http.MethodPut, "http://"+s.node+"/v1/instances/"+instance, body)
 	s.rec.printf("heartbeat %d of %s, %s: status %d, error %v", seq, instance, state, status, err)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -127,9 +140,9 @@
 	}
 }
 
-// put sends a heartbeat and returns the status of the response.
-func put(ctx context.Context, url string, body []byte) (status int, err error) {
-	r, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(body))
+// send sends a message of a server to its node and returns the status of the response.
+func send(ctx context.Context, method, url string, body []byte) (status int, err error) {
+	r, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return 0, err
 	}
@@ -165,6 +178,10 @@
 			w.Header().Set(headerAttempt, id)
 		}
 		if status := s.refusal(r, instance); status != 0 {
+			w.Header().Set(headerInstance, instance)
+			if status != http.StatusMisdirectedRequest {
+				w.Header().Set(headerNotRun, "1")
+			}
 			w.WriteHeader(status)
 			return
 		}
@@ -209,6 +226,9 @@
 	s.mu.Lock()
 	s.runs = append(s.runs, x)
 	work := s.work
+	if r.URL.Path == longPath {
+		work = longWork
+	}
 	s.mu.Unlock()
 	s.rec.printf("server %s runs %s: %s %s, deadline %s", instance, x.id, x.method, x.uri, r.Header.Get(headerDeadline))
 	_, err := io.Copy(io.Discard, r.Body)
@@ -216,7 +236,7 @@
 	s.mu.Lock()
 	s.running--
 	x.ended, x.whole = time.Now(), whole
-	load := fmt.Sprintf("%d,0,%d", s.running, s.slots)
+	load, leaving := fmt.Sprintf("%d,0,%d", s.running, s.slots), s.state != ready
 	s.mu.Unlock()
 	if !whole {
 		s.rec.printf("server %s drops %s, since its connection was closed", instance, x.id)
@@ -227,6 +247,9 @@
 	h := w.Header()
 	h.Set(headerSeal, hex.EncodeToString(sum[:8]))
 	h.Set(headerLoad, load)
+	if leaving {
+		h.Set("Connection", "close")
+	}
 	h.Set("Content-Length", fmt.Sprint(len(answer)))
 	_, _ = w.Write(answer)
 }
