--- a/internal/pipe/conn.go
+++ b/internal/pipe/conn.go
@@ -34,6 +34,8 @@
 
 	mu          sync.Mutex // guards the fields below
 	outstanding int        // exchanges that were read and not yet answered
+	answeredAt  time.Time  // end of the last write of a response
+	left        bool       // the caller has disconnected
 	closing     bool       // the response to the newest exchange is the last one of the connection
 }
 
@@ -85,7 +87,7 @@
 		req, status := c.readRequest(limits, hold)
 		if req == nil && status == 0 {
 			hold.Close()
-			c.cancel()
+			c.disconnected()
 			return
 		}
 		x := &exchange{closeAfter: status != 0, hold: hold}
@@ -102,7 +104,7 @@
 			c.exchanges <- x
 			_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
 			if _, err := io.Copy(io.Discard, c.reader); err == nil {
-				c.cancel() // the caller has disconnected, possibly in the middle of a request
+				c.disconnected() // possibly in the middle of a request
 			}
 			return
 		}
@@ -132,7 +134,7 @@
 		case err == nil:
 			return true
 		case !errors.Is(err, os.ErrDeadlineExceeded):
-			c.cancel()
+			c.disconnected()
 			return false
 		}
 		c.mu.Lock()
@@ -152,11 +154,22 @@
 func (c *conn) awaitClose() {
 	c.readLimit = math.MaxInt64
 	_ = c.SetReadDeadline(time.Time{})
-	if _, err := io.Copy(io.Discard, c.reader); err != nil || !c.done() {
+	_, err := io.Copy(io.Discard, c.reader)
+	if err == nil {
+		c.disconnected()
+	} else {
 		c.cancel()
 	}
 }
 
+// disconnected records that the caller has disconnected, and cancels its requests.
+func (c *conn) disconnected() {
+	c.mu.Lock()
+	c.left = true
+	c.mu.Unlock()
+	c.cancel()
+}
+
 func (c *conn) done() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -336,11 +349,12 @@
 			_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
 			if err := c.write(buf.Bytes(), body); err != nil {
 				broken = true
-				c.cancel()
+				c.disconnected()
 			}
 		}
 		x.hold.Close()
 		c.mu.Lock()
+		c.answeredAt = time.Now()
 		c.outstanding--
 		c.mu.Unlock()
 		if closeAfter || broken {
--- a/internal/pipe/server.go
+++ b/internal/pipe/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/samber/oops"
 
+	"briarworks.example/briarworks/internal/closer"
 	"briarworks.example/briarworks/internal/guard"
 	"briarworks.example/briarworks/internal/pause"
 	"briarworks.example/briarworks/pkg/budget"
@@ -35,12 +36,20 @@
 	IdleTimeout    time.Duration // time between two requests of a connection
 }
 
+// Cut is a connection that is closed with bytes of responses that its caller has not received.
+type Cut struct {
+	Remote         string
+	Unacknowledged ident.Bytes   // written to the connection and not acknowledged by the caller's system
+	SinceResponse  time.Duration // time since the last write of a response
+}
+
 // Server serves the connections of callers. Its exported fields must be set before Serve.
 type Server struct {
 	Handler   http.Handler
 	Limits    func() Limits                   // called for each request
 	MaxConns  int                             // maximum number of open connections; further ones wait to be accepted
 	OnRefused func(remote string, status int) // called when a request could not be read, with its HTTP status; may be nil
+	OnCut     func(cut Cut)                   // called when a connection is closed before its caller has received the responses; may be nil
 	Guard     *guard.Guard                    // reports panics of single requests; may be nil
 	Memory    *budget.Pool                    // memory for requests and responses; nil has no limit
 
@@ -95,12 +104,26 @@
 	<-written
 	cancel()
 	c.handlers.Wait()
+	s.reportCut(c, time.Now())
 	_ = nc.Close()
 	s.mu.Lock()
 	delete(s.conns, c)
 	s.mu.Unlock()
 }
 
+// reportCut reports a connection that is about to be closed, if its caller has neither disconnected nor received all responses.
+func (s *Server) reportCut(c *conn, now time.Time) {
+	c.mu.Lock()
+	left, answeredAt := c.left, c.answeredAt
+	c.mu.Unlock()
+	if left || s.OnCut == nil {
+		return
+	}
+	if n, err := closer.Unacknowledged(c.Conn); err == nil && n > 0 {
+		s.OnCut(Cut{Remote: c.RemoteAddr().String(), Unacknowledged: n, SinceResponse: now.Sub(answeredAt)})
+	}
+}
+
 // Drain makes each connection close after its last outstanding response. New connections are still served.
 func (s *Server) Drain() { s.draining.Store(true) }
 
