pipe: close a connection only when its caller has the last response

Hypotheses: (1) a request behind the last response ends the read loop, and the connection is closed at once; (2) the drain of 500 ms is too short; (3) Shutdown ends the drain, as it takes a connection whose last response is written for an idle one; (4) a write fails. responseCut shows 26131 unacknowledged bytes 97 ms after the response, so (1) in this case. The new test shows (2) and (3) as well, and the same at the end of the idle timeout and behind a rejected request.

Cause: each path that ends a connection closed it at a moment of its own choice, and none looked at whether the response had left the send buffer. Bytes that arrive after a close make the system reset the connection and drop that buffer.

Now all of them end the read loop, and one piece of code closes: internal/closer closes the sending side and discards input until the caller's end, until its system has acknowledged everything and 0.5 s have passed, or until 30 s or the stop are over (pkg/linger decides). Input behind the last request cannot end it. Reading on until the last response is written also notices a caller that leaves while a rejected request is behind its running one, and a deadline that is set late can no longer undo the end of the connection.

TestEndlessCaller has the same bound of 2 s; its constant has moved to package linger.

--- a/internal/pipe/conn.go
+++ b/internal/pipe/conn.go
@@ -32,11 +32,13 @@
 	exchanges chan *exchange
 	handlers  sync.WaitGroup
 
-	mu          sync.Mutex // guards the fields below
+	left   bool // the caller has disconnected; used by the goroutine that reads
+	broken bool // a response could not be written; used by the goroutine that writes
+
+	mu          sync.Mutex // guards the fields below, and the read deadline
 	outstanding int        // exchanges that were read and not yet answered
-	answeredAt  time.Time  // end of the last write of a response
-	left        bool       // the caller has disconnected
 	closing     bool       // the response to the newest exchange is the last one of the connection
+	ended       bool       // no further response is written
 }
 
 // exchange is a request and its response.
@@ -73,9 +75,8 @@
 // headCopies is how often the bytes of a request head are in memory: as they are read and as parsed headers.
 const headCopies = 2
 
-// readLoop reads requests and passes them on until the caller closes the connection or sends a request that is
-// rejected, or until the last response of the connection is known. It cancels running requests when the caller
-// disconnects.
+// readLoop reads requests and passes them on until the last response of the connection is written or the caller
+// disconnects, which cancels the requests that run. What arrives behind the last request is discarded.
 func (c *conn) readLoop(ctx context.Context) {
 	defer close(c.exchanges)
 	for {
@@ -94,6 +95,7 @@
 		first, ok := c.beginExchange(x.closeAfter || req.Close)
 		if !ok {
 			hold.Close()
+			c.discard()
 			return
 		}
 		if !first || status != 0 {
@@ -102,10 +104,7 @@
 		if status != 0 {
 			c.reject(x, status)
 			c.exchanges <- x
-			_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
-			if _, err := io.Copy(io.Discard, c.reader); err == nil {
-				c.disconnected() // possibly in the middle of a request
-			}
+			c.discard()
 			return
 		}
 		x.req, x.closeAfter = req.WithContext(context.WithValue(ctx, holdKey{}, hold)), req.Close
@@ -114,7 +113,7 @@
 		}
 		c.exchanges <- x
 		if req.Close {
-			c.awaitClose()
+			c.discard()
 			return
 		}
 	}
@@ -123,12 +122,9 @@
 // awaitRequest waits for the first byte of a request and reports whether one arrived. The idle timeout does not apply
 // while requests are in flight.
 func (c *conn) awaitRequest(timeout time.Duration) bool {
+	c.readLimit = math.MaxInt64
 	for {
-		c.readLimit = math.MaxInt64
-		if c.done() {
-			timeout = lingerTimeout
-		}
-		_ = c.SetReadDeadline(time.Now().Add(timeout))
+		c.readUntil(time.Now().Add(timeout))
 		_, err := c.reader.Peek(1)
 		switch {
 		case err == nil:
@@ -136,50 +132,48 @@
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			c.disconnected()
 			return false
-		}
-		c.mu.Lock()
-		idle, closing := c.outstanding == 0, c.closing
-		if idle {
-			c.closing = true
-		}
-		c.mu.Unlock()
-		if idle || closing {
+		case c.endIfIdle():
 			return false
 		}
 	}
 }
 
-// awaitClose waits until a connection whose last request was read ends, in order to detect that the caller
-// disconnects before its response.
-func (c *conn) awaitClose() {
+// discard discards what arrives until the last response is written or the caller disconnects.
+func (c *conn) discard() {
 	c.readLimit = math.MaxInt64
-	_ = c.SetReadDeadline(time.Time{})
-	_, err := io.Copy(io.Discard, c.reader)
-	if err == nil {
-		c.disconnected()
-	} else {
-		c.cancel()
+	for c.readUntil(time.Time{}) {
+		if _, err := io.Copy(io.Discard, c.reader); !errors.Is(err, os.ErrDeadlineExceeded) {
+			c.disconnected()
+			return
+		}
 	}
 }
 
 // disconnected records that the caller has disconnected, and cancels its requests.
 func (c *conn) disconnected() {
-	c.mu.Lock()
 	c.left = true
-	c.mu.Unlock()
 	c.cancel()
 }
 
-func (c *conn) done() bool {
+// readUntil sets the deadline for reads; the zero time is none. Once no further response is written it returns false, and
+// reads end at once.
+func (c *conn) readUntil(deadline time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.closing && c.outstanding == 0
+	if c.ended {
+		deadline = past
+	}
+	_ = c.SetReadDeadline(deadline)
+	return !c.ended
 }
 
+// past is a deadline that ends a read at once.
+var past = time.Unix(1, 0)
+
 // readRequest reads one request with its body. It returns a nil request with a status if the request must be
 // rejected, and with status 0 if the caller has disconnected.
 func (c *conn) readRequest(limits Limits, hold *budget.Hold) (req *http.Request, status int) {
-	_ = c.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+	c.readUntil(time.Now().Add(limits.HeaderTimeout))
 	buffered := c.reader.Buffered()
 	if !hold.Grow(headCopies * ident.Bytes(buffered)) {
 		return nil, http.StatusServiceUnavailable
@@ -223,7 +217,7 @@
 			return nil, 0
 		}
 	}
-	_ = c.SetReadDeadline(time.Now().Add(bodyTimeout))
+	c.readUntil(time.Now().Add(bodyTimeout))
 	b, err := budget.ReadAll(req.Body, req.ContentLength, limits.MaxBodyBytes, hold)
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -300,14 +294,21 @@
 	return x.closeAfter || c.outstanding == 1 && c.closing
 }
 
-// closeIfIdle makes the read loop of a connection without outstanding requests return.
-func (c *conn) closeIfIdle() {
+// endIfIdle ends a connection without outstanding requests, and reports whether it has ended.
+func (c *conn) endIfIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.outstanding == 0 {
+	if c.outstanding == 0 && !c.ended {
 		c.closing = true
-		_ = c.SetReadDeadline(time.Unix(1, 0))
+		c.end()
 	}
+	return c.ended
+}
+
+// end records that no further response is written, and makes the read loop return. The caller holds mu.
+func (c *conn) end() {
+	c.ended = true
+	_ = c.SetReadDeadline(past)
 }
 
 // reject completes an exchange whose request could not be read in full, with the given status.
@@ -334,7 +335,6 @@
 // writeLoop writes the responses in the order of the requests. It runs the handler of a request that was read while no
 // other was outstanding, which saves a goroutine for each request; the handlers of requests read behind one run beside it.
 func (c *conn) writeLoop() {
-	broken := false
 	var buf bytes.Buffer // heads of responses, with short bodies
 	for x := range c.exchanges {
 		if x.done == nil {
@@ -342,24 +342,29 @@
 		} else {
 			<-x.done
 		}
-		closeAfter := c.closesAfter(x)
-		if !broken {
+		last := c.closesAfter(x)
+		if !c.broken {
 			buf.Reset()
-			body := x.reply.encode(&buf, x.req, closeAfter)
+			body := x.reply.encode(&buf, x.req, last)
 			_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
 			if err := c.write(buf.Bytes(), body); err != nil {
-				broken = true
-				c.disconnected()
+				c.broken = true
+				c.cancel()
 			}
 		}
 		x.hold.Close()
-		c.mu.Lock()
-		c.answeredAt = time.Now()
-		c.outstanding--
-		c.mu.Unlock()
-		if closeAfter || broken {
-			c.closeWrite()
-		}
+		c.endExchange(last || c.broken)
+	}
+}
+
+// endExchange counts an answered exchange, which may be the last one of the connection.
+func (c *conn) endExchange(last bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.outstanding--
+	if last {
+		c.closing = true
+		c.end()
 	}
 }
 
@@ -372,12 +377,3 @@
 	_, err = (&net.Buffers{head, body}).WriteTo(c.Conn)
 	return err
 }
-
-// closeWrite closes the sending side and sets a read deadline that ends the read loop. Until then the input is
-// drained, since closing a connection with unread input resets it, and the caller may lose the response.
-func (c *conn) closeWrite() {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		_ = half.CloseWrite()
-	}
-	_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
-}
--- a/internal/pipe/pipe_test.go
+++ b/internal/pipe/pipe_test.go
@@ -12,17 +12,24 @@
 	"time"
 
 	"briarworks.example/briarworks/pkg/budget"
+	"briarworks.example/briarworks/pkg/linger"
 )
 
 // startServer runs a server on a loopback address until the test ends.
 func startServer(t *testing.T, h http.HandlerFunc) (s *Server, addr string) {
+	t.Helper()
+	return startServerIdle(t, h, 5*time.Second)
+}
+
+// startServerIdle is startServer with an idle timeout.
+func startServerIdle(t *testing.T, h http.HandlerFunc, idle time.Duration) (s *Server, addr string) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	s = &Server{Handler: h, MaxConns: 64, Memory: budget.New(1 << 20), Limits: func() Limits {
-		return Limits{MaxHeaderBytes: 4096, MaxBodyBytes: 1 << 16, HeaderTimeout: time.Second, IdleTimeout: 5 * time.Second}
+		return Limits{MaxHeaderBytes: 4096, MaxBodyBytes: 1 << 16, HeaderTimeout: time.Second, IdleTimeout: idle}
 	}}
 	done := make(chan struct{})
 	go func() {
@@ -276,8 +283,8 @@
 			}
 			select {
 			case <-ended:
-			case <-time.After(4 * lingerTimeout):
-				t.Errorf("connection: got it open %v after the response, want it closed", 4*lingerTimeout)
+			case <-time.After(4 * linger.SettleTime):
+				t.Errorf("connection: got it open %v after the response, want it closed", 4*linger.SettleTime)
 			}
 			awaitReleased(t, s)
 		})
--- a/internal/pipe/server.go
+++ b/internal/pipe/server.go
@@ -20,12 +20,11 @@
 
 // Limits of a connection.
 const (
-	maxPipelined         = 32                     // requests of one connection that are read and not yet answered
-	bodyTimeout          = 30 * time.Second       // for the caller to send the whole body
-	writeTimeout         = 30 * time.Second       // for one write of a response; a caller may stop reading
-	lingerTimeout        = 500 * time.Millisecond // for draining input before a close, so that no reset discards the response
-	acceptRetryDelay     = 50 * time.Millisecond  // after a failed accept, for example when file descriptors run out
-	shutdownPollInterval = 20 * time.Millisecond  // interval at which Shutdown checks for open connections
+	maxPipelined         = 32                    // requests of one connection that are read and not yet answered
+	bodyTimeout          = 30 * time.Second      // for the caller to send the whole body
+	writeTimeout         = 30 * time.Second      // for one write of a response; a caller may stop reading
+	acceptRetryDelay     = 50 * time.Millisecond // after a failed accept, for example when file descriptors run out
+	shutdownPollInterval = 20 * time.Millisecond // interval at which Shutdown checks for open connections
 )
 
 // Limits are the limits on what a caller may send.
@@ -36,22 +35,15 @@
 	IdleTimeout    time.Duration // time between two requests of a connection
 }
 
-// Cut is a connection that is closed with bytes of responses that its caller has not received.
-type Cut struct {
-	Remote         string
-	Unacknowledged ident.Bytes   // written to the connection and not acknowledged by the caller's system
-	SinceResponse  time.Duration // time since the last write of a response
-}
-
 // Server serves the connections of callers. Its exported fields must be set before Serve.
 type Server struct {
 	Handler   http.Handler
 	Limits    func() Limits                   // called for each request
 	MaxConns  int                             // maximum number of open connections; further ones wait to be accepted
 	OnRefused func(remote string, status int) // called when a request could not be read, with its HTTP status; may be nil
-	OnCut     func(cut Cut)                   // called when a connection is closed before its caller has received the responses; may be nil
 	Guard     *guard.Guard                    // reports panics of single requests; may be nil
 	Memory    *budget.Pool                    // memory for requests and responses; nil has no limit
+	Closer    closer.Closer                   // closes connections whose last response is written
 
 	draining atomic.Bool
 	mu       sync.Mutex // guards conns and lns
@@ -104,31 +96,21 @@
 	<-written
 	cancel()
 	c.handlers.Wait()
-	s.reportCut(c, time.Now())
-	_ = nc.Close()
+	if c.left || c.broken {
+		_ = nc.Close() // the caller receives nothing more, or has not read within writeTimeout
+	} else {
+		_ = s.Closer.Close(nc)
+	}
 	s.mu.Lock()
 	delete(s.conns, c)
 	s.mu.Unlock()
 }
 
-// reportCut reports a connection that is about to be closed, if its caller has neither disconnected nor received all responses.
-func (s *Server) reportCut(c *conn, now time.Time) {
-	c.mu.Lock()
-	left, answeredAt := c.left, c.answeredAt
-	c.mu.Unlock()
-	if left || s.OnCut == nil {
-		return
-	}
-	if n, err := closer.Unacknowledged(c.Conn); err == nil && n > 0 {
-		s.OnCut(Cut{Remote: c.RemoteAddr().String(), Unacknowledged: n, SinceResponse: now.Sub(answeredAt)})
-	}
-}
-
 // Drain makes each connection close after its last outstanding response. New connections are still served.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// Shutdown closes the listeners and idle connections, and waits until all requests that were read are answered. If
-// ctx is done first, it cancels the remaining requests and closes their connections.
+// Shutdown closes the listeners and idle connections, and waits until all requests that were read are answered and their
+// callers have received the responses. If ctx is done first, it cancels the remaining requests and closes the connections.
 func (s *Server) Shutdown(ctx context.Context) {
 	s.Drain()
 	for _, ln := range s.listeners() {
@@ -137,12 +119,13 @@
 	for {
 		open := s.openConns()
 		for _, c := range open {
-			c.closeIfIdle()
+			c.endIfIdle()
 		}
 		if len(open) == 0 || !pause.For(ctx, shutdownPollInterval) {
 			break
 		}
 	}
+	s.Closer.Expire()
 	for _, c := range s.openConns() {
 		c.cancel()
 		_ = c.Close()
