front: close a connection only when its caller has the last response

Callers of briarworks node that read slowly lost responses in the same way as those of the sidecar: in a planned stop, with "Connection: close", and behind a malformed request.

Cause: net/http closes a connection as soon as it has written the last response, in Server.Shutdown also one whose response was just written, and it drains input for 0.5 s only behind a request that it has not read.

The connections of a port now pass Close to the closer, in the background, since Shutdown closes one after the other. The port's own drain after slow headers is gone, as the closer does the same, and Port.Shutdown waits for the closer. The node logs responseCut as the sidecar does.

--- a/internal/front/port.go
+++ b/internal/front/port.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -15,15 +14,12 @@
 	"sync/atomic"
 	"time"
 
+	"briarworks.example/briarworks/internal/closer"
 	"briarworks.example/briarworks/internal/server"
 	"briarworks.example/briarworks/pkg/call"
 	"briarworks.example/briarworks/pkg/reason"
 )
 
-// lingerTimeout limits how long input is drained before a connection with a header timeout is closed. Unread input
-// would reset the connection, and the caller may lose the response.
-const lingerTimeout = 500 * time.Millisecond
-
 // writeTimeout limits one write of a response, so that a caller that does not read cannot block its request forever.
 const writeTimeout = 30 * time.Second
 
@@ -33,8 +29,12 @@
 // a write while no handler runs, and replaces it with a refusal that has a reason. If the headers of a request time
 // out, net/http closes the connection without a response. The port detects the read timeout and writes a refusal
 // before the close. A connection on which nothing was sent is closed without a response.
+//
+// net/http closes a connection as soon as the last response is written to it. The port leaves that to its Closer, so that
+// the caller receives the response.
 type Port struct {
 	Server      *http.Server
+	Closer      closer.Closer                           // closes connections whose last response is written
 	MaxConns    int                                     // maximum number of open connections; further ones wait to be accepted
 	OnMalformed func(remote string, why reason.Refusal) // called when a request that could not be read is refused; may be nil
 }
@@ -70,6 +70,15 @@
 	})
 }
 
+// Shutdown closes the listeners and idle connections, and waits until all requests are answered and their callers have
+// received the responses. If ctx ends first, it closes the connections whose last response is written, and returns the error
+// of ctx.
+func (p *Port) Shutdown(ctx context.Context) error {
+	err := p.Server.Shutdown(ctx)
+	p.Closer.Shutdown(ctx)
+	return err
+}
+
 type connKey struct{}
 
 // trackHandler marks a connection as handled from the start of a handler until its response is written.
@@ -105,7 +114,7 @@
 		<-l.slots
 		return nil, err
 	}
-	pc := &conn{Conn: c, port: l.port, releaseSlot: sync.OnceFunc(func() { <-l.slots })}
+	pc := &conn{Conn: &closer.Conn{Conn: c, Closer: &l.port.Closer, OnClosed: func() { <-l.slots }}, port: l.port}
 	pc.noDeadline.Store(true)
 	return pc, nil
 }
@@ -118,9 +127,8 @@
 
 // conn is a connection of a port.
 type conn struct {
-	net.Conn
+	*closer.Conn
 	port         *Port
-	releaseSlot  func()
 	handled      atomic.Bool // a handler runs, or its response is being written
 	noDeadline   atomic.Bool // new or idle, and no read deadline was set since
 	requestBegun atomic.Bool // part of a request was received and no handler was called for it yet
@@ -128,12 +136,10 @@
 	refused      bool        // a refusal replaced the response of net/http; used by the only writer
 }
 
-// Close closes the connection and frees its slot. After a header timeout it first writes a refusal.
+// Close closes the connection. After a header timeout it first writes a refusal.
 func (c *conn) Close() error {
-	defer c.releaseSlot()
-	if c.headersLate.CompareAndSwap(true, false) && c.refuse(reason.HeadersSlow) == nil && c.CloseWrite() == nil {
-		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
-		_, _ = io.CopyN(io.Discard, c.Conn, int64(call.MaxHeader))
+	if c.headersLate.CompareAndSwap(true, false) {
+		_ = c.refuse(reason.HeadersSlow)
 	}
 	return c.Conn.Close()
 }
@@ -159,14 +165,6 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// CloseWrite closes the sending side. net/http calls it before closing a connection with unread input.
-func (c *conn) CloseWrite() error {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return half.CloseWrite()
-	}
-	return nil
-}
-
 // Write writes part of a response of a handler. If no handler runs, the response is one of net/http itself, and Write
 // replaces it with a refusal.
 func (c *conn) Write(b []byte) (int, error) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 
 	"briarworks.example/briarworks/internal/admin"
 	"briarworks.example/briarworks/internal/applog"
+	"briarworks.example/briarworks/internal/closer"
 	"briarworks.example/briarworks/internal/flush"
 	"briarworks.example/briarworks/internal/front"
 	"briarworks.example/briarworks/internal/guard"
@@ -71,7 +72,7 @@
 	mergedTo       atomic.Int64        // all records of the members stream before this offset are merged; 0 until its end was read
 	newsQueue      chan []fleet.Member // members to broadcast; the periodic sync covers any overflow
 	peerListener   net.Listener
-	servers        []*http.Server
+	ports          []*front.Port
 	cancel         context.CancelFunc
 	wg             sync.WaitGroup
 }
@@ -141,9 +142,10 @@
 	for _, p := range ports {
 		ln, err := net.Listen("tcp", string(p.addr))
 		if err != nil {
-			return errors.Join(err, peers.Close(), n.shutdownServers(context.Background()))
+			return errors.Join(err, peers.Close(), n.shutdownPorts(context.Background()))
 		}
-		n.servers = append(n.servers, p.Server)
+		p.Closer.OnCut = closer.Report(n.Stats.CountEvent, n.Log)
+		n.ports = append(n.ports, p.Port)
 		n.spawn(func() {
 			if err := p.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 				n.Log.Error("portFailed", zap.String("address", string(p.addr)), zap.Error(err))
@@ -162,7 +164,7 @@
 	n.Transport.BroadcastLeave(ctx, leaveNotifyTimeout)
 	idle := n.Relay.Idle(ctx) && n.Transport.WaitIdle(ctx)
 	n.writeLeave(ctx)
-	err = n.shutdownServers(ctx)
+	err = n.shutdownPorts(ctx)
 	n.stopFlusher()
 	n.cancel()
 	err = errors.Join(err, n.peerListener.Close())
@@ -191,10 +193,10 @@
 // leaveNotifyTimeout bounds the time to notify peers of a leave. Peers that do not answer learn of it from refusals.
 const leaveNotifyTimeout = time.Second
 
-// shutdownServers closes the HTTP ports after their requests have ended.
-func (n *Node) shutdownServers(ctx context.Context) (err error) {
-	for _, srv := range n.servers {
-		err = errors.Join(err, srv.Shutdown(ctx))
+// shutdownPorts closes the HTTP ports after their requests have ended.
+func (n *Node) shutdownPorts(ctx context.Context) (err error) {
+	for _, p := range n.ports {
+		err = errors.Join(err, p.Shutdown(ctx))
 	}
 	return err
 }
--- a/internal/pipe/close_test.go
+++ b/internal/pipe/close_test.go
@@ -5,43 +5,20 @@
 	"cmp"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
+	"briarworks.example/briarworks/internal/probe"
 	"briarworks.example/briarworks/pkg/linger"
 )
 
 const (
-	slowBuffer   = 4 << 10  // receive buffer of a slow caller, bytes
-	slowResponse = 64 << 10 // body that does not fit into it, but into the send buffer of the server
+	slowResponse = 64 << 10 // body that fits into the send buffer of the server, but not into the receive buffer of a slow caller
 	get          = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 )
 
-// dialSlowly opens a connection with a small receive buffer, so that most of a response stays with the server until the
-// caller reads it.
-func dialSlowly(t *testing.T, addr string) (c net.Conn, r *bufio.Reader) {
-	t.Helper()
-	d := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) (err error) {
-		if e := raw.Control(func(fd uintptr) {
-			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, slowBuffer)
-		}); e != nil {
-			return e
-		}
-		return err
-	}}
-	c, err := d.Dial("tcp", addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = c.Close() })
-	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
-	return c, bufio.NewReader(c)
-}
-
 // Guards against a response that is cut off because the server closed its connection while the caller still read it: when
 // bytes arrived behind the last request, when the caller took longer than the drain, in a shutdown, at the end of the idle
 // time, and behind a request that was rejected.
@@ -81,7 +58,8 @@
 			if tt.drain {
 				s.Drain()
 			}
-			c, r := dialSlowly(t, addr)
+			c := probe.DialSlowly(t, addr)
+			r := bufio.NewReader(c)
 			writeString(t, c, tt.request)
 			time.Sleep(soon)
 			if tt.shutdown {
--- a/internal/probe/doc.go
+++ b/internal/probe/doc.go
@@ -1,3 +1,4 @@
 // Package probe holds helpers shared by the tests of several packages: polling of conditions, free loopback
-// addresses, a connection that counts its writes and servers that respond with a fixed text. It is not part of the product.
+// addresses, connections that count their writes or have a small receive buffer, and servers that respond with a fixed text.
+// It is not part of the product.
 package probe
--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -103,3 +104,30 @@
 
 // resetDelay is the time between a text and a reset, which discards what has not arrived yet.
 const resetDelay = 50 * time.Millisecond
+
+// Receive buffer and time limit of the connections of DialSlowly.
+const (
+	slowBuffer = 4 << 10 // bytes
+	slowLimit  = 10 * time.Second
+)
+
+// DialSlowly opens a connection with a small receive buffer, so that most of a large response stays with its sender until it
+// is read. The connection is closed when the test ends.
+func DialSlowly(t testing.TB, addr string) *net.TCPConn {
+	t.Helper()
+	d := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) (err error) {
+		if e := raw.Control(func(fd uintptr) {
+			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, slowBuffer)
+		}); e != nil {
+			return e
+		}
+		return err
+	}}
+	c, err := d.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(slowLimit))
+	return c.(*net.TCPConn)
+}
