peer: close a session only when the other node has the answers

A node that stopped closed its sessions right after it had written the last answer. If the calling node still had to read it and sent anything further, such as a window update or a ping, the session was reset: the answer, which a server had made, was lost, and the caller was told "unknown".

Stop waits until answers are written, and yamux closes its connection at once.

The connections under sessions now pass Close to the closer, except for those of silent peers, and Transport.Shutdown waits for it within the time of the stop. A node that acknowledges nothing for a second, as long as a ping may take, counts as gone (linger.Limits.Stall), so that a partitioned one does not hold up a stop.

--- a/internal/closer/closer.go
+++ b/internal/closer/closer.go
@@ -40,13 +40,14 @@
 	return c.finish(nc)
 }
 
-// Go is Close in a goroutine of its own. It calls done after that, unless done is nil.
-func (c *Closer) Go(nc net.Conn, done func()) {
+// goClose is Close in a goroutine of its own. It calls before first, and after last unless that is nil.
+func (c *Closer) goClose(nc net.Conn, before, after func()) {
 	c.add(nc)
 	go func() {
+		before()
 		_ = c.finish(nc)
-		if done != nil {
-			done()
+		if after != nil {
+			after()
 		}
 	}()
 }
--- a/internal/closer/closer_test.go
+++ b/internal/closer/closer_test.go
@@ -136,7 +136,8 @@
 			var got cuts
 			c := Closer{OnCut: got.add}
 			done := make(chan struct{})
-			c.Go(s, func() { close(done) })
+			w := &Conn{Conn: s, Closer: &c, OnClosed: func() { close(done) }}
+			_ = w.Close()
 			time.AfterFunc(200*time.Millisecond, func() { _, _ = io.Copy(io.Discard, peer); _ = peer.Close() })
 			ctx, cancel := context.WithTimeout(context.Background(), tt.timeout)
 			defer cancel()
@@ -155,7 +156,7 @@
 	fill(t, s)
 	c := Closer{Unacknowledged: func(net.Conn) (ident.Bytes, error) { return 0, errors.ErrUnsupported }}
 	done := make(chan struct{})
-	c.Go(s, func() { close(done) })
+	go func() { defer close(done); _ = c.Close(s) }()
 	select {
 	case <-done:
 		t.Error("connection: got it closed, want it open until the peer has read")
@@ -167,3 +168,29 @@
 	_ = peer.Close()
 	<-done
 }
+
+// Guards against a server's read that goes on after the server has closed the connection, and takes what is to be discarded.
+func TestReadEnds(t *testing.T) {
+	s, peer := pair(t)
+	var c Closer
+	w := &Conn{Conn: s, Closer: &c}
+	ended := make(chan error)
+	go func() {
+		_, err := w.Read(make([]byte, 1))
+		ended <- err
+	}()
+	time.Sleep(10 * time.Millisecond) // until the read waits
+	_ = w.Close()
+	if err := <-ended; !errors.Is(err, net.ErrClosed) {
+		t.Errorf("read during the close: got %v, want %v", err, net.ErrClosed)
+	}
+	_, _ = peer.Write([]byte("x"))
+	if _, err := w.Read(make([]byte, 1)); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("read after the close: got %v, want %v", err, net.ErrClosed)
+	}
+	if err := w.SetReadDeadline(time.Time{}); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("deadline after the close: got %v, want %v", err, net.ErrClosed)
+	}
+	_ = peer.Close()
+	c.Shutdown(t.Context())
+}
--- a/internal/closer/conn.go
+++ b/internal/closer/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -13,21 +14,53 @@
 	Closer   *Closer
 	OnClosed func() // called once the connection is closed; may be nil
 
+	readMu sync.Mutex // held during a read
+	mu     sync.Mutex // guards the deadlines, and the change of closed
 	closed atomic.Bool
 }
 
 // Close ends all reads and closes the connection in the background. It returns net.ErrClosed if it was called before.
 func (c *Conn) Close() error {
-	if c.closed.Swap(true) {
+	if !c.endReads() {
 		return net.ErrClosed
 	}
-	_ = c.Conn.SetReadDeadline(past)
-	c.Closer.Go(c.Conn, c.OnClosed)
+	c.Closer.goClose(c.Conn, c.awaitReader, c.OnClosed)
 	return nil
 }
 
+// Abort closes the connection at once, for a peer that is gone. It returns net.ErrClosed after Close.
+func (c *Conn) Abort() error {
+	if !c.endReads() {
+		return net.ErrClosed
+	}
+	err := c.Conn.Close()
+	if c.OnClosed != nil {
+		c.OnClosed()
+	}
+	return err
+}
+
+// endReads makes all reads fail from now on. It returns false if that was done before.
+func (c *Conn) endReads() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed.Swap(true) {
+		return false
+	}
+	_ = c.Conn.SetReadDeadline(past)
+	return true
+}
+
+// awaitReader waits for a read that endReads has ended. A later deadline would let it go on.
+func (c *Conn) awaitReader() {
+	c.readMu.Lock()
+	defer c.readMu.Unlock()
+}
+
 // Read reads from the connection. It returns net.ErrClosed after Close.
 func (c *Conn) Read(b []byte) (n int, err error) {
+	c.readMu.Lock()
+	defer c.readMu.Unlock()
 	if !c.closed.Load() {
 		n, err = c.Conn.Read(b)
 	}
@@ -39,6 +72,8 @@
 
 // SetReadDeadline sets the deadline for reads. It returns net.ErrClosed after Close.
 func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if c.closed.Load() {
 		return net.ErrClosed
 	}
@@ -47,6 +82,8 @@
 
 // SetDeadline sets the deadlines for reads and writes. It returns net.ErrClosed after Close.
 func (c *Conn) SetDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if c.closed.Load() {
 		return net.ErrClosed
 	}
--- a/internal/node/build.go
+++ b/internal/node/build.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"briarworks.example/briarworks/internal/applog"
+	"briarworks.example/briarworks/internal/closer"
 	"briarworks.example/briarworks/internal/config"
 	"briarworks.example/briarworks/internal/flight"
 	"briarworks.example/briarworks/internal/flush"
@@ -78,9 +79,10 @@
 	}
 }
 
-func newTransport(self fleet.Member, st *stats.Stats) *peer.Transport {
+func newTransport(self fleet.Member, st *stats.Stats, log *zap.Logger) *peer.Transport {
 	return &peer.Transport{
 		Server: self.Server, Incarnation: self.Incarnation, Now: time.Now,
+		Closer: peer.NewCloser(closer.Report(st.CountEvent, log)),
 		Dial: func(ctx context.Context, addr string) (net.Conn, error) {
 			return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
 		},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -168,6 +168,7 @@
 	n.stopFlusher()
 	n.cancel()
 	err = errors.Join(err, n.peerListener.Close())
+	n.Transport.Shutdown(ctx)
 	n.Transport.Close()
 	n.wg.Wait()
 	n.Backend.Close()
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -4,12 +4,14 @@
 	"encoding/binary"
 	"net"
 	"time"
+
+	"briarworks.example/briarworks/internal/closer"
 )
 
 // trackedConn records the times of reads and writes, from which a silent connection is detected, and combines the
 // writes of one message into a single system call.
 type trackedConn struct {
-	net.Conn
+	*closer.Conn
 	now         func() time.Time
 	session     *session
 	buffered    []byte // not written yet; used only by the goroutine in which yamux writes
@@ -77,6 +79,14 @@
 	return c.payloadNext || (p[1] == frameWindowUpdate && p[3]&flagSYN != 0 && len(c.buffered) <= maxCoalescedPayload)
 }
 
+// Close closes the connection at once if its peer is silent, and otherwise once the peer has received what was written.
+func (c *trackedConn) Close() error {
+	if c.session.silent.Load() {
+		return c.Conn.Abort()
+	}
+	return c.Conn.Close()
+}
+
 // Read reads from the connection and records the time if data arrived.
 func (c *trackedConn) Read(p []byte) (n int, err error) {
 	n, err = c.Conn.Read(p)
--- a/internal/peer/fuzz_test.go
+++ b/internal/peer/fuzz_test.go
@@ -25,7 +25,7 @@
 			OnSync:  func(ident.Server, *wirepb.Sync) *wirepb.SyncReply { return nil },
 		}
 		near, far := net.Pipe()
-		s, err := newSession(far, false, time.Now)
+		s, err := newSession(far, false, time.Now, &tr.Closer)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -191,7 +191,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if s, err = newSession(conn, true, tr.Now); err != nil {
+	if s, err = newSession(conn, true, tr.Now, &tr.Closer); err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -8,6 +8,7 @@
 
 	"github.com/hashicorp/yamux"
 
+	"briarworks.example/briarworks/internal/closer"
 	"briarworks.example/briarworks/internal/idle"
 	"briarworks.example/briarworks/internal/wire"
 	"briarworks.example/briarworks/pkg/delay"
@@ -59,7 +60,7 @@
 	oneShot          bool                     // opened for one exchange; its end does not mean that the peer is lost
 }
 
-func newSession(conn net.Conn, client bool, now func() time.Time) (s *session, err error) {
+func newSession(conn net.Conn, client bool, now func() time.Time, cl *closer.Closer) (s *session, err error) {
 	s = &session{idleStreams: idle.List[*callStream]{Max: maxIdleStreams}}
 	s.lastRead.Store(now().UnixNano())
 	cfg := yamux.DefaultConfig()
@@ -69,7 +70,7 @@
 	cfg.StreamCloseTimeout = writeTimeout
 	cfg.MaxStreamWindowSize = uint32(wire.StreamWindow)
 	cfg.LogOutput = discard{}
-	w := &trackedConn{Conn: conn, now: now, session: s}
+	w := &trackedConn{Conn: &closer.Conn{Conn: conn, Closer: cl}, now: now, session: s}
 	if client {
 		s.Session, err = yamux.Client(w, cfg)
 	} else {
--- a/internal/peer/session_test.go
+++ b/internal/peer/session_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"briarworks.example/briarworks/internal/closer"
 	"briarworks.example/briarworks/internal/probe"
 	"briarworks.example/briarworks/pkg/call"
 	"briarworks.example/briarworks/pkg/reason"
@@ -62,7 +63,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			r := &writeRecorder{}
-			w := &trackedConn{Conn: r, now: time.Now, session: &session{}}
+			w := &trackedConn{Conn: &closer.Conn{Conn: r}, now: time.Now, session: &session{}}
 			for _, p := range test.in {
 				if n, err := w.Write(p); n != len(p) || err != nil {
 					t.Fatalf("write: got %d, %v, want %d", n, err, len(p))
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -11,6 +11,7 @@
 
 	"github.com/samber/oops"
 
+	"briarworks.example/briarworks/internal/closer"
 	"briarworks.example/briarworks/internal/guard"
 	"briarworks.example/briarworks/internal/pause"
 	"briarworks.example/briarworks/internal/wire"
@@ -18,6 +19,7 @@
 	"briarworks.example/briarworks/pkg/budget"
 	"briarworks.example/briarworks/pkg/call"
 	"briarworks.example/briarworks/pkg/ident"
+	"briarworks.example/briarworks/pkg/linger"
 )
 
 // Event is a change or a fault of a connection; the owner of the Transport counts them.
@@ -51,6 +53,12 @@
 // ErrClosed reports that the Transport was closed.
 var ErrClosed = errors.New("peer: closed")
 
+// NewCloser returns the Closer of a Transport. A peer that receives nothing for as long as the answer to a ping may take
+// counts as gone; onCut may be nil.
+func NewCloser(onCut func(closer.Cut)) closer.Closer {
+	return closer.Closer{Limits: linger.Limits{Stall: pingTimeout}, OnCut: onCut}
+}
+
 // Transport owns all connections between this node and its peers. The function fields are set before Serve or Call and
 // not changed afterwards.
 type Transport struct {
@@ -68,6 +76,7 @@
 	OnLost        func(server ident.Server, inc ident.Incarnation, silent bool) // reports that a session with a peer ended; may be nil
 	Guard         *guard.Guard                                                  // reports panics of single calls and exchanges; may be nil
 	Memory        *budget.Pool                                                  // memory for messages; nil has no limit
+	Closer        closer.Closer                                                 // closes sessions whose peers are not silent
 
 	clock           clock
 	lastCallID      atomic.Uint64
@@ -208,7 +217,7 @@
 		if err != nil {
 			return err
 		}
-		s, err := newSession(conn, false, tr.Now)
+		s, err := newSession(conn, false, tr.Now, &tr.Closer)
 		if err != nil {
 			_ = conn.Close()
 			continue
@@ -424,8 +433,25 @@
 	return true
 }
 
-// Close closes all sessions and waits for the goroutines of the Transport. It may be called more than once.
+// Shutdown closes all sessions and waits until their peers have received what was written to them, or ctx ends.
+func (tr *Transport) Shutdown(ctx context.Context) {
+	tr.closeSessions()
+	tr.Closer.Shutdown(ctx)
+}
+
+// Close closes all sessions and waits for the goroutines of the Transport, but not for peers. It may be called more than once.
 func (tr *Transport) Close() {
+	tr.closeSessions()
+	tr.Closer.Expire()
+	tr.wg.Wait()
+	tr.Closer.Shutdown(context.Background())
+	if tr.workers != nil {
+		tr.workers.stop()
+	}
+}
+
+// closeSessions closes all sessions, and makes the Transport open no others.
+func (tr *Transport) closeSessions() {
 	tr.mu.Lock()
 	tr.closed = true
 	if tr.cancelDials != nil {
@@ -435,8 +461,4 @@
 	for _, s := range tr.openSessions() {
 		_ = s.Close()
 	}
-	tr.wg.Wait()
-	if tr.workers != nil {
-		tr.workers.stop()
-	}
 }
--- a/internal/probe/probe.go
+++ b/internal/probe/probe.go
@@ -111,11 +111,10 @@
 	slowLimit  = 10 * time.Second
 )
 
-// DialSlowly opens a connection with a small receive buffer, so that most of a large response stays with its sender until it
-// is read. The connection is closed when the test ends.
-func DialSlowly(t testing.TB, addr string) *net.TCPConn {
-	t.Helper()
-	d := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) (err error) {
+// SlowDialer returns a dialer whose connections have a small receive buffer, so that most of a large response stays with its
+// sender until it is read.
+func SlowDialer() *net.Dialer {
+	return &net.Dialer{Control: func(_, _ string, raw syscall.RawConn) (err error) {
 		if e := raw.Control(func(fd uintptr) {
 			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, slowBuffer)
 		}); e != nil {
@@ -123,7 +122,12 @@
 		}
 		return err
 	}}
-	c, err := d.Dial("tcp", addr)
+}
+
+// DialSlowly opens a connection of SlowDialer, which is closed when the test ends.
+func DialSlowly(t testing.TB, addr string) *net.TCPConn {
+	t.Helper()
+	c, err := SlowDialer().Dial("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/side/build.go
+++ b/internal/side/build.go
@@ -9,6 +9,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
+	"briarworks.example/briarworks/internal/closer"
 	"briarworks.example/briarworks/internal/gossip"
 	"briarworks.example/briarworks/internal/peer"
 	"briarworks.example/briarworks/internal/relay"
@@ -91,6 +92,7 @@
 	}}
 	return &peer.Transport{
 		Server: self.Server, Incarnation: self.Incarnation, Now: time.Now, Memory: memory,
+		Closer:     peer.NewCloser(closer.Report(st.CountEvent, log)),
 		BeforeSend: func(ctx context.Context) { m.Await(ctx, time.Now()) },
 		Dial:       func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) },
 		OnEvent: func(e peer.Event) {
