pipe: report a caller that does not read a response while it is written

A response that a caller has not read within 30 s is cut off by the write deadline. Such a connection is now reported as responseCut, like one that the closer gives up. A reset while a response is written is no cut, as the caller is gone.

TestCloseNow checks both sides of the report.

--- a/internal/closer/closer.go
+++ b/internal/closer/closer.go
@@ -52,6 +52,12 @@
 	}()
 }
 
+// CloseNow closes a connection whose time is up.
+func (c *Closer) CloseNow(nc net.Conn) error {
+	c.report(nc, c.unacknowledged(nc), 0)
+	return nc.Close()
+}
+
 // Expire ends the time of all connections that are being closed, and of those that are closed later.
 func (c *Closer) Expire() {
 	c.mu.Lock()
@@ -112,12 +118,19 @@
 		now = c.now()
 		peer = linger.Peer{Ended: !errors.Is(err, os.ErrDeadlineExceeded), Unacknowledged: c.unacknowledged(nc)}
 	}
-	if !peer.Ended && peer.Unacknowledged > 0 && c.OnCut != nil {
-		c.OnCut(Cut{Remote: nc.RemoteAddr().String(), Unacknowledged: peer.Unacknowledged, Waited: now.Sub(state.Since)})
+	if !peer.Ended {
+		c.report(nc, peer.Unacknowledged, now.Sub(state.Since))
 	}
 	return nc.Close()
 }
 
+// report reports a connection that is closed before its peer has received everything.
+func (c *Closer) report(nc net.Conn, unacknowledged ident.Bytes, waited time.Duration) {
+	if unacknowledged > 0 && c.OnCut != nil {
+		c.OnCut(Cut{Remote: nc.RemoteAddr().String(), Unacknowledged: unacknowledged, Waited: waited})
+	}
+}
+
 // readUntil sets the read deadline of a connection. It returns false if the time of all connections is up.
 func (c *Closer) readUntil(nc net.Conn, deadline time.Time) bool {
 	c.mu.Lock()
--- a/internal/closer/closer_test.go
+++ b/internal/closer/closer_test.go
@@ -169,6 +169,31 @@
 	<-done
 }
 
+// Guards against a peer that is cut off without a report because it did not read a response while it was written.
+func TestCloseNow(t *testing.T) {
+	tests := map[string]struct {
+		unread bool
+		want   int
+	}{
+		"peer does not read":  {true, 1},
+		"peer has everything": {false, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, _ := pair(t)
+			if tt.unread {
+				fill(t, s)
+			}
+			var got cuts
+			c := Closer{OnCut: got.add}
+			_ = c.CloseNow(s)
+			if n := got.count(); n != tt.want {
+				t.Errorf("cuts reported: got %d, want %d", n, tt.want)
+			}
+		})
+	}
+}
+
 // Guards against a server's read that goes on after the server has closed the connection, and takes what is to be discarded.
 func TestReadEnds(t *testing.T) {
 	s, peer := pair(t)
--- a/internal/pipe/conn.go
+++ b/internal/pipe/conn.go
@@ -32,8 +32,8 @@
 	exchanges chan *exchange
 	handlers  sync.WaitGroup
 
-	left   bool // the caller has disconnected; used by the goroutine that reads
-	broken bool // a response could not be written; used by the goroutine that writes
+	left     bool  // the caller has disconnected; used by the goroutine that reads
+	writeErr error // of a response that could not be written; used by the goroutine that writes
 
 	mu          sync.Mutex // guards the fields below, and the read deadline
 	outstanding int        // exchanges that were read and not yet answered
@@ -343,17 +343,16 @@
 			<-x.done
 		}
 		last := c.closesAfter(x)
-		if !c.broken {
+		if c.writeErr == nil {
 			buf.Reset()
 			body := x.reply.encode(&buf, x.req, last)
 			_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
-			if err := c.write(buf.Bytes(), body); err != nil {
-				c.broken = true
+			if c.writeErr = c.write(buf.Bytes(), body); c.writeErr != nil {
 				c.cancel()
 			}
 		}
 		x.hold.Close()
-		c.endExchange(last || c.broken)
+		c.endExchange(last || c.writeErr != nil)
 	}
 }
 
--- a/internal/pipe/server.go
+++ b/internal/pipe/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -96,9 +97,12 @@
 	<-written
 	cancel()
 	c.handlers.Wait()
-	if c.left || c.broken {
-		_ = nc.Close() // the caller receives nothing more, or has not read within writeTimeout
-	} else {
+	switch {
+	case errors.Is(c.writeErr, os.ErrDeadlineExceeded):
+		_ = s.Closer.CloseNow(nc)
+	case c.left, c.writeErr != nil:
+		_ = nc.Close() // the caller is gone
+	default:
 		_ = s.Closer.Close(nc)
 	}
 	s.mu.Lock()
