peer: end the reads of a session before it is closed

Cause: yamux wakes all streams of a session, which then spin until its reading goroutine has ended (perf: Stream.Read below handleCall). That goroutine has to be scheduled before them, which the extra wait for it in closer.Conn.Close made unlikely.

A session now first ends the reads of its connection. The reading goroutine then closes the yamux session itself, and waits for nothing.

There is no test of its own: the order of goroutines that shows it needs one processor and a clock that stands still.

--- a/internal/closer/closer.go
+++ b/internal/closer/closer.go
@@ -40,14 +40,13 @@
 	return c.finish(nc)
 }
 
-// goClose is Close in a goroutine of its own. It calls before first, and after last unless that is nil.
-func (c *Closer) goClose(nc net.Conn, before, after func()) {
+// goClose is Close in a goroutine of its own. It calls done after that, unless done is nil.
+func (c *Closer) goClose(nc net.Conn, done func()) {
 	c.add(nc)
 	go func() {
-		before()
 		_ = c.finish(nc)
-		if after != nil {
-			after()
+		if done != nil {
+			done()
 		}
 	}()
 }
--- a/internal/closer/conn.go
+++ b/internal/closer/conn.go
@@ -14,25 +14,32 @@
 	Closer   *Closer
 	OnClosed func() // called once the connection is closed; may be nil
 
-	readMu sync.Mutex // held during a read
-	mu     sync.Mutex // guards the deadlines, and the change of closed
-	closed atomic.Bool
+	readMu     sync.Mutex // held during a read
+	mu         sync.Mutex // guards the deadlines, and the change of readsEnded
+	readsEnded atomic.Bool
+	closed     atomic.Bool
 }
 
 // Close ends all reads and closes the connection in the background. It returns net.ErrClosed if it was called before.
+//
+// It waits for a read that it has ended, since a later deadline would let that go on.
 func (c *Conn) Close() error {
-	if !c.endReads() {
+	if c.closed.Swap(true) {
 		return net.ErrClosed
 	}
-	c.Closer.goClose(c.Conn, c.awaitReader, c.OnClosed)
+	c.EndReads()
+	c.readMu.Lock()
+	defer c.readMu.Unlock()
+	c.Closer.goClose(c.Conn, c.OnClosed)
 	return nil
 }
 
 // Abort closes the connection at once, for a peer that is gone. It returns net.ErrClosed after Close.
 func (c *Conn) Abort() error {
-	if !c.endReads() {
+	if c.closed.Swap(true) {
 		return net.ErrClosed
 	}
+	c.EndReads()
 	err := c.Conn.Close()
 	if c.OnClosed != nil {
 		c.OnClosed()
@@ -40,51 +47,43 @@
 	return err
 }
 
-// endReads makes all reads fail from now on. It returns false if that was done before.
-func (c *Conn) endReads() bool {
+// EndReads makes all reads fail with net.ErrClosed from now on.
+func (c *Conn) EndReads() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed.Swap(true) {
-		return false
+	if !c.readsEnded.Swap(true) {
+		_ = c.Conn.SetReadDeadline(past)
 	}
-	_ = c.Conn.SetReadDeadline(past)
-	return true
-}
-
-// awaitReader waits for a read that endReads has ended. A later deadline would let it go on.
-func (c *Conn) awaitReader() {
-	c.readMu.Lock()
-	defer c.readMu.Unlock()
 }
 
-// Read reads from the connection. It returns net.ErrClosed after Close.
+// Read reads from the connection. It returns net.ErrClosed after EndReads or Close.
 func (c *Conn) Read(b []byte) (n int, err error) {
 	c.readMu.Lock()
 	defer c.readMu.Unlock()
-	if !c.closed.Load() {
+	if !c.readsEnded.Load() {
 		n, err = c.Conn.Read(b)
 	}
-	if c.closed.Load() {
+	if c.readsEnded.Load() {
 		return 0, net.ErrClosed
 	}
 	return n, err
 }
 
-// SetReadDeadline sets the deadline for reads. It returns net.ErrClosed after Close.
+// SetReadDeadline sets the deadline for reads. It returns net.ErrClosed after EndReads or Close.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed.Load() {
+	if c.readsEnded.Load() {
 		return net.ErrClosed
 	}
 	return c.Conn.SetReadDeadline(t)
 }
 
-// SetDeadline sets the deadlines for reads and writes. It returns net.ErrClosed after Close.
+// SetDeadline sets the deadlines for reads and writes. It returns net.ErrClosed after EndReads or Close.
 func (c *Conn) SetDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed.Load() {
+	if c.readsEnded.Load() {
 		return net.ErrClosed
 	}
 	return c.Conn.SetDeadline(t)
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -46,6 +46,7 @@
 // session is a yamux session to one peer, with the state from which a silent connection is detected.
 type session struct {
 	*yamux.Session
+	conn             *trackedConn
 	identity         atomic.Pointer[identity] // from the peer's Hello; nil before
 	lastRead         atomic.Int64             // time of the last read, ns
 	lastWrite        atomic.Int64             // time of the last completed write, ns
@@ -70,15 +71,31 @@
 	cfg.StreamCloseTimeout = writeTimeout
 	cfg.MaxStreamWindowSize = uint32(wire.StreamWindow)
 	cfg.LogOutput = discard{}
-	w := &trackedConn{Conn: &closer.Conn{Conn: conn, Closer: cl}, now: now, session: s}
+	s.conn = &trackedConn{Conn: &closer.Conn{Conn: conn, Closer: cl}, now: now, session: s}
 	if client {
-		s.Session, err = yamux.Client(w, cfg)
+		s.Session, err = yamux.Client(s.conn, cfg)
 	} else {
-		s.Session, err = yamux.Server(w, cfg)
+		s.Session, err = yamux.Server(s.conn, cfg)
 	}
 	return s, err
 }
 
+// readEndTimeout bounds the wait for the goroutine that reads from a connection. It is late only if it waits for a write.
+const readEndTimeout = 100 * time.Millisecond
+
+// Close closes the session. It first ends the reads of the connection, which makes yamux close the session: while yamux itself
+// waits for its reading goroutine, all streams of the session spin.
+func (s *session) Close() error {
+	s.conn.EndReads()
+	t := time.NewTimer(readEndTimeout)
+	defer t.Stop()
+	select {
+	case <-s.CloseChan():
+	case <-t.C:
+	}
+	return s.Session.Close()
+}
+
 // discard drops the log output of yamux.
 type discard struct{}
 
