node: end a stop in time beside clients that do not read

With the closer, the stop of briarworks node waited for a client that never reads its response until the time of the stop was over, and then failed with "context deadline exceeded".

The wait for clients and peers now ends 0.5 s before the stop, and all ports wait together.

--- a/internal/front/close_test.go
+++ b/internal/front/close_test.go
@@ -52,7 +52,8 @@
 				defer func() { <-stopped }()
 				go func() {
 					defer close(stopped)
-					_ = r.port.Shutdown(ctx)
+					_ = r.port.Server.Shutdown(ctx)
+					r.port.Closer.Shutdown(ctx)
 				}()
 				time.Sleep(tt.work)
 			}
--- a/internal/front/port.go
+++ b/internal/front/port.go
@@ -31,7 +31,7 @@
 // before the close. A connection on which nothing was sent is closed without a response.
 //
 // net/http closes a connection as soon as the last response is written to it. The port leaves that to its Closer, so that
-// the caller receives the response.
+// the caller receives the response; Closer.Shutdown waits for that after Server.Shutdown.
 type Port struct {
 	Server      *http.Server
 	Closer      closer.Closer                           // closes connections whose last response is written
@@ -70,15 +70,6 @@
 	})
 }
 
-// Shutdown closes the listeners and idle connections, and waits until all requests are answered and their callers have
-// received the responses. If ctx ends first, it closes the connections whose last response is written, and returns the error
-// of ctx.
-func (p *Port) Shutdown(ctx context.Context) error {
-	err := p.Server.Shutdown(ctx)
-	p.Closer.Shutdown(ctx)
-	return err
-}
-
 type connKey struct{}
 
 // trackHandler marks a connection as handled from the start of a handler until its response is written.
--- a/internal/node/fault_test.go
+++ b/internal/node/fault_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -17,6 +19,7 @@
 	"briarworks.example/briarworks/internal/config"
 	"briarworks.example/briarworks/internal/fakes"
 	"briarworks.example/briarworks/internal/peer"
+	"briarworks.example/briarworks/internal/probe"
 	"briarworks.example/briarworks/internal/record"
 	"briarworks.example/briarworks/internal/setup"
 	"briarworks.example/briarworks/internal/wire/wirepb"
@@ -39,6 +42,7 @@
 	tests := map[string]func(*testFleet){
 		"retries with cuts and shedding":        retriesWithCutsAndShedding,
 		"retries with silent connections":       retriesWithSilentConnections,
+		"stop beside a reader that stalls":      stopBesideStalledReader,
 		"retries when the entry is full":        retriesWhenTheEntryIsFull,
 		"retries when the deep service is gone": retriesWhenTheDeepServiceIsGone,
 		"answers late and out of order":         answersLateAndOutOfOrder,
@@ -589,6 +593,26 @@
 	}
 }
 
+// stopBesideStalledReader stops a node whose operator never reads a response. Fails if the stop waits for that.
+func stopBesideStalledReader(f *testFleet) {
+	m := f.add("entry", "", func(s *setup.Settings) { s.StopTimeout = 3 * time.Second })
+	c := probe.DialSlowly(f, string(m.settings.Listen.Operator))
+	if _, err := io.WriteString(c, "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		f.Fatal(err)
+	}
+	// A second client gets its response, so the first one's is written.
+	if resp, err := http.Get("http://" + string(m.settings.Listen.Operator) + "/metrics"); err != nil {
+		f.Error(err)
+	} else {
+		n, _ := io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		if n < 8<<10 {
+			f.Errorf("response: got %d bytes, want more than the first client's system takes", n)
+		}
+	}
+	f.stop(m)
+}
+
 // stopOfAnEntry stops an entry node with requests in flight. Fails if the stop does not wait for them.
 func stopOfAnEntry(f *testFleet) {
 	entry, _, deep := f.startChain()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -142,7 +142,7 @@
 	for _, p := range ports {
 		ln, err := net.Listen("tcp", string(p.addr))
 		if err != nil {
-			return errors.Join(err, peers.Close(), n.shutdownPorts(context.Background()))
+			return errors.Join(err, peers.Close(), n.shutdownPorts(context.Background(), context.Background()))
 		}
 		p.Closer.OnCut = closer.Report(n.Stats.CountEvent, n.Log)
 		n.ports = append(n.ports, p.Port)
@@ -164,11 +164,13 @@
 	n.Transport.BroadcastLeave(ctx, leaveNotifyTimeout)
 	idle := n.Relay.Idle(ctx) && n.Transport.WaitIdle(ctx)
 	n.writeLeave(ctx)
-	err = n.shutdownPorts(ctx)
+	closeCtx, cancel := closeContext(ctx)
+	defer cancel()
+	err = n.shutdownPorts(ctx, closeCtx)
 	n.stopFlusher()
 	n.cancel()
 	err = errors.Join(err, n.peerListener.Close())
-	n.Transport.Shutdown(ctx)
+	n.Transport.Shutdown(closeCtx)
 	n.Transport.Close()
 	n.wg.Wait()
 	n.Backend.Close()
@@ -194,10 +196,25 @@
 // leaveNotifyTimeout bounds the time to notify peers of a leave. Peers that do not answer learn of it from refusals.
 const leaveNotifyTimeout = time.Second
 
-// shutdownPorts closes the HTTP ports after their requests have ended.
-func (n *Node) shutdownPorts(ctx context.Context) (err error) {
+// closeMargin is reserved at the end of a stop, so that a caller or a peer that does not read cannot make it late.
+const closeMargin = 500 * time.Millisecond
+
+// closeContext returns a context that ends closeMargin before the deadline of ctx.
+func closeContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	if deadline, ok := ctx.Deadline(); ok {
+		return context.WithDeadline(ctx, deadline.Add(-closeMargin))
+	}
+	return context.WithCancel(ctx)
+}
+
+// shutdownPorts closes the HTTP ports after their requests have ended, and waits until callers have received the responses
+// or closeCtx ends.
+func (n *Node) shutdownPorts(ctx, closeCtx context.Context) (err error) {
+	for _, p := range n.ports {
+		err = errors.Join(err, p.Server.Shutdown(ctx))
+	}
 	for _, p := range n.ports {
-		err = errors.Join(err, p.Shutdown(ctx))
+		p.Closer.Shutdown(closeCtx)
 	}
 	return err
 }
