--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -192,7 +192,7 @@
 		return nil, err
 	}
 	if s, err = newSession(conn, true, tr.Now, &tr.Closer); err != nil {
-		_ = conn.Close()
+		_ = conn.Close() // nothing was sent on it
 		return nil, err
 	}
 	s.oneShot = oneShot
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -219,7 +219,7 @@
 		}
 		s, err := newSession(conn, false, tr.Now, &tr.Closer)
 		if err != nil {
-			_ = conn.Close()
+			_ = conn.Close() // nothing was sent on it
 			continue
 		}
 		tr.OnEvent(EventAccepted)
