review: add case 12, a leave that only the memory of nodes holds

Cause: heldEntry.await acknowledges a leave that one other node holds while the store is down. Killing all nodes loses it.

--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -17,6 +17,7 @@
 // cases are the cases by their number. Each returns whether the rule was broken.
 var cases = map[string]func(log *journal, trouble bool) (broken bool, err error){
 	"11": lateRegistration,
+	"12": forgottenLeave,
 }
 
 func main() {
