review: add case 13, a leave that a late write overwrites in the store

Cause: the entries of members are appended without a condition, and a node does not write its entry again when an older one has taken its place. Killing all nodes loses the leave.

--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -18,6 +18,7 @@
 var cases = map[string]func(log *journal, trouble bool) (broken bool, err error){
 	"11": lateRegistration,
 	"12": forgottenLeave,
+	"13": overwrittenLeave,
 }
 
 func main() {
