review: add case 14, a drain that is dropped and acknowledged

Cause: life.State.isStale drops the reports of a run whose start time lies before that of the run before it, as after a step of the time of day, and Reports.Put acknowledges them.

--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -19,6 +19,7 @@
 	"11": lateRegistration,
 	"12": forgottenLeave,
 	"13": overwrittenLeave,
+	"14": ignoredDrain,
 }
 
 func main() {
