--- a/review/lab/case12.go
+++ b/review/lab/case12.go
@@ -2,13 +2,12 @@
 
 import (
 	"net/http"
-	"sync"
 	"time"
 )
 
-// forgottenLeave lets a server deregister while the store is down, and then kills all nodes. A heartbeat that the server sent
-// before it deregistered arrives after they have started again.
-func forgottenLeave(log *journal, trouble bool) (broken bool, err error) {
+// lateRegistration lets a server crash and start again. The first heartbeat of the new run arrives late, after the server has
+// deregistered because it is taken away.
+func lateRegistration(log *journal, trouble bool) (broken bool, err error) {
 	f, err := newFleet(log, "desk", "desk", "desk", "desk", "pack", "pack")
 	if err != nil {
 		return false, err
@@ -25,59 +24,30 @@
 	m := f.machines[1]
 	s := m.server
 	if trouble {
-		f.store.setDown(true)
-		log.printf("the store is down")
+		s.crash()
+		log.printf("server %s of %s crashes", s.instance, m.name)
+		time.Sleep(1500 * time.Millisecond)
+		if s, err = f.startServer(m, "i-9c41", time.Now()); err != nil {
+			return false, err
+		}
+	} else {
+		s.stop()
 	}
-	time.Sleep(200 * time.Millisecond)
-	s.stop()
 	late := s.beat("ready")
-	log.printf("server %s sends a heartbeat that arrives late", s.instance)
-	time.Sleep(300 * time.Millisecond)
+	time.Sleep(time.Second)
 	if status := f.tell(s, http.MethodDelete, "", true); status != http.StatusOK {
 		log.printf("the leave was not acknowledged")
 		return false, nil
 	}
 	acked := time.Now()
 	s.leaving.Store(true)
-	time.Sleep(300 * time.Millisecond)
-	inTouch := acked
-	if trouble {
-		if err = f.killAll(); err != nil {
-			return false, err
-		}
-		time.Sleep(500 * time.Millisecond)
-		f.store.setDown(false)
-		log.printf("the store is back")
-		inTouch = time.Now().Add(contactTime)
-	}
-	time.Sleep(time.Second)
-	log.printf("the heartbeat that server %s sent before it left arrives", s.instance)
+	time.Sleep(1500 * time.Millisecond)
+	log.printf("the heartbeat that server %s sent %.1f s ago arrives", s.instance, 2.5)
 	f.tell(s, http.MethodPut, late, true)
 	time.Sleep(6 * time.Second)
 	l.end()
-	broken = f.lateArrivals(s, l, acked, inTouch) > 0
+	broken = f.lateArrivals(s, l, acked, acked) > 0
 	s.crash()
 	log.printf("server %s ends", s.instance)
 	return broken, nil
 }
-
-// contactTime is contactMs of the small deployments.
-const contactTime = 3 * time.Second
-
-// killAll kills all nodes at once and starts them again half a second later.
-func (f *fleet) killAll() error {
-	var wg sync.WaitGroup
-	for _, m := range f.machines {
-		wg.Go(m.killNode)
-	}
-	wg.Wait()
-	f.log.printf("all nodes are killed")
-	time.Sleep(500 * time.Millisecond)
-	for _, m := range f.machines {
-		if err := f.startNode(m); err != nil {
-			return err
-		}
-	}
-	f.log.printf("all nodes are started again")
-	return nil
-}
--- a/review/lab/case13.go
+++ b/review/lab/case13.go
@@ -5,15 +5,18 @@
 	"time"
 )
 
-// overwrittenLeave adds a machine while the store loses answers: the first write of its entry gets no answer and is done late,
-// after its server has deregistered. Then all nodes are killed.
-func overwrittenLeave(log *journal, trouble bool) (broken bool, err error) {
-	f, err := newFleet(log, "desk", "desk", "desk", "pack", "pack", "pack", "desk")
+// clockStep is the most by which the time of day of a machine jumps.
+const clockStep = 2000 * time.Millisecond
+
+// ignoredDrain lets a server crash twice. Between its two starts, under one instance id, the time of day of its machine jumps
+// back, so the second start seems to be before the first one. Much later the server reports that it drains.
+func ignoredDrain(log *journal, trouble bool) (broken bool, err error) {
+	f, err := newFleet(log, "desk", "desk", "desk", "desk", "pack", "pack")
 	if err != nil {
 		return false, err
 	}
 	defer f.close()
-	if err = f.start(1, "desk", "pack"); err != nil {
+	if err = f.start(0, "desk", "pack"); err != nil {
 		return false, err
 	}
 	time.Sleep(4 * time.Second) // longer than contactMs
@@ -21,42 +24,44 @@
 	defer l.cancel()
 	time.Sleep(time.Second)
 
-	m := f.spare[0]
+	m := f.machines[1]
+	m.server.crash()
+	log.printf("server %s of %s crashes", m.server.instance, m.name)
+	time.Sleep(500 * time.Millisecond)
+	s, err := f.startServer(m, "i-9c41", time.Now())
+	if err != nil {
+		return false, err
+	}
+	s.beatEvery(f)
+	time.Sleep(700 * time.Millisecond)
+	s.crash()
+	log.printf("server %s of %s crashes", s.instance, m.name)
+	born := time.Now().Add(500 * time.Millisecond)
 	if trouble {
-		f.store.lose.Store(&lostWrite{m.name, 5 * time.Second, func() { log.printf("the store does the lost write") }})
-		log.printf("the store loses the answer to the next write of %s", m.name)
+		log.printf("the time of day of %s jumps back by %v", m.name, clockStep)
+		born = born.Add(-clockStep)
 	}
-	if err = f.startMachine(m, "i-51d0"); err != nil {
+	time.Sleep(500 * time.Millisecond)
+	if s, err = f.startServer(m, "i-9c41", born); err != nil {
 		return false, err
 	}
-	f.machines = append(f.machines, m)
-	began := time.Now()
-	s := m.server
-	time.Sleep(2500 * time.Millisecond)
+	s.beatEvery(f)
+	time.Sleep(5 * time.Second)
 	s.stop()
-	late := s.beat("ready")
-	log.printf("server %s sends a heartbeat that arrives late", s.instance)
-	time.Sleep(500 * time.Millisecond)
-	if status := f.tell(s, http.MethodDelete, "", true); status != http.StatusOK {
+	s.leaving.Store(true)
+	if status := f.tell(s, http.MethodPut, s.beat("draining"), true); status != http.StatusOK {
 		log.printf("the leave was not acknowledged")
 		return false, nil
 	}
 	acked := time.Now()
-	s.leaving.Store(true)
-	time.Sleep(time.Until(began.Add(5300 * time.Millisecond)))
-	inTouch := acked
-	if trouble {
-		if err = f.killAll(); err != nil {
-			return false, err
-		}
-		inTouch = time.Now().Add(contactTime)
+	for range 4 { // drainMs and a little longer
+		time.Sleep(heartbeatInterval)
+		f.tell(s, http.MethodPut, s.beat("draining"), true)
 	}
-	time.Sleep(700 * time.Millisecond)
-	log.printf("the heartbeat that server %s sent before it left arrives", s.instance)
-	f.tell(s, http.MethodPut, late, true)
-	time.Sleep(6 * time.Second)
+	f.tell(s, http.MethodDelete, "", true)
+	time.Sleep(time.Second)
 	l.end()
-	broken = f.lateArrivals(s, l, acked, inTouch) > 0
+	broken = f.lateArrivals(s, l, acked, acked) > 0
 	s.crash()
 	log.printf("server %s ends", s.instance)
 	return broken, nil
--- a/review/lab/case14.go
+++ b/review/lab/case14.go
@@ -2,15 +2,13 @@
 
 import (
 	"net/http"
+	"sync"
 	"time"
 )
 
-// clockStep is the most by which the time of day of a machine jumps.
-const clockStep = 2000 * time.Millisecond
-
-// ignoredDrain lets a server crash twice. Between its two starts, under one instance id, the time of day of its machine jumps
-// back, so the second start seems to be before the first one. Much later the server reports that it drains.
-func ignoredDrain(log *journal, trouble bool) (broken bool, err error) {
+// forgottenLeave lets a server deregister while the store is down, and then kills all nodes. A heartbeat that the server sent
+// before it deregistered arrives after they have started again.
+func forgottenLeave(log *journal, trouble bool) (broken bool, err error) {
 	f, err := newFleet(log, "desk", "desk", "desk", "desk", "pack", "pack")
 	if err != nil {
 		return false, err
@@ -22,47 +20,64 @@
 	time.Sleep(4 * time.Second) // longer than contactMs
 	l := f.startLoad("/desk/list", 20)
 	defer l.cancel()
-	time.Sleep(time.Second)
+	time.Sleep(2 * time.Second)
 
 	m := f.machines[1]
-	m.server.crash()
-	log.printf("server %s of %s crashes", m.server.instance, m.name)
-	time.Sleep(500 * time.Millisecond)
-	s, err := f.startServer(m, "i-9c41", time.Now())
-	if err != nil {
-		return false, err
-	}
-	s.beatEvery(f)
-	time.Sleep(700 * time.Millisecond)
-	s.crash()
-	log.printf("server %s of %s crashes", s.instance, m.name)
-	born := time.Now().Add(500 * time.Millisecond)
+	s := m.server
 	if trouble {
-		log.printf("the time of day of %s jumps back by %v", m.name, clockStep)
-		born = born.Add(-clockStep)
-	}
-	time.Sleep(500 * time.Millisecond)
-	if s, err = f.startServer(m, "i-9c41", born); err != nil {
-		return false, err
+		f.store.setDown(true)
+		log.printf("the store is down")
 	}
-	s.beatEvery(f)
-	time.Sleep(5 * time.Second)
+	time.Sleep(200 * time.Millisecond)
 	s.stop()
-	s.leaving.Store(true)
-	if status := f.tell(s, http.MethodPut, s.beat("draining"), true); status != http.StatusOK {
+	late := s.beat("ready")
+	log.printf("server %s sends a heartbeat that arrives late", s.instance)
+	time.Sleep(300 * time.Millisecond)
+	if status := f.tell(s, http.MethodDelete, "", true); status != http.StatusOK {
 		log.printf("the leave was not acknowledged")
 		return false, nil
 	}
 	acked := time.Now()
-	for range 4 { // drainMs and a little longer
-		time.Sleep(heartbeatInterval)
-		f.tell(s, http.MethodPut, s.beat("draining"), true)
+	s.leaving.Store(true)
+	time.Sleep(300 * time.Millisecond)
+	inTouch := acked
+	if trouble {
+		if err = f.killAll(); err != nil {
+			return false, err
+		}
+		time.Sleep(500 * time.Millisecond)
+		f.store.setDown(false)
+		log.printf("the store is back")
+		inTouch = time.Now().Add(contactTime)
 	}
-	f.tell(s, http.MethodDelete, "", true)
 	time.Sleep(time.Second)
+	log.printf("the heartbeat that server %s sent before it left arrives", s.instance)
+	f.tell(s, http.MethodPut, late, true)
+	time.Sleep(6 * time.Second)
 	l.end()
-	broken = f.lateArrivals(s, l, acked, acked) > 0
+	broken = f.lateArrivals(s, l, acked, inTouch) > 0
 	s.crash()
 	log.printf("server %s ends", s.instance)
 	return broken, nil
 }
+
+// contactTime is contactMs of the small deployments.
+const contactTime = 3 * time.Second
+
+// killAll kills all nodes at once and starts them again half a second later.
+func (f *fleet) killAll() error {
+	var wg sync.WaitGroup
+	for _, m := range f.machines {
+		wg.Go(m.killNode)
+	}
+	wg.Wait()
+	f.log.printf("all nodes are killed")
+	time.Sleep(500 * time.Millisecond)
+	for _, m := range f.machines {
+		if err := f.startNode(m); err != nil {
+			return err
+		}
+	}
+	f.log.printf("all nodes are started again")
+	return nil
+}
