--- a/review/lab/fleet.go
+++ b/review/lab/fleet.go
@@ -61,7 +61,7 @@
 	if f.base, err = freePorts(len(services)); err != nil {
 		return nil, err
 	}
-	if f.store, err = startStore(fmt.Sprintf("%s200:%d", fleetNet, f.base)); err != nil {
+	if f.store, err = startStore(storeAddr(f.base)); err != nil {
 		return nil, err
 	}
 	addr := func(i, port int) string { return fmt.Sprintf("%s%d:%d", fleetNet, i+1, f.base+port) }
@@ -110,18 +110,25 @@
 }
 
 func portsFree(base, machines int) bool {
+	addrs := []string{storeAddr(base)}
 	for i := range machines {
 		for port := range portCount {
-			ln, err := net.Listen("tcp", fmt.Sprintf("%s%d:%d", fleetNet, i+1, base+port))
-			if err != nil {
-				return false
-			}
-			_ = ln.Close()
+			addrs = append(addrs, fmt.Sprintf("%s%d:%d", fleetNet, i+1, base+port))
 		}
 	}
+	for _, addr := range addrs {
+		ln, err := net.Listen("tcp", addr)
+		if err != nil {
+			return false
+		}
+		_ = ln.Close()
+	}
 	return true
 }
 
+// storeAddr returns the address of the store.
+func storeAddr(base int) string { return fmt.Sprintf("%s200:%d", fleetNet, base) }
+
 // templatePath is the settings template of the deploy file.
 const templatePath = "deploy/node.yaml"
 
