review: add case 11, answers behind a long request that a planned stop cuts

Cause: pipe.Server.Shutdown closes the connections in the moment in which the time of the stop is up, without writing the answers that are ready behind a request that still runs.

--- a/review/lab/fleet.go
+++ b/review/lab/fleet.go
@@ -259,6 +259,9 @@
 	}
 }
 
+// routeTimeout is the timeoutMs of all routes, the longest deadline of a request on the site.
+const routeTimeout = 6 * time.Second
+
 // configHost is the host of all routes.
 const configHost = "hulo84.example"
 
@@ -268,7 +271,7 @@
 	var items []string
 	for _, s := range services {
 		items = append(items,
-			fmt.Sprintf(`{"resourceType":"routes","metadata":{"name":"r-%s"},"spec":{"authority":%q,"pathPrefix":"/%s/","routeType":"idempotent","timeoutMs":2500,"targetLatencyMs":1200,"priority":1,"service":%q,"maxAttempts":2}}`, s, configHost, s, s),
+			fmt.Sprintf(`{"resourceType":"routes","metadata":{"name":"r-%s"},"spec":{"authority":%q,"pathPrefix":"/%s/","routeType":"idempotent","timeoutMs":%d,"targetLatencyMs":1200,"priority":1,"service":%q,"maxAttempts":2}}`, s, configHost, s, routeTimeout.Milliseconds(), s),
 			fmt.Sprintf(`{"resourceType":"services","metadata":{"name":%q},"spec":{"healthPath":"/health","maxConnections":376,"protocol":"h1","tls":false}}`, s))
 	}
 	items = append(items, `{"resourceType":"limits","metadata":{},"spec":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`)
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -16,10 +16,10 @@
 
 // cases are the cases by their number. Each returns whether the rule was broken.
 var cases = map[string]func(log *journal, trouble bool) (broken bool, err error){
+	"11": answersBehind,
 	"12": lateRegistration,
-	"13": ignoredDrain,
+	"13": overwrittenLeave,
 	"14": forgottenLeave,
-	"15": overwrittenLeave,
 }
 
 func main() {
--- a/review/lab/server.go
+++ b/review/lab/server.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +20,7 @@
 type arrival struct {
 	id, instance string
 	at           time.Time
+	ended        time.Time // zero if the server broke off, or was still at work
 }
 
 // server stands in for one run of a backend server.
@@ -27,6 +29,7 @@
 	instance string
 	born     time.Time
 	work     time.Duration
+	call     string // path that each request calls through the node of the machine after its work; empty for none
 
 	leaving  atomic.Bool
 	http     *http.Server
@@ -76,7 +79,8 @@
 		return
 	}
 	s.mu.Lock()
-	s.arrivals = append(s.arrivals, arrival{id, s.instance, time.Now()})
+	n := len(s.arrivals)
+	s.arrivals = append(s.arrivals, arrival{id: id, instance: s.instance, at: time.Now()})
 	s.mu.Unlock()
 	_, _ = io.Copy(io.Discard, r.Body)
 	select {
@@ -84,10 +88,39 @@
 	case <-r.Context().Done():
 		return
 	}
+	if s.call != "" && !s.makeCall(r, id) {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	s.mu.Lock()
+	s.arrivals[n].ended = time.Now()
+	s.mu.Unlock()
 	h.Set("X-Briarworks-Server-Seal", "seal."+id)
 	_, _ = fmt.Fprintf(w, "answer to %s by %s", id, s.instance)
 }
 
+// makeCall calls s.call through the node of the machine and reports success. The call expires with the request that it is made for.
+func (s *server) makeCall(r *http.Request, id string) bool {
+	req, err := http.NewRequestWithContext(r.Context(), http.MethodGet, "http://"+s.m.outbound+s.call, http.NoBody)
+	if err != nil {
+		return false
+	}
+	left, _ := strconv.Atoi(r.Header.Get("X-Briarworks-Deadline-Ms"))
+	req.Host = configHost
+	req.Header.Set("X-Briarworks-Attempt-Id", id+".1")
+	req.Header.Set("X-Briarworks-Deadline-Ms", strconv.Itoa(max(left-int(s.work.Milliseconds()), 1)))
+	resp, err := callClient.Do(req)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err == nil && resp.StatusCode == http.StatusOK
+}
+
+// callClient sends the calls that servers make.
+var callClient = &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+
 // reached returns the requests that reached this run.
 func (s *server) reached() []arrival {
 	s.mu.Lock()
