--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the scripted cases of the third review. Run it in the root of the repository, after the build of the
-# deploy file.
+# Builds the stand-ins of the scripted cases of the third review, after the build of the deploy file.
 set -e
+cd "$(dirname "$0")/.."
 go build -o target/lab ./review/lab
--- a/review/lab/case11.go
+++ b/review/lab/case11.go
@@ -35,7 +35,7 @@
 	desk, pack, deep := f.machines[1].server, f.machines[2].server, f.machines[3].server
 	desk.work, desk.call = 2900*time.Millisecond, "/deep/x"
 	deep.work = 2900 * time.Millisecond
-	time.Sleep(8 * time.Second) // traffic starts 8 s after the machines
+	time.Sleep(trafficDelay)
 	if !f.warmUp("/desk/w", "/pack/w", "/deep/w") {
 		return false, errors.New("a request before the case was not served")
 	}
--- a/review/lab/case13.go
+++ b/review/lab/case13.go
@@ -16,7 +16,7 @@
 	if err = f.start(1, "desk", "pack"); err != nil {
 		return false, err
 	}
-	time.Sleep(4 * time.Second) // longer than contactMs
+	time.Sleep(trafficDelay)
 	l := f.startLoad("/desk/list", 20)
 	defer l.cancel()
 	time.Sleep(time.Second)
--- a/review/lab/case14.go
+++ b/review/lab/case14.go
@@ -17,7 +17,7 @@
 	if err = f.start(0, "desk", "pack"); err != nil {
 		return false, err
 	}
-	time.Sleep(4 * time.Second) // longer than contactMs
+	time.Sleep(trafficDelay)
 	l := f.startLoad("/desk/list", 20)
 	defer l.cancel()
 	time.Sleep(2 * time.Second)
--- a/review/lab/client.go
+++ b/review/lab/client.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -21,10 +23,15 @@
 	taken   map[string]taken // by attempt id
 }
 
+// trafficDelay is the time from the start of the machines to that of the traffic.
+const trafficDelay = 8 * time.Second
+
 // taken is where and when a client sent a request.
 type taken struct {
-	machine string
-	at      time.Time
+	machine  string
+	at       time.Time
+	result   string
+	answered time.Time
 }
 
 // maxLoadTime bounds the time of a load.
@@ -65,7 +72,8 @@
 	req.Header.Set("X-Briarworks-Attempt-Id", id)
 	req.Header.Set("X-Briarworks-Deadline-Ms", "3000")
 	l.mu.Lock()
-	l.taken[id] = taken{m.name, time.Now()}
+	sent := taken{machine: m.name, at: time.Now()}
+	l.taken[id] = sent
 	l.mu.Unlock()
 	result := "no answer"
 	if resp, err := client.Do(req); err == nil {
@@ -73,15 +81,27 @@
 		_ = resp.Body.Close()
 		result = fmt.Sprint(resp.StatusCode)
 	}
+	sent.result, sent.answered = result, time.Now()
 	l.mu.Lock()
 	l.results[result]++
+	l.taken[id] = sent
 	l.mu.Unlock()
 }
 
-// end stops the load, waits for the last answers and records their number by status.
+// end stops the load, waits for the last answers and records what was sent, answered and run.
 func (l *load) end() {
 	l.cancel()
 	l.wg.Wait()
+	ran := make(map[string]string)
+	for _, s := range l.f.servers {
+		for _, a := range s.reached() {
+			ran[a.id] += fmt.Sprintf(" %s of %s at %.3f", a.instance, s.m.name, l.f.log.since(a.at))
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(l.taken)) {
+		t := l.taken[id]
+		l.f.log.printf("request %s: sent to %s at %.3f, answer %s at %.3f, reached%s", id, t.machine, l.f.log.since(t.at), t.result, l.f.log.since(t.answered), ran[id])
+	}
 	l.f.log.printf("answers to clients: %v", l.results)
 }
 
--- a/review/lab/fleet.go
+++ b/review/lab/fleet.go
@@ -44,6 +44,7 @@
 	store    *store
 	machines []*machine
 	spare    []*machine // not started yet
+	servers  []*server  // all runs of servers
 	base     int        // first port
 	seeds    string
 	version  int
@@ -101,7 +102,8 @@
 
 // freePorts returns the first of portCount ports that are free on all loopback addresses of the fleet.
 func freePorts(machines int) (base int, err error) {
-	for base = 21000; base < 31000; base += 20 {
+	// Runs beside each other begin their search at different ports.
+	for base = 21000 + os.Getpid()%250*20; base < 31000; base += 20 {
 		if portsFree(base, machines) {
 			return base, nil
 		}
--- a/review/lab/server.go
+++ b/review/lab/server.go
@@ -50,6 +50,7 @@
 	s.http = &http.Server{Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 10 * time.Second}
 	go func() { _ = s.http.Serve(ln) }()
 	m.server = s
+	f.servers = append(f.servers, s)
 	f.log.printf("server %s of %s starts at %s", instance, m.name, m.app)
 	return s, nil
 }
